Admission becomes a crate of its own; frames of a connection move to net

The platform's path needs both the admission of the node and the framing of peer connections. Pressure now stands in crates/admission, which depends on neither. No behaviour changes.

--- a/crates/node/src/admission/mod.rs
+++ b/crates/admission/src/lib.rs
@@ -2,8 +2,10 @@
 
 mod level;
 mod limit;
+mod pressure;
 mod queue;
 mod returns;
+mod rules;
 #[cfg(test)]
 mod tests;
 mod window;
@@ -20,13 +22,14 @@
 use sailtrack_units::{Importance, KindName, Rank};
 use sailtrack_wire::Reason;
 
-use crate::routing::Pressure;
-use crate::settings::{Policy, Rules};
 use level::Level;
 use limit::Limit;
 use queue::{Place, Queue, Verdict};
 use returns::Returns;
-pub(crate) use window::{Place as WindowPlace, Windows};
+
+pub use pressure::Pressure;
+pub use rules::{Policy, PolicyError, Rules};
+pub use window::{Place as WindowPlace, Windows};
 
 /// The weight of the newest sample in the average of the upstream's own time.
 const NEWEST_WEIGHT: f64 = 0.05;
@@ -44,7 +47,7 @@
 const MIN_QUEUE: usize = 4;
 
 /// Who may enter the own upstream.
-pub(crate) struct Admission {
+pub struct Admission {
     rules: Rules,
     state: RefCell<State>,
     in_flight: Cell<usize>,
@@ -66,7 +69,9 @@
 }
 
 impl Admission {
-    pub(crate) fn new(rules: Rules, now: Instant) -> Self {
+    /// Returns an admission that knows nothing of its upstream yet.
+    #[must_use]
+    pub fn new(rules: Rules, now: Instant) -> Self {
         Self {
             rules,
             state: RefCell::new(State {
@@ -84,7 +89,7 @@
     }
 
     /// Starts anew for an upstream that has just announced itself.
-    pub(crate) fn reset(&self, now: Instant, slots: Option<u32>) {
+    pub fn reset(&self, now: Instant, slots: Option<u32>) {
         let mut state = self.state.borrow_mut();
         state.limit = Limit::new(now, slots);
         state.limit.ramp_up(now, self.rules.warm_up.0);
@@ -92,12 +97,12 @@
     }
 
     /// Puts the limit into force that operators declared.
-    pub(crate) fn declare_limit(&self, limit: DeclaredLimit) {
+    pub fn declare_limit(&self, limit: DeclaredLimit) {
         self.state.borrow_mut().declared = limit;
     }
 
     /// Returns how many calls may be in the upstream at once.
-    pub(crate) fn limit(&self, now: Instant) -> usize {
+    pub fn limit(&self, now: Instant) -> usize {
         let state = self.state.borrow();
         match (self.rules.policy, state.declared) {
             (Policy::Forward, _) => usize::MAX,
@@ -108,30 +113,30 @@
     }
 
     /// Returns how many calls are in the upstream.
-    pub(crate) fn in_flight(&self) -> usize {
+    pub fn in_flight(&self) -> usize {
         self.in_flight.get()
     }
 
     /// Returns true if the upstream is at most half full.
-    pub(crate) fn is_light(&self, now: Instant) -> bool {
+    pub fn is_light(&self, now: Instant) -> bool {
         self.in_flight() <= self.limit(now) / 2
     }
 
     /// Returns how many calls wait for admission.
-    pub(crate) fn waiting(&self) -> usize {
+    pub fn waiting(&self) -> usize {
         self.state.borrow().queue.len()
     }
 
     /// Returns how full the upstream is for calls of this importance.
     ///
     /// Calls that matter less give way in the queue, so they do not count there.
-    pub(crate) fn pressure(&self, now: Instant, importance: Importance) -> Pressure {
+    pub fn pressure(&self, now: Instant, importance: Importance) -> Pressure {
         let waiting = self.state.borrow().queue.len_from(importance);
         Pressure::of(self.in_flight() + waiting, self.limit(now))
     }
 
     /// Returns the rank that is admitted at present.
-    pub(crate) fn level(&self, now: Instant) -> Rank {
+    pub fn level(&self, now: Instant) -> Rank {
         if self.rules.policy != Policy::Adaptive {
             return Rank::LOWEST;
         }
@@ -139,7 +144,7 @@
     }
 
     /// Returns the time that the upstream itself takes for a call, on average.
-    pub(crate) fn own_time(&self) -> Duration {
+    pub fn own_time(&self) -> Duration {
         let seconds = self.state.borrow().own_time.unwrap_or_default();
         Duration::from_secs_f64(seconds)
     }
@@ -147,7 +152,7 @@
     /// Returns over how much time the returns of refused callers are spread.
     ///
     /// It grows with the number of calls refused for each one admitted.
-    pub(crate) fn return_spread(&self, now: Instant) -> Duration {
+    pub fn return_spread(&self, now: Instant) -> Duration {
         let share = self.state.borrow_mut().returns.refused_per_admitted(now);
         SPREAD_UNIT
             .mul_f64(share)
@@ -155,7 +160,7 @@
     }
 
     /// Waits for admission; `begun` says that the root request has run elsewhere already.
-    pub(crate) async fn enter(
+    pub async fn enter(
         self: &Rc<Self>,
         rank: Rank,
         begun: bool,
@@ -263,13 +268,7 @@
     /// Notes a call that the upstream completed in `own_time` of its own.
     ///
     /// `light` says that it found the upstream at most half full.
-    pub(crate) fn note_completed(
-        &self,
-        now: Instant,
-        kind: &KindName,
-        own_time: Duration,
-        light: bool,
-    ) {
+    pub fn note_completed(&self, now: Instant, kind: &KindName, own_time: Duration, light: bool) {
         let mut state = self.state.borrow_mut();
         state.limit.note_completed(now, kind, own_time, light);
         let sample = own_time.as_secs_f64();
@@ -279,7 +278,7 @@
     }
 
     /// Notes that the upstream shed a call.
-    pub(crate) fn note_shed(&self, now: Instant) {
+    pub fn note_shed(&self, now: Instant) {
         let in_flight = self.in_flight();
         self.state.borrow_mut().limit.note_shed(now, in_flight);
     }
@@ -320,7 +319,7 @@
 }
 
 /// The right of one call to be in the upstream, given back when it is dropped.
-pub(crate) struct Permit {
+pub struct Permit {
     admission: Rc<Admission>,
 }
 
--- a/crates/node/src/routing/pressure.rs
+++ b/crates/admission/src/pressure.rs
@@ -12,39 +12,44 @@
 
 /// The calls in an upstream and in the queue before it, as a share of its limit.
 #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
-pub(crate) struct Pressure(pub(crate) f64);
+pub struct Pressure(pub f64);
 
 impl Pressure {
     /// The pressure from which on calls wait.
-    pub(crate) const FULL: Self = Self(1.0);
+    pub const FULL: Self = Self(1.0);
 
     /// The least pressure that a refusal for overload stands for.
-    pub(crate) const REFUSING: Self = Self(2.0);
+    pub const REFUSING: Self = Self(2.0);
 
     /// Returns the greater of two pressures.
-    pub(crate) fn greater(self, other: Self) -> Self {
+    #[must_use]
+    pub fn greater(self, other: Self) -> Self {
         Self(self.0.max(other.0))
     }
 
     /// Returns the pressure of `calls` on a limit.
     #[allow(clippy::cast_precision_loss)]
-    pub(crate) fn of(calls: usize, limit: usize) -> Self {
+    #[must_use]
+    pub fn of(calls: usize, limit: usize) -> Self {
         Self(calls as f64 / limit.max(1) as f64)
     }
 
     /// Returns the pressure in whole percent.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    pub(crate) fn percent(self) -> u32 {
+    #[must_use]
+    pub fn percent(self) -> u32 {
         (self.0 * 100.0).clamp(0.0, GREATEST_PERCENT) as u32
     }
 
     /// Returns the pressure that a whole percentage stands for.
-    pub(crate) fn from_percent(percent: u32) -> Self {
+    #[must_use]
+    pub fn from_percent(percent: u32) -> Self {
         Self(f64::from(percent) / 100.0)
     }
 
     /// Returns what is left of a pressure that was heard of at `heard`.
-    pub(crate) fn faded(self, heard: Instant, now: Instant) -> Self {
+    #[must_use]
+    pub fn faded(self, heard: Instant, now: Instant) -> Self {
         let age = now.saturating_duration_since(heard).saturating_sub(HOLD);
         let halvings = age.as_secs_f64() / HALF_LIFE.as_secs_f64();
         Self(self.0 * 0.5f64.powf(halvings))
--- a/crates/node/src/admission/tests.rs
+++ b/crates/admission/src/tests.rs
@@ -5,11 +5,11 @@
 
 use sailtrack_units::{Importance, KindName, Rank};
 
-use crate::admission::level::Level;
-use crate::admission::limit::Limit;
-use crate::admission::queue::{Queue, Verdict};
-use crate::admission::window::Windows;
-use crate::routing::Pressure;
+use crate::level::Level;
+use crate::limit::Limit;
+use crate::pressure::Pressure;
+use crate::queue::{Queue, Verdict};
+use crate::window::Windows;
 
 const STEP: Duration = Duration::from_millis(1);
 
--- a/crates/node/src/admission/window.rs
+++ b/crates/admission/src/window.rs
@@ -14,7 +14,7 @@
 use sailtrack_kernel::Service;
 use sailtrack_units::KindName;
 
-use crate::routing::Pressure;
+use crate::pressure::Pressure;
 
 /// The pressure that a window aims at: a quarter of the slots' calls wait.
 const AIM: f64 = 1.25;
@@ -147,7 +147,7 @@
 
 /// The windows of all kinds of root requests that begin on this node.
 #[derive(Default)]
-pub(crate) struct Windows {
+pub struct Windows {
     windows: RefCell<HashMap<KindName, Window>>,
 }
 
@@ -157,7 +157,7 @@
 
 impl Windows {
     /// Takes a place for a request, or nothing if as many are in progress as may be.
-    pub(crate) fn enter(self: &Rc<Self>, kind: &KindName, now: Instant) -> Option<Place> {
+    pub fn enter(self: &Rc<Self>, kind: &KindName, now: Instant) -> Option<Place> {
         let mut windows = self.windows.borrow_mut();
         let window = windows
             .entry(kind.clone())
@@ -175,7 +175,7 @@
 }
 
 /// The place of one request in the window of its kind.
-pub(crate) struct Place {
+pub struct Place {
     windows: Rc<Windows>,
     kind: KindName,
     entered: Instant,
@@ -183,7 +183,7 @@
 
 impl Place {
     /// Notes that the request ran, and the greatest pressure that it met further down.
-    pub(crate) fn note(&self, now: Instant, pressure: Pressure) {
+    pub fn note(&self, now: Instant, pressure: Pressure) {
         let time = now.saturating_duration_since(self.entered);
         if let Some(window) = self.windows.windows.borrow_mut().get_mut(&self.kind) {
             window.note(now, time, pressure);
--- a/crates/node/src/peer/connection.rs
+++ b/crates/net/src/frames.rs
@@ -1,4 +1,4 @@
-//! Reads and writes frames on a connection between two nodes.
+//! Reads and writes the frames of a connection between two nodes.
 
 use bytes::BytesMut;
 use displaydoc::Display;
@@ -13,11 +13,11 @@
 /// Frames are gathered into one write up to this many bytes.
 const GATHER_SIZE: usize = 64 * 1024;
 /// The most frames that wait to be written.
-pub(crate) const OUTGOING_CAPACITY: usize = 1024;
+pub const OUTGOING_CAPACITY: usize = 1024;
 
 /// Why a connection between two nodes ended.
 #[derive(Debug, Display)]
-pub(crate) enum ConnectionError {
+pub enum ConnectionError {
     /// the other side closed the connection
     Closed,
     /// the connection failed: {0}
@@ -25,13 +25,13 @@
     /// {0}
     Frame(FrameError),
     /// the connection could not be opened: {0}
-    Dial(sailtrack_net::dial::DialError),
+    Dial(crate::dial::DialError),
 }
 
 impl std::error::Error for ConnectionError {}
 
 /// Reads frames.
-pub(crate) struct FrameReader {
+pub struct FrameReader {
     stream: OwnedReadHalf<TcpStream>,
     codec: Codec,
     buffer: BytesMut,
@@ -39,7 +39,9 @@
 }
 
 impl FrameReader {
-    pub(crate) fn new(stream: OwnedReadHalf<TcpStream>) -> Self {
+    /// Returns a reader at the start of a connection.
+    #[must_use]
+    pub fn new(stream: OwnedReadHalf<TcpStream>) -> Self {
         Self {
             stream,
             codec: Codec::default(),
@@ -49,7 +51,7 @@
     }
 
     /// Returns the message of the next frame.
-    pub(crate) async fn next(&mut self) -> Result<Body, ConnectionError> {
+    pub async fn next(&mut self) -> Result<Body, ConnectionError> {
         loop {
             let frame = self
                 .codec
@@ -63,7 +65,7 @@
     }
 
     /// Returns the hello that must be the first frame.
-    pub(crate) async fn hello(&mut self) -> Result<Hello, ConnectionError> {
+    pub async fn hello(&mut self) -> Result<Hello, ConnectionError> {
         match self.next().await? {
             Body::Hello(hello) if hello.version == VERSION => Ok(hello),
             Body::Hello(hello) => Err(ConnectionError::Frame(FrameError::Version(hello.version))),
@@ -86,7 +88,7 @@
 }
 
 /// Writes the frames that come through `outgoing` until it is closed.
-pub(crate) async fn write_frames(
+pub async fn write_frames(
     mut stream: OwnedWriteHalf<TcpStream>,
     mut outgoing: mpsc::Receiver<Body>,
 ) -> Result<(), ConnectionError> {
@@ -114,7 +116,8 @@
 }
 
 /// Returns the first message of a connection.
-pub(crate) fn hello(member: Member) -> Body {
+#[must_use]
+pub fn hello(member: Member) -> Body {
     Body::Hello(Hello {
         version: VERSION,
         member: Some(member),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 //! which refuse what it would crash or grow on.
 
 pub mod dial;
+pub mod frames;
 pub mod http;
 pub mod runtime;
 pub mod task;
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -8,7 +8,7 @@
 use sailtrack_units::{Allowance, KindName, Rank, RequestId, ServiceName, Ticket};
 use sailtrack_wire::{Outcome, Reason};
 
-use crate::routing::Pressure;
+use sailtrack_admission::Pressure;
 
 /// One call to a service, from a client or made for one.
 #[derive(Debug, Clone)]
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -15,7 +15,7 @@
 
 use crate::call::{Answer, Call};
 use crate::retry::Budget;
-use crate::routing::Pressure;
+use sailtrack_admission::Pressure;
 
 /// Identifies a call among those that one execution makes.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
--- a/crates/node/src/execute.rs
+++ b/crates/node/src/execute.rs
@@ -14,15 +14,15 @@
 use sailtrack_units::Ticket;
 use sailtrack_wire::{Outcome, Reason};
 
-use crate::admission::{Admission, WindowPlace, Windows};
 use crate::call::{Answer, Call};
 use crate::context::{Contexts, Entry};
 use crate::header;
 use crate::metrics::Metrics;
 use crate::routing::Downstream;
-use crate::settings::Policy;
 use crate::ticket::{Begin, Closing, Tickets};
 use crate::upstream::Upstream;
+use sailtrack_admission::Policy;
+use sailtrack_admission::{Admission, WindowPlace, Windows};
 
 /// How long past its deadline a non-idempotent call is still waited for.
 ///
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,7 +5,6 @@
 //! where and how often it runs. Its parts are services that find each other by
 //! name in the table of the micro-kernel; [`run`] is the only public item.
 
-mod admission;
 mod burn;
 mod call;
 mod cli;
--- a/crates/node/src/node/duty.rs
+++ b/crates/node/src/node/duty.rs
@@ -15,7 +15,6 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::admission::Admission;
 use crate::configuration::Configuration;
 use crate::membership::{Gossip, Membership};
 use crate::operator::{settled_key, unknown_key};
@@ -24,6 +23,7 @@
 use crate::settings::{Identity, Seeds};
 use crate::unknown::{Unknown, Unknowns};
 use crate::upstream::Upstream;
+use sailtrack_admission::Admission;
 
 /// Where the nodes' rows stand in the platform's table.
 const NODES: &str = "nodes/";
--- a/crates/node/src/node/services.rs
+++ b/crates/node/src/node/services.rs
@@ -15,7 +15,6 @@
 use sailtrack_units::{Incarnation, Timestamp};
 use sailtrack_wire::{Member, State};
 
-use crate::admission::{Admission, Windows};
 use crate::burn::Burn;
 use crate::configuration::{Acceptor as ConfigAcceptor, Configuration, Spreader};
 use crate::context::Contexts;
@@ -36,6 +35,7 @@
 use crate::ticket::Tickets;
 use crate::unknown::Unknowns;
 use crate::upstream::Upstream;
+use sailtrack_admission::{Admission, Windows};
 
 /// How many heard-of versions wait to be fetched.
 const HEARD_CAPACITY: usize = 4;
@@ -113,7 +113,7 @@
     table.install(Upstream::default());
     table.install(Downstream::default());
     table.install(Windows::default());
-    table.install(Admission::new(rules, Instant::now()));
+    table.install(Admission::new(rules.admission, Instant::now()));
     table.install(Ratios::new(rules.retry_ratio));
     table.install(Unknowns::new(identity.name.clone()));
     table.install(Platform::new(
@@ -164,7 +164,7 @@
     life: &Life<Joining>,
     in_flight: &Rc<Cell<usize>>,
 ) -> Result<(), Error> {
-    let policy = settings.rules.policy;
+    let policy = settings.rules.admission.policy;
     table.install(Executor {
         policy,
         phase: life.watch(),
@@ -287,7 +287,7 @@
     [client, local, operator]: [Port; 3],
 ) -> Result<(), Error> {
     let client_port = Rc::new(ClientPort {
-        policy: settings.rules.policy,
+        policy: settings.rules.admission.policy,
         phase: life.watch(),
         configuration: table.find()?,
         dispatcher: table.find()?,
@@ -299,7 +299,7 @@
     });
     let duties = table.find::<Duties>()?;
     let local_port = Rc::new(LocalPort {
-        policy: settings.rules.policy,
+        policy: settings.rules.admission.policy,
         identity: settings.identity.clone(),
         configuration: table.find()?,
         contexts: table.find()?,
--- a/crates/node/src/operator/mod.rs
+++ b/crates/node/src/operator/mod.rs
@@ -18,7 +18,6 @@
 use sailtrack_units::OperatorName;
 use sailtrack_wire::State;
 
-use crate::admission::Admission;
 use crate::burn::Burn;
 use crate::configuration::{Acceptor, Configuration};
 use crate::entrance::Entrance;
@@ -34,6 +33,7 @@
 use crate::upstream::Upstream;
 pub(crate) use query::unknown_key;
 use reply::Refusal;
+use sailtrack_admission::Admission;
 pub(crate) use settle::{settled_key, verdict_of};
 
 /// Answers operators.
--- a/crates/node/src/peer/accept.rs
+++ b/crates/node/src/peer/accept.rs
@@ -24,11 +24,9 @@
 use crate::execute::Executor;
 use crate::membership::Membership;
 use crate::peer::assembly::CHUNK;
-use crate::peer::connection::{
-    ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, write_frames,
-};
 use crate::peer::convert::{answer_to_wire, call_from_wire, part_from_wire};
 use crate::ticket::Tickets;
+use sailtrack_net::frames::{ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, write_frames};
 
 /// How long a new connection may take to say hello.
 const HELLO_TIME: Duration = Duration::from_secs(2);
--- a/crates/node/src/peer/convert.rs
+++ b/crates/node/src/peer/convert.rs
@@ -8,8 +8,8 @@
 use sailtrack_wire::WireError;
 
 use crate::call::{Answer, Call};
-use crate::routing::Pressure;
 use crate::ticket::{Entry, Part};
+use sailtrack_admission::Pressure;
 
 /// Returns the message for a call.
 pub(crate) fn call_to_wire(exchange: u64, call: &Call, entry: bool) -> wire::Call {
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -20,11 +20,9 @@
 use crate::membership::Peer;
 use crate::metrics::Metrics;
 use crate::peer::assembly::Assembly;
-use crate::peer::connection::{
-    ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, write_frames,
-};
 use crate::peer::convert::{call_to_wire, part_to_wire};
 use crate::ticket::Part;
+use sailtrack_net::frames::{ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, write_frames};
 
 /// How long opening a connection may take.
 const CONNECT_TIME: Duration = Duration::from_millis(500);
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -2,7 +2,6 @@
 
 mod accept;
 mod assembly;
-mod connection;
 mod convert;
 mod link;
 
--- a/crates/node/src/port/client.rs
+++ b/crates/node/src/port/client.rs
@@ -22,8 +22,8 @@
 use crate::port::reply;
 use crate::retry::Budget;
 use crate::routing::{Routing, Target};
-use crate::settings::Policy;
 use crate::ticket::Tickets;
+use sailtrack_admission::Policy;
 
 /// Where clients get tickets.
 const TICKETS: &str = "/.sailtrack/tickets";
--- a/crates/node/src/port/local.rs
+++ b/crates/node/src/port/local.rs
@@ -15,7 +15,6 @@
 use sailtrack_wire::{Outcome, Reason};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::admission::Admission;
 use crate::call::{Answer, Call};
 use crate::configuration::Configuration;
 use crate::context::{Context, Contexts, SharedAnswer, SubcallKey};
@@ -24,8 +23,10 @@
 use crate::port::incoming::{Builder, Traits};
 use crate::port::reply;
 use crate::retry::Budget;
-use crate::settings::{Identity, Policy};
+use crate::settings::Identity;
 use crate::upstream::{Announcement, Upstream};
+use sailtrack_admission::Admission;
+use sailtrack_admission::Policy;
 
 /// Where the upstream announces itself.
 const ANNOUNCE: &str = "/.sailtrack/announce";
--- a/crates/node/src/routing/mod.rs
+++ b/crates/node/src/routing/mod.rs
@@ -3,7 +3,6 @@
 mod downstream;
 mod fading;
 mod peer_load;
-mod pressure;
 
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -17,15 +16,15 @@
 use sailtrack_units::{KindName, NodeName, Rank, RequestId, ServiceName, Ticket};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::admission::Admission;
 use crate::call::{Answer, Call};
 use crate::configuration::Configuration;
 use crate::membership::{Membership, Peer};
-use crate::settings::{Identity, Policy};
+use crate::settings::Identity;
 use crate::upstream::Upstream;
 pub(crate) use downstream::Downstream;
 use peer_load::PeerLoad;
-pub(crate) use pressure::Pressure;
+use sailtrack_admission::Policy;
+use sailtrack_admission::{Admission, Pressure};
 
 /// The most members of one service that a node sends calls to.
 const SUBSET: usize = 8;
--- a/crates/node/src/routing/peer_load.rs
+++ b/crates/node/src/routing/peer_load.rs
@@ -8,7 +8,7 @@
 
 use crate::call::Answer;
 use crate::routing::fading::Fading;
-use crate::routing::pressure::Pressure;
+use sailtrack_admission::Pressure;
 
 /// This many failures in a row eject a member.
 const FAILURES_TO_EJECT: u32 = 3;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,10 +3,9 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::str::FromStr;
 
-use displaydoc::Display;
 use log::LevelFilter;
+use sailtrack_admission::{self as admission, Policy};
 use sailtrack_settings::{Document, Problems, Section};
 use sailtrack_units::{ByteSize, DomainName, NodeName, Period, Ratio, ServiceName};
 
@@ -15,34 +14,6 @@
 const ADDRESS: &str = "an IP number with a port, such as 127.0.0.1:7100";
 const PERIOD: &str = "a period such as 250ms, 5s or 10m";
 
-/// How a node decides; the two others are baselines to compare with.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub(crate) enum Policy {
-    /// forward
-    Forward,
-    /// fixed
-    Fixed,
-    /// adaptive
-    Adaptive,
-}
-
-/// policy must be one of: forward, fixed, adaptive
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub(crate) struct PolicyError;
-
-impl FromStr for Policy {
-    type Err = PolicyError;
-
-    fn from_str(text: &str) -> Result<Self, PolicyError> {
-        match text {
-            "forward" => Ok(Self::Forward),
-            "fixed" => Ok(Self::Fixed),
-            "adaptive" => Ok(Self::Adaptive),
-            _ => Err(PolicyError),
-        }
-    }
-}
-
 /// Who the node is.
 #[derive(Debug, Clone)]
 pub(crate) struct Identity {
@@ -85,15 +56,10 @@
 /// How the node decides.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Rules {
-    pub(crate) policy: Policy,
-    /// The limit of the fixed policy.
-    pub(crate) fixed_limit: u32,
+    /// Who may enter the own upstream.
+    pub(crate) admission: admission::Rules,
     /// The share of calls that retries may add.
     pub(crate) retry_ratio: Ratio,
-    /// The longest time that a call waits for admission.
-    pub(crate) queue_time: Period,
-    /// How long a new upstream is ramped up.
-    pub(crate) warm_up: Period,
     /// How long a ticket can be used.
     pub(crate) ticket_life: Period,
     /// The most memory for the answers of finished tickets.
@@ -198,11 +164,13 @@
 
 fn read_rules(section: &Section<'_>) -> Rules {
     Rules {
-        policy: section.or("mode", Policy::Adaptive, "forward, fixed or adaptive"),
-        fixed_limit: section.ranged("fixed-limit", 100, 1..=100_000),
+        admission: admission::Rules {
+            policy: section.or("mode", Policy::Adaptive, "forward, fixed or adaptive"),
+            fixed_limit: section.ranged("fixed-limit", 100, 1..=100_000),
+            queue_time: section.or("queue-time", Period::from_millis(100), PERIOD),
+            warm_up: section.or("warm-up", Period::from_millis(2000), PERIOD),
+        },
         retry_ratio: section.or("retry-ratio", Ratio(0.1), "from 0 to 1"),
-        queue_time: section.or("queue-time", Period::from_millis(100), PERIOD),
-        warm_up: section.or("warm-up", Period::from_millis(2000), PERIOD),
         ticket_life: section.or("ticket-life", Period::from_millis(300_000), PERIOD),
         ticket_memory: section.or("ticket-memory", ByteSize(16 << 20), "such as 16MiB"),
     }
