Messages of the transparent path on the wire; HTTP/1.1 passed on as it came

monoio-http holds a body as one buffer, ends the process on long field names and cannot frame a body by its connection; heads are now parsed by httparse (its nearest kin) and bodies framed here. The two ports of a node ignore the messages that are not for them.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod runtime;
 pub mod task;
 pub mod terminate;
+pub mod transparent;
--- /dev/null
+++ b/crates/net/src/transparent/head.rs
@@ -0,0 +1,113 @@
+//! Parses request and status lines with their fields, through `httparse`.
+
+use bytes::Bytes;
+use displaydoc::Display;
+use httparse::{EMPTY_HEADER, Header, Status};
+
+use crate::transparent::fields::{Field, Fields};
+
+/// The most fields of a head; more are refused.
+const MOST_FIELDS: usize = 100;
+
+/// Why a head was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum HeadError {
+    /// the head is malformed
+    Malformed,
+    /// the head has too many fields or bytes
+    TooLarge,
+    /// the length of the body is given twice or in two ways
+    Ambiguous,
+    /// the transfer coding is not known
+    Coding,
+}
+
+impl std::error::Error for HeadError {}
+
+/// The head of a request.
+#[derive(Debug, Clone)]
+pub struct RequestHead {
+    /// The method.
+    pub method: Bytes,
+    /// The path with its query, as it was sent.
+    pub target: Bytes,
+    /// True for HTTP/1.1, false for HTTP/1.0.
+    pub is_1_1: bool,
+    /// The fields.
+    pub fields: Fields,
+}
+
+impl RequestHead {
+    /// Parses the head at the start of `bytes`, which must hold a whole one.
+    pub fn parse(bytes: &Bytes) -> Result<Self, HeadError> {
+        let mut headers = [EMPTY_HEADER; MOST_FIELDS];
+        let mut request = httparse::Request::new(&mut headers);
+        complete(request.parse(bytes))?;
+        let method = request.method.ok_or(HeadError::Malformed)?;
+        let target = request.path.ok_or(HeadError::Malformed)?;
+        Ok(Self {
+            method: bytes.slice_ref(method.as_bytes()),
+            target: bytes.slice_ref(target.as_bytes()),
+            is_1_1: request.version == Some(1),
+            fields: fields(bytes, request.headers),
+        })
+    }
+
+    /// Returns true if the connection can carry another request after this one.
+    #[must_use]
+    pub fn keeps_alive(&self) -> bool {
+        self.is_1_1 && !self.fields.lists("connection", "close")
+    }
+}
+
+/// The head of an answer.
+#[derive(Debug, Clone)]
+pub struct ResponseHead {
+    /// The status.
+    pub status: u16,
+    /// The words after the status.
+    pub reason: Bytes,
+    /// True for HTTP/1.1, false for HTTP/1.0.
+    pub is_1_1: bool,
+    /// The fields.
+    pub fields: Fields,
+}
+
+impl ResponseHead {
+    /// Parses the head at the start of `bytes`, which must hold a whole one.
+    pub fn parse(bytes: &Bytes) -> Result<Self, HeadError> {
+        let mut headers = [EMPTY_HEADER; MOST_FIELDS];
+        let mut response = httparse::Response::new(&mut headers);
+        complete(response.parse(bytes))?;
+        let reason = response.reason.unwrap_or_default();
+        Ok(Self {
+            status: response.code.ok_or(HeadError::Malformed)?,
+            reason: Bytes::copy_from_slice(reason.as_bytes()),
+            is_1_1: response.version == Some(1),
+            fields: fields(bytes, response.headers),
+        })
+    }
+
+    /// Returns true if the connection can carry another exchange after this one.
+    #[must_use]
+    pub fn keeps_alive(&self) -> bool {
+        self.is_1_1 && !self.fields.lists("connection", "close")
+    }
+}
+
+fn complete(parsed: httparse::Result<usize>) -> Result<(), HeadError> {
+    match parsed {
+        Ok(Status::Complete(_)) => Ok(()),
+        Ok(Status::Partial) => Err(HeadError::Malformed),
+        Err(httparse::Error::TooManyHeaders) => Err(HeadError::TooLarge),
+        Err(_) => Err(HeadError::Malformed),
+    }
+}
+
+fn fields(bytes: &Bytes, headers: &[Header<'_>]) -> Fields {
+    let fields = headers.iter().map(|header| Field {
+        name: bytes.slice_ref(header.name.as_bytes()),
+        value: bytes.slice_ref(header.value),
+    });
+    Fields(fields.collect())
+}
--- a/crates/node/src/peer/accept.rs
+++ b/crates/node/src/peer/accept.rs
@@ -123,11 +123,8 @@
                 }
                 Body::Fetch(fetch) => self.give_config(fetch, outgoing),
                 Body::Handover(handover) => self.receive(handover, outgoing),
-                Body::Hello(_)
-                | Body::Answer(_)
-                | Body::Chunk(_)
-                | Body::Leaving(_)
-                | Body::Config(_) => {}
+                // Everything else is for the other direction or for the port of sailtrack-mesh.
+                _ => {}
             }
         }
     }
--- a/crates/node/src/peer/link.rs
+++ b/crates/node/src/peer/link.rs
@@ -217,12 +217,8 @@
                 Body::Answer(answer) => self.take_head(answer),
                 Body::Chunk(chunk) => self.take_chunk(chunk.exchange, &chunk.data),
                 Body::Config(config) => self.take_config(&config),
-                Body::Hello(_)
-                | Body::Call(_)
-                | Body::Cancel(_)
-                | Body::Leaving(_)
-                | Body::Handover(_)
-                | Body::Fetch(_) => {}
+                // Everything else is for the other direction or for the port of sailtrack-mesh.
+                _ => {}
             }
         }
     }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -2,7 +2,10 @@
 /// One length-delimited frame on a connection between two nodes.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Frame {
-    #[prost(oneof = "frame::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(
+        oneof = "frame::Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+    )]
     pub body: ::core::option::Option<frame::Body>,
 }
 /// Nested message and enum types in `Frame`.
@@ -27,6 +30,18 @@
         Config(super::Config),
         #[prost(message, tag = "9")]
         Handover(super::Handover),
+        #[prost(message, tag = "10")]
+        Forward(super::Forward),
+        #[prost(message, tag = "11")]
+        Reply(super::Reply),
+        #[prost(message, tag = "12")]
+        Recall(super::Recall),
+        #[prost(message, tag = "13")]
+        Presence(super::Presence),
+        #[prost(message, tag = "14")]
+        Retire(super::Retire),
+        #[prost(message, tag = "15")]
+        Retired(super::Retired),
     }
 }
 /// The first frame in each direction.
@@ -170,6 +185,110 @@
     #[prost(uint64, tag = "5")]
     pub total: u64,
 }
+/// A request as its caller sent it, for the upstream beside the receiver.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Forward {
+    #[prost(uint64, tag = "1")]
+    pub exchange: u64,
+    /// The id that the caller gave to this attempt.
+    #[prost(string, tag = "2")]
+    pub id: ::prost::alloc::string::String,
+    #[prost(string, tag = "3")]
+    pub service: ::prost::alloc::string::String,
+    /// The route, as the kind that admission and metrics know.
+    #[prost(string, tag = "4")]
+    pub kind: ::prost::alloc::string::String,
+    #[prost(bool, tag = "5")]
+    pub idempotent: bool,
+    #[prost(uint32, tag = "6")]
+    pub rank: u32,
+    /// The request was made by an upstream that works on another one.
+    #[prost(bool, tag = "7")]
+    pub begun: bool,
+    #[prost(uint64, tag = "8")]
+    pub time_left_us: u64,
+    /// The request line and the fields to be passed on.
+    #[prost(bytes = "bytes", tag = "9")]
+    pub head: ::prost::bytes::Bytes,
+    #[prost(bytes = "bytes", tag = "10")]
+    pub body: ::prost::bytes::Bytes,
+    /// The length of the whole body; what is missing here follows in chunks.
+    #[prost(uint64, tag = "11")]
+    pub body_length: u64,
+}
+/// What became of a forwarded request.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Reply {
+    #[prost(uint64, tag = "1")]
+    pub exchange: u64,
+    #[prost(enumeration = "Outcome", tag = "2")]
+    pub outcome: i32,
+    #[prost(enumeration = "Reason", tag = "3")]
+    pub reason: i32,
+    #[prost(uint32, tag = "4")]
+    pub status: u32,
+    /// The status line and the fields to be passed on.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub head: ::prost::bytes::Bytes,
+    #[prost(bytes = "bytes", tag = "6")]
+    pub body: ::prost::bytes::Bytes,
+    /// The length of the whole body; what is missing here follows in chunks.
+    #[prost(uint64, tag = "7")]
+    pub body_length: u64,
+    /// The request was sent to the upstream, whatever came of it.
+    #[prost(bool, tag = "8")]
+    pub offered: bool,
+    #[prost(uint32, tag = "9")]
+    pub pressure_percent: u32,
+    #[prost(uint32, tag = "10")]
+    pub path_pressure_percent: u32,
+    #[prost(uint64, tag = "11")]
+    pub retry_after_ms: u64,
+}
+/// Asks what became of a request that must not run twice. If it never ran it never will.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Recall {
+    #[prost(uint64, tag = "1")]
+    pub exchange: u64,
+    #[prost(string, tag = "2")]
+    pub id: ::prost::alloc::string::String,
+    /// The life of the node to which the request was sent.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+}
+/// What a node says about itself, at once after the hello, on changes and while it is quiet.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Presence {
+    #[prost(message, optional, tag = "1")]
+    pub member: ::core::option::Option<Member>,
+    #[prost(uint64, tag = "2")]
+    pub config_version: u64,
+    #[prost(uint32, tag = "3")]
+    pub pressure_percent: u32,
+    /// The upstream beside the node, empty if there is none.
+    #[prost(string, tag = "4")]
+    pub upstream: ::prost::alloc::string::String,
+    /// Upstreams that are known to leave or to have left.
+    #[prost(string, repeated, tag = "5")]
+    pub retired: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Other nodes that the sender knows.
+    #[prost(message, repeated, tag = "6")]
+    pub known: ::prost::alloc::vec::Vec<Member>,
+}
+/// Asks the receiver to remember that an upstream leaves, also on behalf of a later life of the sender.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Retire {
+    #[prost(uint64, tag = "1")]
+    pub exchange: u64,
+    #[prost(string, tag = "2")]
+    pub upstream: ::prost::alloc::string::String,
+}
+/// The receiver of a retire remembers it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Retired {
+    #[prost(uint64, tag = "1")]
+    pub exchange: u64,
+}
 /// What is known about one node.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Member {
