--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -41,6 +41,8 @@
     PROCESS_STOPPED = 102 Info "process stopped" ["process"];
     /// A second SIGTERM arrived while work was in flight; the process goes on finishing it.
     STOP_REPEATED = 103 Warn "stop requested again; still finishing work in flight" ["in_flight"];
+    /// SIGHUP arrived; the settings of a running process stay as they are.
+    RELOAD_REQUESTED = 104 Info "reload requested" [];
     /// A task panicked; only its connection ended.
     TASK_PANICKED = 110 Error "a task panicked and was ended" ["task"];
     /// A connection was closed because of what it sent.
@@ -57,6 +59,10 @@
     PLATFORM_LOST = 300 Warn "the platform does not answer" ["reason"];
     /// The platform answers again.
     PLATFORM_FOUND = 301 Info "the platform answers again" [];
+    /// An operation on the store failed and is tried again, or other nodes stand in for it.
+    STORE_FAILED = 302 Warn "operation on the store failed" ["operation", "reason"];
+    /// A row of the store that could not be read was ignored.
+    ROW_REFUSED = 303 Error "row refused" ["table", "key", "reason"];
     /// A node was seen for the first time, or again.
     MEMBER_JOINED = 400 Info "member joined" ["node", "service", "domain"];
     /// A node does not answer and is suspected.
@@ -69,6 +75,8 @@
     UPSTREAM_ANNOUNCED = 410 Info "upstream announced" ["service", "slots"];
     /// The own upstream is leaving or stopped announcing itself.
     UPSTREAM_GONE = 411 Warn "upstream gone" ["reason"];
+    /// A life of the own upstream gets no new requests any more.
+    UPSTREAM_RETIRED = 412 Info "upstream retired" ["upstream", "reason"];
     /// The limit of the own upstream changed by a quarter or more.
     LIMIT_CHANGED = 500 Info "concurrency limit changed" ["limit", "reason"];
     /// Requests are being shed.
@@ -85,4 +93,16 @@
     PEER_CONNECTED = 700 Debug "peer connected" ["node"];
     /// A peer connection was lost.
     PEER_LOST = 701 Info "peer connection lost" ["node", "reason"];
+    /// A request was refused and has not run.
+    REQUEST_REFUSED = 800 Info "request refused" ["request", "at", "reason"];
+    /// A request is sent to another upstream.
+    REQUEST_REPEATED = 801 Info "request sent once more" ["request", "outcome", "reason"];
+    /// A request ends without an answer of an upstream.
+    REQUEST_FAILED = 802 Warn "request failed" ["request", "status", "reason"];
+    /// The answer of the own upstream to a request was lost or cannot be passed on.
+    ANSWER_LOST = 803 Warn "answer lost" ["request", "reason"];
+    /// Whether a request ran in the own upstream is not known.
+    OUTCOME_NOT_KNOWN = 804 Info "outcome of a request not known" ["kind", "reason"];
+    /// Events about single requests were left out because there were too many.
+    EVENTS_LEFT_OUT = 810 Info "events left out" ["count"];
 }
--- /dev/null
+++ b/crates/mesh/src/announcement.rs
@@ -0,0 +1,176 @@
+//! The port on which the own upstream announces itself.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures::future::{Either, select};
+use http::StatusCode;
+use monoio::time::{sleep, timeout};
+use sailtrack_kernel::Service;
+use sailtrack_log::{catalogue, emit};
+use sailtrack_net::http::{Handler, Request, Response};
+use sailtrack_net::task;
+
+use crate::dialect::{Announcement, Beat, Dialect, DialectError, Readiness};
+use crate::gate::Upstream;
+use crate::key::UpstreamKey;
+use crate::peer::Peers;
+use crate::retired::Retired;
+use crate::store::{Store, Table};
+
+/// How long an upstream waits for the acknowledgement that it leaves: it hears of none after 1 s.
+const RETIRE_TIME: Duration = Duration::from_millis(900);
+/// How long the store may take to remember a leaving upstream before the other nodes suffice.
+const STORE_TIME: Duration = Duration::from_millis(600);
+/// How long the store may take to say whether an upstream has left before.
+const LOOKUP_TIME: Duration = Duration::from_millis(800);
+/// How often the word of other nodes is looked for while the store does not answer.
+const LOOK: Duration = Duration::from_millis(50);
+/// How long after its start a node waits for the word of others before it believes a beat.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// Takes in what the own upstream announces.
+pub(crate) struct Announcements {
+    pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) store: Rc<dyn Store>,
+    pub(crate) upstream: Rc<Upstream>,
+    pub(crate) retired: Rc<Retired>,
+    pub(crate) peers: Rc<Peers>,
+    pub(crate) started: Instant,
+    /// Whether a beat of a new life is being looked into.
+    pub(crate) looking: Cell<bool>,
+}
+
+impl Service for Announcements {
+    const NAME: &'static str = "announcements";
+}
+
+/// The handler of the port.
+pub(crate) struct AnnouncementPort(pub(crate) Rc<Announcements>);
+
+impl Handler for AnnouncementPort {
+    async fn handle(&self, request: Request) -> Response {
+        let announcements = &self.0;
+        match announcements.dialect.announcement(&request) {
+            Ok(announcement) => announcements.take(announcement).await,
+            Err(error) => announcements.refuse(&error),
+        }
+    }
+}
+
+impl Announcements {
+    async fn take(self: &Rc<Self>, announcement: Announcement) -> Response {
+        let is_safe = match announcement {
+            Announcement::Goodbye(upstream) => self.retire(&upstream, "goodbye").await,
+            Announcement::Beat(beat) if beat.readiness == Readiness::Leaving => {
+                self.retire(&beat.upstream, "leaving").await
+            }
+            Announcement::Beat(beat) => {
+                self.take_ready(beat);
+                true
+            }
+        };
+        if is_safe {
+            Response::json(StatusCode::OK, self.dialect.acknowledgement())
+        } else {
+            Response::text(StatusCode::SERVICE_UNAVAILABLE, "not remembered yet\n")
+        }
+    }
+
+    fn refuse(&self, error: &DialectError) -> Response {
+        emit(
+            &catalogue::INPUT_REFUSED,
+            &[("port", &"announcements"), ("reason", error)],
+        );
+        let status = match error {
+            DialectError::NotFound => StatusCode::NOT_FOUND,
+            DialectError::Malformed { .. } => StatusCode::BAD_REQUEST,
+        };
+        Response::text(status, format!("{error}\n"))
+    }
+
+    /// Sends nothing new to an upstream, and returns true once that outlasts this process.
+    async fn retire(self: &Rc<Self>, upstream: &UpstreamKey, reason: &str) -> bool {
+        self.upstream.retire(upstream, reason);
+        let work = Rc::clone(self);
+        let key = upstream.clone();
+        let (sender, receiver) = futures::channel::oneshot::channel();
+        // The task goes on when the upstream stops waiting, so that its next try succeeds at once.
+        task::spawn("retirement", async move {
+            let is_safe = work.remember(&key).await;
+            // The upstream may have stopped waiting.
+            let _ = sender.send(is_safe);
+        });
+        matches!(timeout(RETIRE_TIME, receiver).await, Ok(Ok(true)))
+    }
+
+    /// Lets the store remember an upstream, or other nodes while the store does not answer.
+    async fn remember(&self, upstream: &UpstreamKey) -> bool {
+        let stored = self.store.put(Table::Retired, upstream.as_str(), "");
+        let stored = std::pin::pin!(stored);
+        let witnessed = std::pin::pin!(async {
+            let remembered = self.peers.retire(upstream).await;
+            sleep(STORE_TIME).await;
+            remembered
+        });
+        match select(stored, witnessed).await {
+            Either::Left((Ok(()), _)) => true,
+            Either::Left((Err(error), witnessed)) => {
+                emit(
+                    &catalogue::STORE_FAILED,
+                    &[("operation", &"remember upstream"), ("reason", &error)],
+                );
+                timeout(STORE_TIME, witnessed).await.unwrap_or(false)
+            }
+            Either::Right((remembered, _)) => remembered,
+        }
+    }
+
+    /// Takes in a beat of an upstream that takes requests.
+    ///
+    /// A life that this process has not seen is believed only once nobody says
+    /// that it has left: the beat may be older than what an earlier process of
+    /// this node acknowledged.
+    fn take_ready(self: &Rc<Self>, beat: Beat) {
+        if !self.upstream.is_new(&beat) {
+            self.upstream.take(&beat);
+            return;
+        }
+        if self.looking.replace(true) {
+            return;
+        }
+        let announcements = Rc::clone(self);
+        task::spawn("upstream lookup", async move {
+            if !announcements.has_left(&beat.upstream).await {
+                announcements.upstream.take(&beat);
+            }
+            announcements.looking.set(false);
+        });
+    }
+
+    async fn has_left(&self, upstream: &UpstreamKey) -> bool {
+        let row = self.store.row(Table::Retired, upstream.as_str());
+        match timeout(LOOKUP_TIME, row).await {
+            Ok(Ok(Some(_))) => {
+                self.retired.note(upstream.clone());
+                return true;
+            }
+            Ok(Ok(None)) => return self.retired.contains(upstream),
+            Ok(Err(error)) => emit(
+                &catalogue::STORE_FAILED,
+                &[("operation", &"look up upstream"), ("reason", &error)],
+            ),
+            Err(_) => emit(
+                &catalogue::STORE_FAILED,
+                &[("operation", &"look up upstream"), ("reason", &"late")],
+            ),
+        }
+        while self.peers.open_count() == 0 && self.started.elapsed() < PATIENCE {
+            sleep(LOOK).await;
+        }
+        // The introductions of others come with the opening of their connections.
+        sleep(LOOK).await;
+        self.retired.contains(upstream)
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/contexts.rs
@@ -0,0 +1,99 @@
+//! The requests that run in the own upstream.
+//!
+//! The calls that an upstream makes carry nothing that surely names the
+//! request that they are made for. Where the id of a call begins with the id
+//! of a request that runs here at this moment, it is taken for a call of that
+//! request; nothing but importance and pressure depends on it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use sailtrack_admission::Pressure;
+use sailtrack_kernel::Service;
+use sailtrack_units::Rank;
+
+use crate::key::AttemptKey;
+use crate::work::Work;
+
+/// Separates the id of a call from that of the request that it is made for.
+const SEPARATOR: char = '.';
+
+/// One request that runs in the own upstream.
+#[derive(Debug)]
+pub(crate) struct Context {
+    pub(crate) rank: Rank,
+    /// The greatest pressure that a call made for it met.
+    pub(crate) pressure: Cell<Pressure>,
+}
+
+/// The requests that run in the own upstream.
+#[derive(Debug, Default)]
+pub(crate) struct Contexts {
+    running: RefCell<HashMap<AttemptKey, Rc<Context>>>,
+}
+
+impl Service for Contexts {
+    const NAME: &'static str = "contexts";
+}
+
+impl Contexts {
+    /// Remembers a request until the guard is dropped.
+    pub(crate) fn open(self: &Rc<Self>, work: &Work) -> Open {
+        let context = Rc::new(Context {
+            rank: work.rank,
+            pressure: Cell::default(),
+        });
+        let key = work.attempt.clone();
+        let mut running = self.running.borrow_mut();
+        running.insert(key.clone(), Rc::clone(&context));
+        drop(running);
+        Open {
+            contexts: Rc::clone(self),
+            key,
+            context,
+        }
+    }
+
+    /// Returns the request that a call with this id is made for, if it runs here.
+    pub(crate) fn parent(&self, call: &AttemptKey) -> Option<Rc<Context>> {
+        let running = self.running.borrow();
+        let mut id = call.as_str();
+        while let Some((parent, _)) = id.rsplit_once(SEPARATOR) {
+            if let Some(context) = running.get(parent) {
+                return Some(Rc::clone(context));
+            }
+            id = parent;
+        }
+        None
+    }
+
+    /// Returns how many requests run in the own upstream.
+    pub(crate) fn len(&self) -> usize {
+        self.running.borrow().len()
+    }
+}
+
+impl Context {
+    /// Notes the pressure that a call made for the request met.
+    pub(crate) fn note(&self, pressure: Pressure) {
+        self.pressure.set(self.pressure.get().greater(pressure));
+    }
+}
+
+/// Keeps a request in the table for as long as it lives.
+pub(crate) struct Open {
+    contexts: Rc<Contexts>,
+    key: AttemptKey,
+    pub(crate) context: Rc<Context>,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        let mut running = self.contexts.running.borrow_mut();
+        let is_own = |known: &Rc<Context>| Rc::ptr_eq(known, &self.context);
+        if running.get(&self.key).is_some_and(is_own) {
+            running.remove(&self.key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/directory.rs
@@ -0,0 +1,213 @@
+//! The nodes that this one knows, from the store and from each other.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use displaydoc::Display;
+use sailtrack_kernel::Service;
+use sailtrack_log::{catalogue, emit};
+use sailtrack_units::{DomainName, NodeName, ServiceName};
+use sailtrack_wire::Member as MemberMessage;
+use serde::{Deserialize, Serialize};
+
+use crate::store::{Follower, Row};
+
+/// One node of the mesh. Nothing in it changes while the node lives, so its row is written once.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Member {
+    pub(crate) name: NodeName,
+    pub(crate) service: ServiceName,
+    pub(crate) domain: DomainName,
+    /// Where it takes connections of other nodes.
+    pub(crate) address: SocketAddr,
+}
+
+/// what a node says about itself cannot be read: {0}
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub(crate) struct MemberError(String);
+
+impl std::error::Error for MemberError {}
+
+impl Member {
+    /// Reads what a node says about itself.
+    pub(crate) fn from_wire(message: &MemberMessage) -> Result<Self, MemberError> {
+        let error = |what: &dyn std::fmt::Display| MemberError(what.to_string());
+        Ok(Self {
+            name: message.node.parse().map_err(|e| error(&e))?,
+            service: message.service.parse().map_err(|e| error(&e))?,
+            domain: message.domain.parse().map_err(|e| error(&e))?,
+            address: message.address.parse().map_err(|e| error(&e))?,
+        })
+    }
+
+    /// Returns the text of its row in the store.
+    pub(crate) fn to_row(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
+/// Hears of nodes that became known or changed their address, and of those that are forgotten.
+pub(crate) trait Observer {
+    /// A node became known or has another address.
+    fn joined(&self, member: &Rc<Member>);
+
+    /// The row of a node is gone; returns true if the node is to be forgotten.
+    fn is_gone(&self, member: &Member) -> bool;
+}
+
+/// The nodes that this one knows.
+pub(crate) struct Directory {
+    own: Member,
+    members: RefCell<BTreeMap<NodeName, Rc<Member>>>,
+    observer: RefCell<Option<Rc<dyn Observer>>>,
+    own_row_lost: RefCell<Option<Rc<dyn Fn()>>>,
+}
+
+impl Service for Directory {
+    const NAME: &'static str = "directory";
+}
+
+impl Directory {
+    pub(crate) fn new(own: Member) -> Self {
+        Self {
+            own,
+            members: RefCell::default(),
+            observer: RefCell::default(),
+            own_row_lost: RefCell::default(),
+        }
+    }
+
+    /// Tells an observer of all nodes, those that are known already included.
+    pub(crate) fn observe(&self, observer: Rc<dyn Observer>) {
+        for member in self.members.borrow().values() {
+            observer.joined(member);
+        }
+        *self.observer.borrow_mut() = Some(observer);
+    }
+
+    /// Calls `lost` when the row of this node is missing in the store.
+    pub(crate) fn when_own_row_lost(&self, lost: impl Fn() + 'static) {
+        *self.own_row_lost.borrow_mut() = Some(Rc::new(lost));
+    }
+
+    /// Returns this node.
+    pub(crate) fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// Returns how many other nodes are known.
+    pub(crate) fn len(&self) -> usize {
+        self.members.borrow().len()
+    }
+
+    /// Returns every other node.
+    pub(crate) fn all(&self) -> Vec<Rc<Member>> {
+        self.members.borrow().values().cloned().collect()
+    }
+
+    /// Takes in what is known about a node.
+    pub(crate) fn learn(&self, member: Member) {
+        if member.name == self.own.name {
+            return;
+        }
+        let known = self.members.borrow().get(&member.name).cloned();
+        if known.is_some_and(|known| *known == member) {
+            return;
+        }
+        emit(
+            &catalogue::MEMBER_JOINED,
+            &[
+                ("node", &member.name),
+                ("service", &member.service),
+                ("domain", &member.domain),
+            ],
+        );
+        let member = Rc::new(member);
+        let name = member.name.clone();
+        self.members.borrow_mut().insert(name, Rc::clone(&member));
+        if let Some(observer) = self.observer.borrow().as_ref() {
+            observer.joined(&member);
+        }
+    }
+
+    /// Forgets a node if the observer finds that it cannot be reached either.
+    fn row_gone(&self, name: &str) {
+        if name == self.own.name.as_str() {
+            self.note_own_row_lost();
+            return;
+        }
+        let known = self
+            .members
+            .borrow()
+            .values()
+            .find(|m| m.name.as_str() == name)
+            .cloned();
+        let Some(member) = known else {
+            return;
+        };
+        let observer = self.observer.borrow().clone();
+        if observer.is_none_or(|observer| observer.is_gone(&member)) {
+            emit(&catalogue::MEMBER_DEAD, &[("node", &member.name)]);
+            self.members.borrow_mut().remove(&member.name);
+        }
+    }
+
+    fn note_own_row_lost(&self) {
+        let lost = self.own_row_lost.borrow().clone();
+        if let Some(lost) = lost {
+            lost();
+        }
+    }
+
+    fn take(&self, row: &Row) {
+        let Some(value) = &row.value else {
+            self.row_gone(&row.key);
+            return;
+        };
+        match serde_json::from_str::<Member>(value) {
+            Ok(member) if member.name.as_str() == row.key => self.learn(member),
+            Ok(_) => self.refuse(row, "the name differs from the key"),
+            Err(error) => self.refuse(row, &error.to_string()),
+        }
+    }
+
+    fn refuse(&self, row: &Row, reason: &str) {
+        emit(
+            &catalogue::ROW_REFUSED,
+            &[
+                ("table", &"members"),
+                ("key", &row.key),
+                ("reason", &reason),
+            ],
+        );
+    }
+}
+
+impl Follower for Directory {
+    fn reset(&self, rows: &[Row]) {
+        for row in rows {
+            self.take(row);
+        }
+        let missing = self.all().into_iter().filter(|member| {
+            let key = member.name.as_str();
+            !rows.iter().any(|row| row.key == key)
+        });
+        for member in missing.collect::<Vec<_>>() {
+            self.row_gone(member.name.as_str());
+        }
+        let own = self.own.name.as_str();
+        let is_current =
+            |row: &&Row| row.key == own && row.value.as_deref() == Some(&self.own.to_row());
+        if !rows.iter().any(|row| is_current(&row)) {
+            self.note_own_row_lost();
+        }
+    }
+
+    fn change(&self, rows: &[Row]) {
+        for row in rows {
+            self.take(row);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/dispatch.rs
@@ -0,0 +1,143 @@
+//! Brings a request to an answer: chooses upstreams and tries again within bounds.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures::future::{Either, select};
+use monoio::time::sleep;
+use sailtrack_admission::Pressure;
+use sailtrack_kernel::Service;
+use sailtrack_units::NodeName;
+use sailtrack_wire::{Outcome, Reason};
+
+use crate::configuration::Route;
+use crate::directory::Directory;
+use crate::events::Events;
+use crate::gate::Gate;
+use crate::peer::{Delivery, Link};
+use crate::retry::Budget;
+use crate::routing::{Routing, Target};
+use crate::work::{Returned, Work};
+
+/// How often a request that no upstream has seen is brought elsewhere.
+const MOST_REDIRECTS: u32 = 2;
+/// How often a node that may stand still is looked at while it works on a request.
+const SILENCE_LOOK: Duration = Duration::from_millis(250);
+
+/// Brings requests to an answer.
+pub(crate) struct Dispatcher {
+    pub(crate) routing: Rc<Routing>,
+    pub(crate) gate: Rc<Gate>,
+    pub(crate) budget: Rc<Budget>,
+    pub(crate) directory: Rc<Directory>,
+    pub(crate) events: Rc<Events>,
+}
+
+impl Service for Dispatcher {
+    const NAME: &'static str = "dispatcher";
+}
+
+/// What has been tried for one request.
+#[derive(Default)]
+struct Tries {
+    nodes: Vec<NodeName>,
+    /// How many upstreams it was sent to.
+    sent: u32,
+    /// How often it was brought elsewhere without having been sent.
+    redirects: u32,
+    /// The first end after which it may have run; no later refusal can say that it did not.
+    ran: Option<Returned>,
+}
+
+impl Dispatcher {
+    /// Brings a request to its final answer; dropping the future cancels it.
+    pub(crate) async fn dispatch(&self, work: &Work, route: &Route) -> Returned {
+        let mut tries = Tries::default();
+        let mut last = None;
+        while let Some(target) = self.routing.choose(&work.service, &tries.nodes) {
+            if tries.sent == 0 && tries.redirects == 0 {
+                self.budget.note_request(&work.service, Instant::now());
+            }
+            let returned = self.attempt(work, &target).await;
+            let goes_on = self.goes_on(work, route, &returned, &mut tries);
+            if !goes_on {
+                return conclude(tries.ran, Some(returned));
+            }
+            self.events.note_retry(&work.attempt, &returned);
+            let name = target.name(&self.routing.name);
+            tries.nodes.push(name.clone());
+            if returned.outcome == Outcome::NotRun {
+                last = Some(returned);
+            } else if tries.ran.is_none() {
+                tries.ran = Some(returned);
+            }
+        }
+        conclude(tries.ran, last)
+    }
+
+    /// Returns true if the request may be sent to one more upstream.
+    fn goes_on(&self, work: &Work, route: &Route, returned: &Returned, tries: &mut Tries) -> bool {
+        if returned.is_success() || work.time_left().is_zero() {
+            return false;
+        }
+        if !returned.offered {
+            tries.redirects += 1;
+            return tries.redirects <= MOST_REDIRECTS;
+        }
+        tries.sent += 1;
+        let may_run_again = returned.outcome == Outcome::NotRun || work.idempotent;
+        // A failure of an overloaded service further down would only be repeated there.
+        let is_overloaded = returned.path_pressure >= Pressure::FULL;
+        if !may_run_again || is_overloaded || tries.sent >= route.attempts {
+            return false;
+        }
+        let nodes = self.directory.len() + 1;
+        self.budget.take(&work.service, Instant::now(), nodes)
+    }
+
+    async fn attempt(&self, work: &Work, target: &Target) -> Returned {
+        let outstanding = self.routing.begin(target);
+        let returned = match target {
+            Target::Local => self.gate.run(work.clone()).await,
+            Target::Remote(link) => attempt_remote(work, link).await,
+        };
+        outstanding.note(&returned);
+        returned
+    }
+}
+
+/// Returns what is true of a request after its last attempt.
+fn conclude(ran: Option<Returned>, last: Option<Returned>) -> Returned {
+    match (ran, last) {
+        (Some(ran), Some(last)) if last.outcome == Outcome::NotRun => ran,
+        (_, Some(last)) => last,
+        (Some(ran), None) => ran,
+        (None, None) => Returned::refused(Reason::NoUpstream),
+    }
+}
+
+async fn attempt_remote(work: &Work, link: &Link) -> Returned {
+    if !work.idempotent {
+        return match link.forward(work).await {
+            Delivery::Returned(returned) => returned,
+            Delivery::Unsent => Returned::refused(Reason::Connection),
+            Delivery::Lost(life) => link.recall(&work.attempt, life).await,
+        };
+    }
+    let forward = std::pin::pin!(link.forward(work));
+    let silence = std::pin::pin!(wait_for_silence(link));
+    match select(forward, silence).await {
+        Either::Left((Delivery::Returned(returned), _)) => returned,
+        Either::Left((Delivery::Unsent, _)) => Returned::refused(Reason::Connection),
+        Either::Left((Delivery::Lost(_), _)) | Either::Right(_) => {
+            Returned::unknown(Reason::Connection)
+        }
+    }
+}
+
+/// Waits until nothing has come from the node for too long.
+async fn wait_for_silence(link: &Link) {
+    while !link.is_silent(Instant::now()) {
+        sleep(SILENCE_LOOK).await;
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/entry/connection.rs
@@ -0,0 +1,259 @@
+//! Serves one client connection, one request after the other.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use futures::future::{Either, select};
+use monoio::io::{AsyncWriteRentExt as _, OwnedWriteHalf, Splitable as _};
+use monoio::net::TcpStream;
+use monoio::time::{Instant as Deadline, timeout, timeout_at};
+use sailtrack_kernel::Phase;
+use sailtrack_log::{catalogue, emit};
+use sailtrack_net::task::Held;
+use sailtrack_net::transparent::{BodyError, HeadError, MessageError, Reader};
+use sailtrack_wire::{Outcome, Reason};
+
+use crate::configuration::ClientLimits;
+use crate::entry::Entry;
+use crate::entry::answer::{Refusal, conclude, refuse};
+use crate::entry::request::Incoming;
+use crate::events::Decision;
+use crate::work::Returned;
+
+/// How long a client may take to accept an answer.
+const WRITE_TIME: Duration = Duration::from_secs(30);
+/// The most bytes taken in while the present request is worked on.
+const MOST_READ_AHEAD: usize = 64 * 1024;
+/// When a client of a node without a configuration may come back.
+const UNCONFIGURED_RETURN: Duration = Duration::from_millis(500);
+/// How long what a refused client still sends is read, so that it can read the refusal.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+
+/// The bounds while there is no configuration.
+const FIRST_LIMITS: ClientLimits = ClientLimits {
+    head_bytes: 16 * 1024,
+    body_bytes: 1024 * 1024,
+    head_time: Duration::from_secs(3),
+    idle_time: Duration::from_secs(15),
+};
+
+/// Whether a connection carries another request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Next {
+    Request,
+    Close,
+}
+
+/// One client connection.
+struct Connection<'a> {
+    entry: &'a Rc<Entry>,
+    reader: Reader,
+    writer: OwnedWriteHalf<TcpStream>,
+}
+
+/// Serves a connection until it ends.
+pub(super) async fn serve(entry: &Rc<Entry>, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let (read, writer) = stream.into_split();
+    let mut connection = Connection {
+        entry,
+        reader: Reader::new(read),
+        writer,
+    };
+    while connection.wait_for_bytes().await {
+        let held = Held::new(&entry.in_flight);
+        let next = connection.exchange().await;
+        drop(held);
+        if next == Next::Close {
+            return;
+        }
+    }
+}
+
+impl Connection<'_> {
+    fn limits(&self) -> ClientLimits {
+        let configuration = self.entry.current.get();
+        configuration.map_or(FIRST_LIMITS, |configuration| configuration.limits)
+    }
+
+    /// Waits for the first bytes of a request; returns false once the connection is over.
+    ///
+    /// The bound is looked up again at its end, since it may have been raised meanwhile.
+    async fn wait_for_bytes(&mut self) -> bool {
+        let began = Instant::now();
+        while self.reader.buffered() == 0 {
+            let left = self.limits().idle_time.saturating_sub(began.elapsed());
+            if left.is_zero() {
+                return false;
+            }
+            match timeout(left, self.reader.fill()).await {
+                Err(_) => {}
+                Ok(Ok(count)) if count > 0 => {}
+                Ok(_) => return false,
+            }
+        }
+        true
+    }
+
+    /// Reads one request and answers it.
+    async fn exchange(&mut self) -> Next {
+        let limits = self.limits();
+        let head = timeout(
+            limits.head_time,
+            self.reader.request_head(limits.head_bytes),
+        )
+        .await;
+        let head = match head {
+            Ok(Ok(head)) => head,
+            Ok(Err(MessageError::Head(HeadError::TooLarge))) => {
+                return self.end(Refusal::HeadTooLarge).await;
+            }
+            Ok(Err(MessageError::Head(_))) => return self.end(Refusal::Malformed).await,
+            Ok(Err(_)) => return Next::Close,
+            Err(_) => return self.end(Refusal::TooSlow).await,
+        };
+        let came = Instant::now();
+        let Some(configuration) = self.entry.current.get() else {
+            return self.unconfigured().await;
+        };
+        let fields = self.entry.dialect.fields();
+        let incoming = match Incoming::read(&head, fields, &configuration, came) {
+            Ok(incoming) => incoming,
+            Err(refusal) => return self.end(refusal).await,
+        };
+        let body = match self.body(&incoming, limits.body_bytes).await {
+            Ok(body) => body,
+            Err(Some(refusal)) => return self.end(refusal).await,
+            Err(None) => return Next::Close,
+        };
+        let returned = self.run(&incoming, body).await;
+        match returned {
+            Some(returned) => self.answer(&incoming, &returned).await,
+            None => Next::Close,
+        }
+    }
+
+    /// Reads the body; without a refusal the client is gone.
+    async fn body(&mut self, incoming: &Incoming, limit: usize) -> Result<Bytes, Option<Refusal>> {
+        if incoming.expects_continue() && self.reader.buffered() == 0 {
+            let go_on = BytesMut::from(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]);
+            if !self.write(go_on).await {
+                return Err(None);
+            }
+        }
+        let deadline = Deadline::from_std(incoming.deadline);
+        let body = timeout_at(deadline, self.reader.body(incoming.framing, limit)).await;
+        match body {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(BodyError::TooLarge)) => Err(Some(Refusal::BodyTooLarge)),
+            Ok(Err(BodyError::Malformed)) => Err(Some(Refusal::Malformed)),
+            Ok(Err(BodyError::Cut | BodyError::Io(_))) => Err(None),
+            Err(_) => Err(Some(Refusal::TooSlow)),
+        }
+    }
+
+    /// Brings a request to its end; returns nothing if the client leaves before.
+    async fn run(&mut self, incoming: &Incoming, body: Bytes) -> Option<Returned> {
+        let entry = self.entry;
+        let Some(service) = entry.splitter.next(&incoming.route) else {
+            return Some(Returned::refused(Reason::NoUpstream));
+        };
+        let fields = entry.dialect.fields();
+        let (work, parent) = incoming.work(fields, &entry.service, service, &entry.contexts, body);
+        let deadline = Deadline::from_std(incoming.deadline);
+        let dispatch = entry.dispatcher.dispatch(&work, &incoming.route);
+        let dispatch = std::pin::pin!(timeout_at(deadline, dispatch));
+        let leaving = std::pin::pin!(wait_for_end(&mut self.reader));
+        let returned = match select(dispatch, leaving).await {
+            Either::Left((Ok(returned), _)) => returned,
+            Either::Left((Err(_), _)) => Returned::unknown(Reason::Deadline),
+            Either::Right(_) => return None,
+        };
+        if let Some(parent) = parent {
+            parent.note(returned.met_pressure());
+        }
+        Some(returned)
+    }
+
+    async fn answer(&mut self, incoming: &Incoming, returned: &Returned) -> Next {
+        self.log(incoming, returned);
+        let is_leaving = self.entry.phase.get() > Phase::Serving;
+        let close = is_leaving || !incoming.head.keeps_alive();
+        let left = incoming.deadline.saturating_duration_since(Instant::now());
+        let is_head = &incoming.head.method[..] == b"HEAD";
+        let bytes = conclude(returned, is_head, left, close);
+        if self.write(bytes).await && !close {
+            Next::Request
+        } else {
+            Next::Close
+        }
+    }
+
+    fn log(&self, incoming: &Incoming, returned: &Returned) {
+        let events = &self.entry.events;
+        match returned.outcome {
+            Outcome::Done => {}
+            Outcome::NotRun => {
+                events.note_refusal(Decision::Entry, &incoming.attempt, returned.reason);
+            }
+            Outcome::Unknown => {
+                let refusal = if returned.reason == Reason::Deadline {
+                    Refusal::Late
+                } else {
+                    Refusal::Lost
+                };
+                events.note_failure(&incoming.attempt, refusal.status(), returned.reason);
+            }
+        }
+    }
+
+    async fn unconfigured(&mut self) -> Next {
+        let bytes = refuse(Refusal::NotRun, Some(UNCONFIGURED_RETURN), true);
+        self.write(bytes).await;
+        self.linger().await;
+        Next::Close
+    }
+
+    /// Refuses what the client sent and ends the connection.
+    async fn end(&mut self, refusal: Refusal) -> Next {
+        if refusal != Refusal::NoRoute {
+            emit(
+                &catalogue::INPUT_REFUSED,
+                &[("port", &"entry"), ("reason", &refusal)],
+            );
+        }
+        self.write(refuse(refusal, None, true)).await;
+        self.linger().await;
+        Next::Close
+    }
+
+    /// Reads what still comes: closing with unread bytes would reset the connection and the
+    /// client could not read its answer.
+    async fn linger(&mut self) {
+        let draining = async {
+            while matches!(self.reader.fill().await, Ok(count) if count > 0) {
+                self.reader.discard();
+            }
+        };
+        // The client may keep its side open for longer.
+        let _ = timeout(LINGER_TIME, draining).await;
+    }
+
+    async fn write(&mut self, bytes: BytesMut) -> bool {
+        let written = timeout(WRITE_TIME, self.writer.write_all(bytes)).await;
+        matches!(written, Ok((Ok(_), _)))
+    }
+}
+
+/// Waits until the client closes its connection; what it sends meanwhile is kept.
+async fn wait_for_end(reader: &mut Reader) {
+    while reader.buffered() < MOST_READ_AHEAD {
+        if !matches!(reader.fill().await, Ok(count) if count > 0) {
+            return;
+        }
+    }
+    std::future::pending().await
+}
--- /dev/null
+++ b/crates/mesh/src/entry/mod.rs
@@ -0,0 +1,68 @@
+//! Where the clients on this instance and the own upstream bring their requests.
+
+mod answer;
+mod connection;
+mod request;
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use monoio::net::TcpListener;
+use sailtrack_kernel::{Phase, Service};
+use sailtrack_log::{catalogue, emit};
+use sailtrack_net::task::{self, Held};
+use sailtrack_units::ServiceName;
+
+use crate::configuration::{Current, Splitter};
+use crate::contexts::Contexts;
+use crate::dialect::Dialect;
+use crate::dispatch::Dispatcher;
+use crate::events::Events;
+
+/// The most client connections open at once: each has a descriptor, of which an instance has some
+/// thousand, and up to some 20 KiB of memory.
+const MOST_CONNECTIONS: usize = 1500;
+
+/// Where requests come in.
+pub(crate) struct Entry {
+    pub(crate) dialect: Rc<dyn Dialect>,
+    pub(crate) phase: Rc<Cell<Phase>>,
+    /// The service beside which requests begin here.
+    pub(crate) service: ServiceName,
+    pub(crate) current: Rc<Current>,
+    pub(crate) splitter: Rc<Splitter>,
+    pub(crate) contexts: Rc<Contexts>,
+    pub(crate) dispatcher: Rc<Dispatcher>,
+    pub(crate) events: Rc<Events>,
+    pub(crate) in_flight: Rc<Cell<usize>>,
+}
+
+impl Service for Entry {
+    const NAME: &'static str = "entry";
+}
+
+impl Entry {
+    /// Accepts connections for as long as the task lives.
+    pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let open = Rc::new(Cell::new(0));
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            if open.get() >= MOST_CONNECTIONS {
+                let reason = "too many connections";
+                emit(
+                    &catalogue::INPUT_REFUSED,
+                    &[("port", &"entry"), ("reason", &reason)],
+                );
+                continue;
+            }
+            let held = Held::new(&open);
+            let entry = Rc::clone(&self);
+            task::spawn("client connection", async move {
+                connection::serve(&entry, stream).await;
+                drop(held);
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/entry/request.rs
@@ -0,0 +1,136 @@
+//! Reads what a request asks for out of its head.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use sailtrack_net::transparent::{Field, Framing, HeadError, RequestHead, request_framing};
+use sailtrack_units::{Rank, RequestId, ServiceName};
+
+use crate::configuration::{Configuration, Route};
+use crate::contexts::{Context, Contexts};
+use crate::dialect::FieldNames;
+use crate::entry::answer::Refusal;
+use crate::key::AttemptKey;
+use crate::work::Work;
+
+/// A request whose body has not been read yet.
+pub(super) struct Incoming {
+    pub(super) head: RequestHead,
+    pub(super) framing: Framing,
+    pub(super) attempt: AttemptKey,
+    pub(super) route: Rc<Route>,
+    pub(super) deadline: Instant,
+}
+
+impl Incoming {
+    /// Reads a head, and finds the route of the request.
+    pub(super) fn read(
+        bytes: &Bytes,
+        fields: &FieldNames,
+        configuration: &Configuration,
+        came: Instant,
+    ) -> Result<Self, Refusal> {
+        let head = RequestHead::parse(bytes).map_err(refusal)?;
+        let framing = request_framing(&head.fields).map_err(refusal)?;
+        let path = path(&head).ok_or(Refusal::Malformed)?;
+        let host = host(&head).ok_or(Refusal::Malformed)?;
+        let route = configuration.route(host, path).ok_or(Refusal::NoRoute)?;
+        let attempt = head.fields.get(fields.attempt).ok_or(Refusal::Malformed)?;
+        let asked = head.fields.get(fields.time_left_ms);
+        let asked = asked.and_then(|millis| millis.parse().ok());
+        let time = match asked.map(Duration::from_millis) {
+            Some(asked) => asked.min(route.timeout),
+            None => route.timeout,
+        };
+        Ok(Self {
+            attempt: AttemptKey::from(attempt),
+            route: Rc::clone(route),
+            deadline: came + time,
+            framing,
+            head,
+        })
+    }
+
+    /// Returns true if the client waits for a word before it sends the body.
+    pub(super) fn expects_continue(&self) -> bool {
+        self.head.fields.lists("expect", "100-continue")
+    }
+
+    /// Returns the request as it is passed on, and the one that it is made for.
+    pub(super) fn work(
+        &self,
+        fields: &FieldNames,
+        caller: &ServiceName,
+        service: ServiceName,
+        contexts: &Contexts,
+        body: Bytes,
+    ) -> (Work, Option<Rc<Context>>) {
+        let parent = contexts.parent(&self.attempt);
+        let id = RequestId::from_key(self.attempt.as_str());
+        let own = Rank::new(self.route.importance, id);
+        let rank = parent.as_ref().map_or(own, |parent| parent.rank.max(own));
+        let work = Work {
+            attempt: self.attempt.clone(),
+            service,
+            kind: self.route.name.clone(),
+            idempotent: self.route.is_idempotent(),
+            rank,
+            begun: parent.is_some(),
+            deadline: self.deadline,
+            head: self.passed_on(fields, caller, body.len()),
+            body,
+        };
+        (work, parent)
+    }
+
+    /// Returns the request line with the fields that are passed on and those that are set here.
+    fn passed_on(&self, fields: &FieldNames, caller: &ServiceName, length: usize) -> Bytes {
+        let mut bytes = BytesMut::with_capacity(512);
+        bytes.extend_from_slice(&self.head.method);
+        bytes.extend_from_slice(b" ");
+        bytes.extend_from_slice(&self.head.target);
+        bytes.extend_from_slice(b" HTTP/1.1\r\n");
+        let replaced = |field: &Field| {
+            field.is(fields.time_left_ms)
+                || field.is(fields.expected_upstream)
+                || field.is(fields.caller)
+        };
+        self.head.fields.pass_on(&mut bytes, replaced);
+        let own = format!("{}: {caller}\r\n", fields.caller);
+        bytes.extend_from_slice(own.as_bytes());
+        let states_length = self.head.fields.get("content-length").is_some();
+        if length > 0 || states_length {
+            bytes.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
+        }
+        bytes.freeze()
+    }
+}
+
+fn refusal(error: HeadError) -> Refusal {
+    match error {
+        HeadError::TooLarge => Refusal::HeadTooLarge,
+        HeadError::Malformed | HeadError::Ambiguous | HeadError::Coding => Refusal::Malformed,
+    }
+}
+
+/// Returns the path without its query; a target in another form has none.
+fn path(head: &RequestHead) -> Option<&str> {
+    let target = std::str::from_utf8(&head.target).ok()?;
+    let path = target.split(['?', '#']).next()?;
+    path.starts_with('/').then_some(path)
+}
+
+/// Returns the host without its port; two hosts in one request are refused.
+fn host(head: &RequestHead) -> Option<&str> {
+    let mut hosts = head.fields.all("host");
+    let (first, second) = (hosts.next()?, hosts.next());
+    if second.is_some() {
+        return None;
+    }
+    let host = std::str::from_utf8(first).ok()?;
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => Some(name),
+        _ => Some(host),
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/gate/mod.rs
@@ -0,0 +1,302 @@
+//! The only way to the own upstream.
+//!
+//! Nothing else reaches the upstream, so what must hold for it is decided
+//! here without agreement: which life of it gets requests, how many at once,
+//! in which order, and that none runs twice that must not.
+
+mod exchange;
+mod pool;
+mod records;
+mod upstream;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use futures::channel::oneshot;
+use monoio::time::{Instant as Deadline, timeout_at};
+use rand::Rng as _;
+use sailtrack_admission::{Admission, WindowPlace, Windows};
+use sailtrack_kernel::{Phase, Service};
+use sailtrack_net::task::{self, Held};
+use sailtrack_net::transparent::ResponseHead;
+use sailtrack_units::ServiceName;
+use sailtrack_wire::Reason;
+
+use crate::contexts::Contexts;
+use crate::dialect::Dialect;
+use crate::events::{Decision, Events};
+use crate::key::{AttemptKey, UpstreamKey};
+use crate::work::{Returned, Work};
+use exchange::{ExchangeError, UpstreamAnswer, exchange};
+use pool::Pool;
+pub(crate) use records::{Recalled, Records};
+pub(crate) use upstream::Upstream;
+
+/// How much longer than its deadline the answer to a request that must not run twice is awaited:
+/// the upstream stops at the deadline and says so.
+const ANSWER_GRACE: Duration = Duration::from_millis(250);
+/// The shortest time after which a refused caller may come back.
+const SHORTEST_RETURN: Duration = Duration::from_millis(200);
+
+/// The statuses that promise that a request did not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// The only way to the own upstream.
+pub(crate) struct Gate {
+    dialect: Rc<dyn Dialect>,
+    phase: Rc<Cell<Phase>>,
+    service: ServiceName,
+    upstream: Rc<Upstream>,
+    admission: Rc<Admission>,
+    windows: Rc<Windows>,
+    contexts: Rc<Contexts>,
+    records: Rc<Records>,
+    events: Rc<Events>,
+    pool: Pool,
+    in_flight: Rc<Cell<usize>>,
+}
+
+impl Service for Gate {
+    const NAME: &'static str = "gate";
+}
+
+/// Builds a gate from the services that it uses.
+pub(crate) struct Builder {
+    gate: Gate,
+}
+
+impl Builder {
+    /// Starts with the services that every gate needs.
+    pub(crate) fn new(
+        service: ServiceName,
+        target: SocketAddr,
+        dialect: Rc<dyn Dialect>,
+        upstream: Rc<Upstream>,
+    ) -> Self {
+        let rules = crate::node::ADMISSION_RULES;
+        let gate = Gate {
+            dialect,
+            phase: Rc::new(Cell::new(Phase::Serving)),
+            service,
+            upstream,
+            admission: Rc::new(Admission::new(rules, Instant::now())),
+            windows: Rc::default(),
+            contexts: Rc::default(),
+            records: Rc::default(),
+            events: Rc::default(),
+            pool: Pool::new(target),
+            in_flight: Rc::default(),
+        };
+        Self { gate }
+    }
+
+    /// Sets the life cycle of the node and the count of what it works on.
+    pub(crate) fn life(mut self, phase: Rc<Cell<Phase>>, in_flight: Rc<Cell<usize>>) -> Self {
+        self.gate.phase = phase;
+        self.gate.in_flight = in_flight;
+        self
+    }
+
+    /// Sets who may enter the upstream.
+    pub(crate) fn admission(mut self, admission: Rc<Admission>, windows: Rc<Windows>) -> Self {
+        self.gate.admission = admission;
+        self.gate.windows = windows;
+        self
+    }
+
+    /// Sets what is remembered about requests.
+    pub(crate) fn memory(mut self, contexts: Rc<Contexts>, records: Rc<Records>) -> Self {
+        self.gate.contexts = contexts;
+        self.gate.records = records;
+        self
+    }
+
+    /// Sets where decisions are logged.
+    pub(crate) fn events(mut self, events: Rc<Events>) -> Self {
+        self.gate.events = events;
+        self
+    }
+
+    /// Returns the gate.
+    pub(crate) fn build(self) -> Gate {
+        self.gate
+    }
+}
+
+impl Gate {
+    /// Brings a request to the own upstream and returns what became of it.
+    ///
+    /// Dropping the future stops a request that may run again, and one that was not sent yet.
+    pub(crate) async fn run(self: &Rc<Self>, work: Work) -> Returned {
+        let held = Held::new(&self.in_flight);
+        let kind = work.kind.clone();
+        let importance = work.rank.importance();
+        let returned = self.admit(work).await;
+        drop(held);
+        let pressure = self.admission.pressure(Instant::now(), importance);
+        self.events.note_gate(&kind, &returned);
+        Returned {
+            pressure,
+            path_pressure: returned.path_pressure.greater(pressure),
+            ..returned
+        }
+    }
+
+    async fn admit(self: &Rc<Self>, work: Work) -> Returned {
+        let now = Instant::now();
+        let Some(_) = self.open_upstream(&work, now) else {
+            return self.refuse(&work, Reason::NoUpstream);
+        };
+        let place = if work.idempotent {
+            None
+        } else {
+            match self.records.begin(&work.attempt, now) {
+                Some(place) => Some(place),
+                None => return self.recall(&work.attempt).await,
+            }
+        };
+        let window = match self.window(&work, now) {
+            Ok(window) => window,
+            Err(reason) => return self.refuse(&work, reason),
+        };
+        let entered = self
+            .admission
+            .enter(work.rank, work.begun, work.time_left())
+            .await;
+        let permit = match entered {
+            Ok(permit) => permit,
+            Err(reason) => return self.refuse(&work, reason),
+        };
+        // It may have left while the request waited.
+        let Some(upstream) = self.open_upstream(&work, Instant::now()) else {
+            return self.refuse(&work, Reason::Draining);
+        };
+        let Some(place) = place else {
+            let returned = self.send(&work, &upstream, work.deadline).await;
+            if let Some(window) = window {
+                window.note(Instant::now(), returned.path_pressure);
+            }
+            drop(permit);
+            return returned;
+        };
+        if !place.start() {
+            return self.refuse(&work, Reason::TicketClosed);
+        }
+        let gate = Rc::clone(self);
+        let (sender, receiver) = oneshot::channel();
+        let held = Held::new(&self.in_flight);
+        task::spawn("execution", async move {
+            let patience = work.deadline + ANSWER_GRACE;
+            let returned = gate.send(&work, &upstream, patience).await;
+            place.end(&returned, Instant::now());
+            if let Some(window) = window {
+                window.note(Instant::now(), returned.path_pressure);
+            }
+            // The caller may have left; the record has the answer.
+            let _ = sender.send(returned);
+            drop((permit, held));
+        });
+        let returned = receiver.await;
+        returned.unwrap_or_else(|_| Returned::unknown(Reason::Cancelled))
+    }
+
+    /// Returns what became of a request whose caller lost the answer.
+    pub(crate) async fn recall(&self, attempt: &AttemptKey) -> Returned {
+        match self.records.recall(attempt, Instant::now()) {
+            Recalled::Ended(returned) => returned,
+            Recalled::Running(receiver) => {
+                let returned = receiver.await;
+                returned.unwrap_or_else(|_| Returned::unknown(Reason::Connection))
+            }
+        }
+    }
+
+    /// Returns the life of the upstream that may run the request.
+    fn open_upstream(&self, work: &Work, now: Instant) -> Option<UpstreamKey> {
+        if work.service != self.service {
+            return None;
+        }
+        self.upstream.ready(now)
+    }
+
+    /// Returns the place of a client's request in the window of its kind.
+    fn window(&self, work: &Work, now: Instant) -> Result<Option<WindowPlace>, Reason> {
+        if work.begun {
+            return Ok(None);
+        }
+        match self.windows.enter(&work.kind, now) {
+            Some(place) => Ok(Some(place)),
+            None => Err(Reason::Overload),
+        }
+    }
+
+    fn refuse(&self, work: &Work, reason: Reason) -> Returned {
+        self.events
+            .note_refusal(Decision::Gate, &work.attempt, reason);
+        let spread = self.admission.return_spread(Instant::now());
+        let after = SHORTEST_RETURN + spread.mul_f64(rand::rng().random());
+        Returned {
+            retry_after: after,
+            ..Returned::refused(reason)
+        }
+    }
+
+    async fn send(&self, work: &Work, upstream: &UpstreamKey, patience: Instant) -> Returned {
+        let entry = self.contexts.open(work);
+        let exchange = exchange(&self.pool, self.dialect.fields(), upstream, work);
+        let result = timeout_at(Deadline::from_std(patience), exchange).await;
+        let returned = match result {
+            Ok(Ok(answer)) => self.take_answer(work, upstream, answer),
+            Ok(Err(error)) => self.take_error(work, &error),
+            Err(_) => Returned::unknown(Reason::Deadline),
+        };
+        Returned {
+            path_pressure: entry.context.pressure.get(),
+            ..returned
+        }
+    }
+
+    fn take_answer(&self, work: &Work, upstream: &UpstreamKey, answer: UpstreamAnswer) -> Returned {
+        let UpstreamAnswer { head, body } = answer;
+        let fields = self.dialect.fields();
+        let says_not_run = head.fields.get(fields.not_run).is_some();
+        if head.status == 421 {
+            self.upstream
+                .retire(upstream, "another upstream has its address");
+            self.pool.clear();
+            return Returned::turned_away(Reason::NoUpstream);
+        }
+        if says_not_run {
+            self.admission.note_shed(Instant::now());
+            return Returned::turned_away(Reason::UpstreamShed);
+        }
+        if PROMISES.contains(&head.status) {
+            let reason = "a status that promises what the upstream does not say";
+            self.events.note_loss(&work.attempt, &reason);
+            return Returned::unknown(Reason::Connection);
+        }
+        Returned::answered(head.status, passed_on(&head), body)
+    }
+
+    fn take_error(&self, work: &Work, error: &ExchangeError) -> Returned {
+        self.events.note_loss(&work.attempt, error);
+        if error.is_unsent() {
+            self.upstream.note_unreachable(Instant::now());
+            return Returned::refused(Reason::NoUpstream);
+        }
+        Returned::unknown(Reason::Connection)
+    }
+}
+
+/// Returns the status line of an answer with the fields that may be passed on.
+fn passed_on(head: &ResponseHead) -> Bytes {
+    let mut bytes = BytesMut::with_capacity(512);
+    bytes.extend_from_slice(format!("HTTP/1.1 {} ", head.status).as_bytes());
+    bytes.extend_from_slice(&head.reason);
+    bytes.extend_from_slice(b"\r\n");
+    head.fields.pass_on(&mut bytes, |_| false);
+    bytes.freeze()
+}
--- /dev/null
+++ b/crates/mesh/src/gate/pool.rs
@@ -0,0 +1,103 @@
+//! Connections to the own upstream.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use monoio::io::{OwnedWriteHalf, Splitable as _};
+use monoio::net::TcpStream;
+use sailtrack_net::dial::{DialError, dial};
+use sailtrack_net::transparent::{Reader, ResponseHead};
+
+/// How long a connection may take to be accepted by an upstream on the same instance.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+/// How long an unused connection is kept if the upstream does not say.
+const IDLE_TIME: Duration = Duration::from_secs(4);
+/// The part of the time that an upstream states in which its connections are reused; a request
+/// on a connection that closes at that moment would be lost.
+const IDLE_SHARE: f64 = 0.7;
+/// The most unused connections that are kept.
+const MOST_IDLE: usize = 256;
+
+/// One connection to the upstream.
+pub(super) struct Connection {
+    pub(super) reader: Reader,
+    pub(super) writer: OwnedWriteHalf<TcpStream>,
+    used: Instant,
+    idle_time: Duration,
+}
+
+impl Connection {
+    fn is_usable(&mut self, now: Instant) -> bool {
+        now.saturating_duration_since(self.used) < self.idle_time && self.reader.is_quiet()
+    }
+}
+
+/// Connections to the own upstream.
+pub(super) struct Pool {
+    target: SocketAddr,
+    idle: RefCell<Vec<Connection>>,
+}
+
+impl Pool {
+    pub(super) fn new(target: SocketAddr) -> Self {
+        Self {
+            target,
+            idle: RefCell::default(),
+        }
+    }
+
+    /// Returns an unused connection, or a new one.
+    pub(super) async fn take(&self) -> Result<Connection, DialError> {
+        let now = Instant::now();
+        loop {
+            let idle = self.idle.borrow_mut().pop();
+            let Some(mut connection) = idle else {
+                return self.connect().await;
+            };
+            if connection.is_usable(now) {
+                return Ok(connection);
+            }
+        }
+    }
+
+    /// Keeps a connection whose exchange ended well, if its last answer allows it.
+    pub(super) fn give_back(&self, mut connection: Connection, head: &ResponseHead) {
+        if !head.keeps_alive() || connection.reader.buffered() > 0 {
+            return;
+        }
+        connection.used = Instant::now();
+        if let Some(stated) = stated_idle_time(head) {
+            connection.idle_time = stated.mul_f64(IDLE_SHARE);
+        }
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MOST_IDLE {
+            idle.push(connection);
+        }
+    }
+
+    /// Closes all unused connections, as the upstream behind the address has changed.
+    pub(super) fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
+    async fn connect(&self) -> Result<Connection, DialError> {
+        let dialed = dial(self.target, None, CONNECT_TIME).await?;
+        let (read, writer) = dialed.stream.into_split();
+        Ok(Connection {
+            reader: Reader::new(read),
+            writer,
+            used: Instant::now(),
+            idle_time: IDLE_TIME,
+        })
+    }
+}
+
+/// Returns for how long the upstream says that it keeps an unused connection.
+fn stated_idle_time(head: &ResponseHead) -> Option<Duration> {
+    let value = head.fields.get("keep-alive")?;
+    let mut parameters = value.split(',').filter_map(|part| part.split_once('='));
+    let (_, seconds) = parameters.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?;
+    let seconds = seconds.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds))
+}
--- /dev/null
+++ b/crates/mesh/src/gate/records.rs
@@ -0,0 +1,194 @@
+//! What became of the requests that must not run twice.
+//!
+//! Only the node beside an upstream can reach it, so its word about a request
+//! is final: a request that it has refused here it never lets run later.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures::channel::oneshot;
+use sailtrack_kernel::Service;
+use sailtrack_wire::Reason;
+
+use crate::key::AttemptKey;
+use crate::work::Returned;
+
+/// How long the end of a request is remembered: no client waits longer than this.
+const MEMORY: Duration = Duration::from_secs(60);
+/// How long an answer is kept for a caller whose connection broke; it asks within two seconds.
+const ANSWER_MEMORY: Duration = Duration::from_secs(5);
+/// The most bytes of answers that are kept.
+const ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Where a request is in its life.
+enum Record {
+    /// It waits for admission and has not been sent.
+    Waiting,
+    /// It was sent to the upstream; these wait for what becomes of it.
+    Running(Vec<oneshot::Sender<Returned>>),
+    /// It ran or may have run; the answer if it is still kept.
+    Ended(Option<Box<Returned>>),
+    /// It never ran and never will.
+    Refused,
+}
+
+/// What is known about a request.
+pub(crate) enum Recalled {
+    /// It is over.
+    Ended(Returned),
+    /// It runs; the answer comes through the receiver.
+    Running(oneshot::Receiver<Returned>),
+}
+
+/// What became of the requests that must not run twice.
+#[derive(Default)]
+pub(crate) struct Records {
+    records: RefCell<HashMap<AttemptKey, Record>>,
+    by_age: RefCell<VecDeque<(Instant, AttemptKey)>>,
+    answers: RefCell<VecDeque<(Instant, AttemptKey, usize)>>,
+    answer_bytes: Cell<usize>,
+}
+
+impl Service for Records {
+    const NAME: &'static str = "records";
+}
+
+impl Records {
+    /// Opens the record of a request, or returns nothing if there is one already.
+    pub(crate) fn begin(self: &Rc<Self>, attempt: &AttemptKey, now: Instant) -> Option<Place> {
+        self.forget_old(now);
+        let mut records = self.records.borrow_mut();
+        if records.contains_key(attempt) {
+            return None;
+        }
+        records.insert(attempt.clone(), Record::Waiting);
+        self.by_age.borrow_mut().push_back((now, attempt.clone()));
+        Some(Place {
+            records: Rc::clone(self),
+            attempt: attempt.clone(),
+        })
+    }
+
+    /// Returns what became of a request; one that never ran is refused for good.
+    pub(crate) fn recall(&self, attempt: &AttemptKey, now: Instant) -> Recalled {
+        self.forget_old(now);
+        let mut records = self.records.borrow_mut();
+        let Some(record) = records.get_mut(attempt) else {
+            records.insert(attempt.clone(), Record::Refused);
+            self.by_age.borrow_mut().push_back((now, attempt.clone()));
+            return Recalled::Ended(Returned::refused(Reason::Connection));
+        };
+        match record {
+            Record::Running(waiting) => {
+                let (sender, receiver) = oneshot::channel();
+                waiting.push(sender);
+                Recalled::Running(receiver)
+            }
+            Record::Ended(Some(answer)) => Recalled::Ended((**answer).clone()),
+            Record::Ended(None) => Recalled::Ended(Returned::unknown(Reason::Connection)),
+            Record::Waiting | Record::Refused => {
+                *record = Record::Refused;
+                Recalled::Ended(Returned::refused(Reason::Connection))
+            }
+        }
+    }
+
+    /// Returns how many requests are remembered.
+    pub(crate) fn len(&self) -> usize {
+        self.records.borrow().len()
+    }
+
+    fn keep(&self, attempt: &AttemptKey, answer: &Returned, now: Instant) {
+        let size = answer.head.len() + answer.body.len();
+        self.answers
+            .borrow_mut()
+            .push_back((now, attempt.clone(), size));
+        self.answer_bytes.set(self.answer_bytes.get() + size);
+    }
+
+    fn forget_old(&self, now: Instant) {
+        self.forget_answers(now);
+        let mut by_age = self.by_age.borrow_mut();
+        let is_old =
+            |entry: &(Instant, AttemptKey)| now.saturating_duration_since(entry.0) >= MEMORY;
+        while by_age.front().is_some_and(is_old) {
+            if let Some((_, attempt)) = by_age.pop_front() {
+                self.records.borrow_mut().remove(&attempt);
+            }
+        }
+    }
+
+    fn forget_answers(&self, now: Instant) {
+        let mut answers = self.answers.borrow_mut();
+        while let Some((kept, attempt, size)) = answers.front() {
+            let is_old = now.saturating_duration_since(*kept) >= ANSWER_MEMORY;
+            if !is_old && self.answer_bytes.get() <= ANSWER_BYTES {
+                return;
+            }
+            if let Some(record) = self.records.borrow_mut().get_mut(attempt) {
+                *record = Record::Ended(None);
+            }
+            self.answer_bytes.set(self.answer_bytes.get() - size);
+            answers.pop_front();
+        }
+    }
+}
+
+/// The record of one request that is being brought to its end.
+///
+/// Dropped before the request was sent, it is refused for good.
+pub(crate) struct Place {
+    records: Rc<Records>,
+    attempt: AttemptKey,
+}
+
+impl Place {
+    /// Notes that the request is sent now; returns false if it was refused meanwhile.
+    pub(crate) fn start(&self) -> bool {
+        let mut records = self.records.records.borrow_mut();
+        match records.get_mut(&self.attempt) {
+            Some(record @ Record::Waiting) => {
+                *record = Record::Running(Vec::new());
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Notes what became of the request and tells all who wait for it.
+    pub(crate) fn end(self, returned: &Returned, now: Instant) {
+        let mut records = self.records.records.borrow_mut();
+        let Some(record) = records.get_mut(&self.attempt) else {
+            return;
+        };
+        let did_not_run = returned.outcome == sailtrack_wire::Outcome::NotRun;
+        let ended = if did_not_run {
+            Record::Refused
+        } else {
+            self.records.keep(&self.attempt, returned, now);
+            Record::Ended(Some(Box::new(returned.clone())))
+        };
+        if let Record::Running(waiting) = std::mem::replace(record, ended) {
+            for sender in waiting {
+                // Who asked may have left.
+                let _ = sender.send(returned.clone());
+            }
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut records = self.records.records.borrow_mut();
+        let Some(record) = records.get_mut(&self.attempt) else {
+            return;
+        };
+        match record {
+            Record::Waiting => *record = Record::Refused,
+            Record::Running(_) => *record = Record::Ended(None),
+            Record::Ended(_) | Record::Refused => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/gate/upstream.rs
@@ -0,0 +1,159 @@
+//! The own upstream as it announces itself.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use sailtrack_admission::Admission;
+use sailtrack_declaration::Limit;
+use sailtrack_kernel::Service;
+use sailtrack_log::{catalogue, emit};
+
+use crate::dialect::{Beat, Readiness};
+use crate::key::UpstreamKey;
+use crate::retired::Retired;
+
+/// How long nothing is sent to an upstream after it refused a connection.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(300);
+
+/// This life of the own upstream.
+#[derive(Debug, Clone)]
+struct Life {
+    key: UpstreamKey,
+    slots: u32,
+    sequence: u64,
+}
+
+/// The own upstream as it announces itself.
+pub(crate) struct Upstream {
+    admission: Rc<Admission>,
+    retired: Rc<Retired>,
+    life: RefCell<Option<Life>>,
+    unreachable_until: Cell<Option<Instant>>,
+    changed: RefCell<Vec<Box<dyn Fn()>>>,
+}
+
+impl Service for Upstream {
+    const NAME: &'static str = "upstream";
+}
+
+impl Upstream {
+    pub(crate) fn new(admission: Rc<Admission>, retired: Rc<Retired>) -> Self {
+        Self {
+            admission,
+            retired,
+            life: RefCell::default(),
+            unreachable_until: Cell::default(),
+            changed: RefCell::default(),
+        }
+    }
+
+    /// Calls `changed` whenever the upstream starts or ceases to take requests.
+    pub(crate) fn listen(&self, changed: impl Fn() + 'static) {
+        self.changed.borrow_mut().push(Box::new(changed));
+    }
+
+    /// Returns the life of the upstream that may get requests now.
+    pub(crate) fn ready(&self, now: Instant) -> Option<UpstreamKey> {
+        let unreachable = self.unreachable_until.get();
+        if unreachable.is_some_and(|until| now < until) {
+            return None;
+        }
+        self.life.borrow().as_ref().map(|life| life.key.clone())
+    }
+
+    /// Returns how many requests the upstream works on at once, zero if it takes none.
+    pub(crate) fn slots(&self) -> u32 {
+        self.life.borrow().as_ref().map_or(0, |life| life.slots)
+    }
+
+    /// Returns true if a beat tells of a life that is neither known nor retired.
+    pub(crate) fn is_new(&self, beat: &Beat) -> bool {
+        let known = self.life.borrow();
+        let is_known = known.as_ref().is_some_and(|life| life.key == beat.upstream);
+        beat.readiness == Readiness::Ready && !is_known && !self.retired.contains(&beat.upstream)
+    }
+
+    /// Takes in a beat of a life that takes requests; one that came late or is retired is ignored.
+    pub(crate) fn take(&self, beat: &Beat) {
+        if self.retired.contains(&beat.upstream) {
+            return;
+        }
+        let known = self.life.borrow().clone();
+        match known {
+            Some(life) if life.key == beat.upstream => self.renew(beat),
+            earlier => {
+                if let Some(earlier) = earlier {
+                    self.retired.note(earlier.key);
+                }
+                self.begin(beat);
+            }
+        }
+    }
+
+    fn renew(&self, beat: &Beat) {
+        let mut life = self.life.borrow_mut();
+        let Some(life) = life.as_mut() else {
+            return;
+        };
+        if beat.sequence <= life.sequence {
+            return;
+        }
+        life.sequence = beat.sequence;
+        if life.slots != beat.slots {
+            life.slots = beat.slots;
+            self.admission.declare_limit(Limit::Fixed(beat.slots));
+        }
+    }
+
+    fn begin(&self, beat: &Beat) {
+        emit(
+            &catalogue::UPSTREAM_ANNOUNCED,
+            &[("service", &beat.service), ("slots", &beat.slots)],
+        );
+        self.admission.reset(Instant::now(), Some(beat.slots));
+        self.admission.declare_limit(Limit::Fixed(beat.slots));
+        self.unreachable_until.set(None);
+        *self.life.borrow_mut() = Some(Life {
+            key: beat.upstream.clone(),
+            slots: beat.slots,
+            sequence: beat.sequence,
+        });
+        self.tell();
+    }
+
+    /// Sends nothing new to this life from now on.
+    pub(crate) fn retire(&self, upstream: &UpstreamKey, reason: &str) {
+        self.retired.note(upstream.clone());
+        let is_current = {
+            let life = self.life.borrow();
+            life.as_ref().is_some_and(|life| life.key == *upstream)
+        };
+        if is_current {
+            emit(
+                &catalogue::UPSTREAM_RETIRED,
+                &[("upstream", upstream), ("reason", &reason)],
+            );
+            *self.life.borrow_mut() = None;
+            self.tell();
+        }
+    }
+
+    /// Notes that the upstream refused a connection.
+    pub(crate) fn note_unreachable(&self, now: Instant) {
+        let was = self
+            .unreachable_until
+            .replace(Some(now + UNREACHABLE_PAUSE));
+        if was.is_none_or(|until| until < now) {
+            let reason = "connection refused";
+            emit(&catalogue::UPSTREAM_GONE, &[("reason", &reason)]);
+            self.tell();
+        }
+    }
+
+    fn tell(&self) {
+        for changed in self.changed.borrow().iter() {
+            changed();
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/lib.rs
@@ -0,0 +1,43 @@
+//! The transparent path of sailtrack: a node beside each upstream that takes
+//! every request in and out of it, unchanged.
+//!
+//! Requests need no header of sailtrack's own. What differs between the places
+//! where a mesh runs, names, formats and calls, is behind [`Dialect`] and
+//! [`Store`]; all decisions are here.
+
+mod announcement;
+mod configuration;
+mod contexts;
+mod dialect;
+mod directory;
+mod dispatch;
+mod entry;
+mod error;
+mod events;
+mod gate;
+mod key;
+mod news;
+mod node;
+mod peer;
+mod ready;
+mod retired;
+mod retry;
+mod routing;
+mod settings;
+mod status;
+mod store;
+mod work;
+
+pub use configuration::{ClientLimits, Configuration, Route, RouteBuilder, ServiceRules, Share};
+pub use dialect::{Announcement, Beat, Dialect, DialectError, FieldNames, Load, Readiness};
+pub use error::Error;
+pub use key::{AttemptKey, UpstreamKey};
+pub use node::Surroundings;
+pub use settings::{Identity, Ports, RetryBounds, Settings};
+pub use store::{Operation, Row, Rows, Store, StoreError, StoreVersion, Table};
+
+/// Runs a node until it is stopped.
+pub fn run(settings: Settings, surroundings: Surroundings) -> Result<(), Error> {
+    sailtrack_log::install(settings.log_level);
+    sailtrack_net::runtime::run(node::run(settings, surroundings)).map_err(Error::Runtime)?
+}
--- /dev/null
+++ b/crates/mesh/src/news.rs
@@ -0,0 +1,74 @@
+//! Takes in what other nodes say about themselves and pass on.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::channel::mpsc;
+use monoio::time::sleep;
+use sailtrack_units::NodeName;
+use sailtrack_wire::{Member as MemberMessage, Presence};
+
+use crate::configuration::Current;
+use crate::directory::{Directory, Member};
+use crate::key::UpstreamKey;
+use crate::peer::News;
+use crate::retired::Retired;
+use crate::status::Status;
+
+/// How often nodes say what they are like: a frozen node is noticed after three of these.
+const SHORTEST_INTERVAL: Duration = Duration::from_millis(300);
+/// What is added for each node, so that all of them send at most 100 messages a second to one.
+const INTERVAL_FOR_EACH: Duration = Duration::from_millis(10);
+
+/// Takes in what other nodes say about themselves and pass on.
+pub(crate) struct Listener {
+    pub(crate) directory: Rc<Directory>,
+    pub(crate) current: Rc<Current>,
+    pub(crate) retired: Rc<Retired>,
+    pub(crate) status: Rc<Status>,
+    /// Whom to ask for a newer configuration.
+    pub(crate) newer: RefCell<mpsc::Sender<NodeName>>,
+    pub(crate) last: Cell<u64>,
+}
+
+impl News for Listener {
+    fn interval(&self) -> Duration {
+        interval(self.directory.len())
+    }
+
+    fn hello(&self) -> MemberMessage {
+        self.status.member()
+    }
+
+    fn take(&self, from: &NodeName, presence: &Presence) {
+        for upstream in &presence.retired {
+            self.retired.note(UpstreamKey::from(upstream.as_str()));
+        }
+        for known in &presence.known {
+            // A node that cannot be read here is met when it connects itself.
+            if let Ok(member) = Member::from_wire(known) {
+                self.directory.learn(member);
+            }
+        }
+        let version = presence.config_version;
+        if version > self.current.version().0 && self.last.replace(version) != version {
+            // A full channel holds others that can be asked for the same version.
+            let _ = self.newer.borrow_mut().try_send(from.clone());
+        }
+    }
+}
+
+fn interval(nodes: usize) -> Duration {
+    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+    SHORTEST_INTERVAL.max(INTERVAL_FOR_EACH * nodes)
+}
+
+/// Says what this node is like, for as long as the task lives.
+pub(crate) async fn keep_telling(status: Rc<Status>, directory: Rc<Directory>) {
+    loop {
+        sleep(interval(directory.len())).await;
+        status.publish();
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/node/stop.rs
@@ -0,0 +1,63 @@
+//! Ends a node without cutting anything.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use monoio::time::sleep;
+use sailtrack_kernel::{Draining, Life, Table};
+use sailtrack_log::{catalogue, emit};
+use sailtrack_net::terminate::Signals;
+
+use crate::error::Error;
+use crate::node::{LOOK, is_stop, start};
+use crate::settings::Settings;
+
+/// How long a leaving node goes on taking requests: whoever asks once a second whether it is
+/// ready has been told no twice by then.
+const LEAVING_TIME: Duration = Duration::from_millis(2300);
+/// It ends once nothing has been in flight for this long.
+const QUIET_TIME: Duration = Duration::from_millis(200);
+/// How long before the end of the time for a stop it ends in any case.
+const RESERVE: Duration = Duration::from_millis(300);
+
+/// Waits for the signal that asks for an end; others are logged.
+pub(super) async fn wait_for_stop(signals: &mut Signals) -> Result<(), Error> {
+    loop {
+        let signal = signals.next().await.map_err(Error::Signal)?;
+        if is_stop(signal) {
+            return Ok(());
+        }
+        emit(&catalogue::RELOAD_REQUESTED, &[]);
+    }
+}
+
+/// Tells everybody that the node leaves, and ends once nothing is in flight.
+pub(super) async fn drain(
+    table: &Table,
+    settings: &Settings,
+    life: Life<Draining>,
+    in_flight: &Rc<Cell<usize>>,
+) -> Result<(), Error> {
+    emit(
+        &catalogue::STOP_REQUESTED,
+        &[("in_flight", &in_flight.get())],
+    );
+    start::publish(table)?;
+    let began = Instant::now();
+    let longest = settings.stop_time.0.saturating_sub(RESERVE);
+    let mut busy = began;
+    loop {
+        sleep(LOOK).await;
+        let now = Instant::now();
+        if in_flight.get() > 0 {
+            busy = now;
+        }
+        let is_quiet = now - busy >= QUIET_TIME && now - began >= LEAVING_TIME;
+        if is_quiet || now - began >= longest {
+            break;
+        }
+    }
+    let _stopped = life.stop();
+    Ok(())
+}
--- /dev/null
+++ b/crates/mesh/src/peer/accept.rs
@@ -0,0 +1,299 @@
+//! Serves the connections of other nodes, one task for each connection and each request.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::SinkExt as _;
+use futures::channel::mpsc;
+use futures::future::{AbortHandle, Abortable};
+use monoio::io::Splitable as _;
+use monoio::net::{TcpListener, TcpStream};
+use monoio::time::timeout;
+use sailtrack_kernel::Service;
+use sailtrack_log::{catalogue, emit};
+use sailtrack_net::frames::{ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, write_frames};
+use sailtrack_net::task;
+use sailtrack_units::Incarnation;
+use sailtrack_wire::{
+    Body, Chunk, Config, Fetch, Forward, Hello, Reason, Recall, Retire, Retired as RetiredMessage,
+};
+
+use crate::configuration::Current;
+use crate::directory::{Directory, Member};
+use crate::gate::Gate;
+use crate::key::{AttemptKey, UpstreamKey};
+use crate::peer::convert::{CHUNK, returned_to_wire, work_from_wire};
+use crate::peer::parts::Parts;
+use crate::retired::Retired;
+use crate::status::Status;
+use crate::work::Returned;
+
+/// How long a new connection may take to say hello.
+const HELLO_TIME: Duration = Duration::from_secs(2);
+/// The most requests open at once on one connection.
+const MOST_OPEN: usize = 4096;
+/// The most connections open at once.
+const MOST_CONNECTIONS: usize = 2048;
+
+/// Serves the connections of other nodes.
+pub(crate) struct Acceptor {
+    pub(crate) gate: Rc<Gate>,
+    pub(crate) status: Rc<Status>,
+    pub(crate) directory: Rc<Directory>,
+    pub(crate) retired: Rc<Retired>,
+    pub(crate) current: Rc<Current>,
+}
+
+impl Service for Acceptor {
+    const NAME: &'static str = "peer-acceptor";
+}
+
+/// What is open on one connection.
+#[derive(Default)]
+struct Open {
+    running: RefCell<HashMap<u64, AbortHandle>>,
+    arriving: RefCell<HashMap<u64, Parts<Forward>>>,
+}
+
+impl Acceptor {
+    /// Accepts connections for as long as the task lives.
+    pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let open = Rc::new(Cell::new(0));
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            if open.get() >= MOST_CONNECTIONS {
+                refuse(&"too many connections");
+                continue;
+            }
+            let held = task::Held::new(&open);
+            let acceptor = Rc::clone(&self);
+            task::spawn("peer connection", async move {
+                acceptor.serve(stream).await;
+                drop(held);
+            });
+        }
+    }
+
+    async fn serve(self: &Rc<Self>, stream: TcpStream) {
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let (read, write) = stream.into_split();
+        let (mut outgoing, frames) = mpsc::channel(OUTGOING_CAPACITY);
+        task::spawn("peer writer", async move {
+            // The reading side ends the connection when writing fails.
+            let _ = write_frames(write, frames).await;
+        });
+        let mut reader = FrameReader::new(read);
+        let said = match timeout(HELLO_TIME, reader.hello()).await {
+            Ok(Ok(said)) => said,
+            Ok(Err(error)) => return refuse(&error),
+            Err(_) => return refuse(&"no hello in time"),
+        };
+        self.meet(&said);
+        let introduction = Body::Presence(self.status.introduction());
+        let welcome = [hello(self.status.member()), introduction];
+        for message in welcome {
+            if outgoing.send(message).await.is_err() {
+                return;
+            }
+        }
+        self.status.subscribers.borrow_mut().push(outgoing.clone());
+        let open = Rc::new(Open::default());
+        let ended = self.read(&mut reader, &outgoing, &open).await;
+        // The other side takes every request without an answer for lost.
+        for running in open.running.borrow().values() {
+            running.abort();
+        }
+        outgoing.close_channel();
+        if let Err(ConnectionError::Frame(error)) = ended {
+            refuse(&error);
+        }
+    }
+
+    fn meet(&self, said: &Hello) {
+        let Some(member) = &said.member else {
+            return;
+        };
+        match Member::from_wire(member) {
+            Ok(member) => self.directory.learn(member),
+            Err(error) => refuse(&error),
+        }
+    }
+
+    async fn read(
+        self: &Rc<Self>,
+        reader: &mut FrameReader,
+        outgoing: &mpsc::Sender<Body>,
+        open: &Rc<Open>,
+    ) -> Result<(), ConnectionError> {
+        loop {
+            match reader.next().await? {
+                Body::Forward(message) => self.receive(message, outgoing, open),
+                Body::Chunk(chunk) => self.receive_part(&chunk, outgoing, open),
+                Body::Cancel(cancel) => {
+                    open.arriving.borrow_mut().remove(&cancel.exchange);
+                    if let Some(running) = open.running.borrow_mut().remove(&cancel.exchange) {
+                        running.abort();
+                    }
+                }
+                Body::Recall(recall) => self.recall(recall, outgoing, open),
+                Body::Retire(retire) => self.remember(&retire, outgoing),
+                Body::Fetch(fetch) => self.give_configuration(&fetch, outgoing),
+                // Everything else is for the other direction.
+                _ => {}
+            }
+        }
+    }
+
+    /// Takes in the first part of a request.
+    fn receive(
+        self: &Rc<Self>,
+        mut message: Forward,
+        outgoing: &mpsc::Sender<Body>,
+        open: &Rc<Open>,
+    ) {
+        let exchange = message.exchange;
+        let length = message.body_length;
+        if message.body.len() as u64 == length {
+            self.start(message, outgoing, open);
+            return;
+        }
+        let first = std::mem::take(&mut message.body);
+        match Parts::new(message, &first, length) {
+            Some(parts) => {
+                open.arriving.borrow_mut().insert(exchange, parts);
+            }
+            None => refuse(&"a body longer than allowed"),
+        }
+    }
+
+    fn receive_part(
+        self: &Rc<Self>,
+        chunk: &Chunk,
+        outgoing: &mpsc::Sender<Body>,
+        open: &Rc<Open>,
+    ) {
+        let mut arriving = open.arriving.borrow_mut();
+        let Some(mut parts) = arriving.remove(&chunk.exchange) else {
+            return;
+        };
+        if !parts.add(&chunk.data) {
+            refuse(&"a body longer than announced");
+            return;
+        }
+        if !parts.is_whole() {
+            arriving.insert(chunk.exchange, parts);
+            return;
+        }
+        drop(arriving);
+        let (mut message, body) = parts.finish();
+        message.body = body;
+        self.start(message, outgoing, open);
+    }
+
+    fn start(self: &Rc<Self>, message: Forward, outgoing: &mpsc::Sender<Body>, open: &Rc<Open>) {
+        let exchange = message.exchange;
+        let acceptor = Rc::clone(self);
+        let too_many = open.running.borrow().len() >= MOST_OPEN;
+        let work = async move {
+            if too_many {
+                return Returned::refused(Reason::Overload);
+            }
+            match work_from_wire(message) {
+                Ok(work) => acceptor.gate.run(work).await,
+                Err(error) => {
+                    refuse(&error);
+                    Returned::refused(Reason::Undeclared)
+                }
+            }
+        };
+        spawn_answer(exchange, work, outgoing, open);
+    }
+
+    fn recall(self: &Rc<Self>, recall: Recall, outgoing: &mpsc::Sender<Body>, open: &Rc<Open>) {
+        let acceptor = Rc::clone(self);
+        let exchange = recall.exchange;
+        let work = async move {
+            if Incarnation(recall.incarnation) != acceptor.status.life {
+                return Returned::unknown(Reason::HomeGone);
+            }
+            let attempt = AttemptKey::from(recall.id.as_str());
+            acceptor.gate.recall(&attempt).await
+        };
+        spawn_answer(exchange, work, outgoing, open);
+    }
+
+    fn remember(&self, retire: &Retire, outgoing: &mpsc::Sender<Body>) {
+        self.retired
+            .note(UpstreamKey::from(retire.upstream.as_str()));
+        let exchange = retire.exchange;
+        // Without an answer the other side takes it for not remembered.
+        let _ = outgoing
+            .clone()
+            .try_send(Body::Retired(RetiredMessage { exchange }));
+    }
+
+    fn give_configuration(&self, fetch: &Fetch, outgoing: &mpsc::Sender<Body>) {
+        let version = self.current.version();
+        if version.0 <= fetch.version {
+            return;
+        }
+        let config = Config {
+            version: version.0,
+            text: self.current.text().to_string(),
+        };
+        // A full channel only delays the fetch to the next presence.
+        let _ = outgoing.clone().try_send(Body::Config(config));
+    }
+}
+
+fn refuse(reason: &dyn std::fmt::Display) {
+    emit(
+        &catalogue::INPUT_REFUSED,
+        &[("port", &"peer"), ("reason", reason)],
+    );
+}
+
+/// Runs `work` in a task of its own and sends what comes of it, unless it is cancelled before.
+fn spawn_answer(
+    exchange: u64,
+    work: impl Future<Output = Returned> + 'static,
+    outgoing: &mpsc::Sender<Body>,
+    open: &Rc<Open>,
+) {
+    let (handle, registration) = AbortHandle::new_pair();
+    open.running.borrow_mut().insert(exchange, handle);
+    let mut outgoing = outgoing.clone();
+    let open = Rc::clone(open);
+    task::spawn("peer request", async move {
+        let answer = async {
+            let returned = work.await;
+            send(&mut outgoing, exchange, returned).await;
+        };
+        // An aborted request was cancelled and needs no answer.
+        let _ = Abortable::new(answer, registration).await;
+        open.running.borrow_mut().remove(&exchange);
+    });
+}
+
+/// Sends what became of a request, a long body in chunks so that others are not held up.
+async fn send(outgoing: &mut mpsc::Sender<Body>, exchange: u64, returned: Returned) {
+    let mut reply = returned_to_wire(exchange, &returned);
+    let mut rest = returned.body;
+    reply.body = rest.split_to(rest.len().min(CHUNK));
+    if outgoing.send(Body::Reply(reply)).await.is_err() {
+        return;
+    }
+    while !rest.is_empty() {
+        let data = rest.split_to(rest.len().min(CHUNK));
+        let chunk = Body::Chunk(Chunk { exchange, data });
+        if outgoing.send(chunk).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/peer/convert.rs
@@ -0,0 +1,87 @@
+//! Requests and what became of them, as messages between nodes.
+
+use std::time::{Duration, Instant};
+
+use displaydoc::Display;
+use sailtrack_admission::Pressure;
+use sailtrack_units::Rank;
+use sailtrack_wire::{Forward, Reply};
+
+use crate::key::AttemptKey;
+use crate::work::{Returned, Work};
+
+/// The most bytes of a body in one message, so that a long one does not hold up others.
+pub(super) const CHUNK: usize = 32 * 1024;
+
+/// the message holds no sound request: {0}
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub(super) struct WorkError(String);
+
+impl std::error::Error for WorkError {}
+
+/// Returns the message for a request; the body beyond the first part follows in chunks.
+pub(super) fn work_to_wire(exchange: u64, work: &Work) -> Forward {
+    let first = work.body.len().min(CHUNK);
+    Forward {
+        exchange,
+        id: work.attempt.to_string(),
+        service: work.service.to_string(),
+        kind: work.kind.to_string(),
+        idempotent: work.idempotent,
+        rank: u32::from(work.rank.index()),
+        begun: work.begun,
+        time_left_us: u64::try_from(work.time_left().as_micros()).unwrap_or(u64::MAX),
+        head: work.head.clone(),
+        body: work.body.slice(..first),
+        body_length: work.body.len() as u64,
+    }
+}
+
+/// Returns the request that a message with its whole body stands for.
+pub(super) fn work_from_wire(message: Forward) -> Result<Work, WorkError> {
+    let error = |what: &dyn std::fmt::Display| WorkError(what.to_string());
+    let rank = u8::try_from(message.rank).map_err(|e| error(&e))?;
+    Ok(Work {
+        attempt: AttemptKey::from(message.id.as_str()),
+        service: message.service.parse().map_err(|e| error(&e))?,
+        kind: message.kind.parse().map_err(|e| error(&e))?,
+        idempotent: message.idempotent,
+        rank: Rank::from_index(rank),
+        begun: message.begun,
+        deadline: Instant::now() + Duration::from_micros(message.time_left_us),
+        head: message.head,
+        body: message.body,
+    })
+}
+
+/// Returns the message for what became of a request, without its body.
+pub(super) fn returned_to_wire(exchange: u64, returned: &Returned) -> Reply {
+    Reply {
+        exchange,
+        outcome: returned.outcome.into(),
+        reason: returned.reason.into(),
+        status: u32::from(returned.status),
+        head: returned.head.clone(),
+        body: bytes::Bytes::new(),
+        body_length: returned.body.len() as u64,
+        offered: returned.offered,
+        pressure_percent: returned.pressure.percent(),
+        path_pressure_percent: returned.path_pressure.percent(),
+        retry_after_ms: u64::try_from(returned.retry_after.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+/// Returns what became of a request, from a message with its whole body.
+pub(super) fn returned_from_wire(message: Reply) -> Returned {
+    Returned {
+        outcome: message.outcome(),
+        reason: message.reason(),
+        status: u16::try_from(message.status).unwrap_or_default(),
+        offered: message.offered,
+        pressure: Pressure::from_percent(message.pressure_percent),
+        path_pressure: Pressure::from_percent(message.path_pressure_percent),
+        retry_after: Duration::from_millis(message.retry_after_ms),
+        head: message.head,
+        body: message.body,
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/peer/link.rs
@@ -0,0 +1,438 @@
+//! The connection to one other node, opened anew whenever it is lost.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures::SinkExt as _;
+use futures::channel::{mpsc, oneshot};
+use futures::future::{Either, select};
+use monoio::io::Splitable as _;
+use monoio::time::{sleep, timeout};
+use rand::Rng as _;
+use sailtrack_log::{catalogue, emit};
+use sailtrack_net::dial::{DialError, dial, give_up_after};
+use sailtrack_net::frames::{ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, write_frames};
+use sailtrack_units::{ConfigVersion, Incarnation};
+use sailtrack_wire::{
+    Body, Cancel, Chunk, Config, Fetch, Hello, Outcome, Presence, Reason, Recall, Reply, Retire,
+    State,
+};
+
+use crate::directory::Member;
+use crate::key::{AttemptKey, UpstreamKey};
+use crate::peer::News;
+use crate::peer::convert::{CHUNK, returned_from_wire, work_to_wire};
+use crate::peer::parts::Parts;
+use crate::routing::PeerLoad;
+use crate::work::{Returned, Work};
+
+/// How long opening a connection may take: some round trips between regions.
+const CONNECT_TIME: Duration = Duration::from_millis(700);
+/// The first pause before a lost connection is opened anew.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// The longest pause; a node is to be found within a second or so after a partition ends.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1000);
+/// Data that is not acknowledged for this long ends a connection.
+const UNACKNOWLEDGED_TIME: Duration = Duration::from_millis(2500);
+/// A node from which nothing came for this many of its intervals gets no new requests,
+const SILENT_INTERVALS: u32 = 3;
+/// and after this many its connection is closed.
+const DEAD_INTERVALS: u32 = 8;
+/// How long a lost request is asked for before its fate is taken for unknown.
+const RECALL_TIME: Duration = Duration::from_millis(2500);
+/// How often a connection that is being opened is looked at.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// What waits for a message of the other node.
+enum Pending {
+    Reply(oneshot::Sender<Returned>),
+    Retired(oneshot::Sender<()>),
+}
+
+/// What became of a request that was handed to a link.
+pub(crate) enum Delivery {
+    /// The other node answered.
+    Returned(Returned),
+    /// Nothing was sent.
+    Unsent,
+    /// The connection to this life of the other node broke before the answer came.
+    Lost(Incarnation),
+}
+
+/// The connection to one other node.
+pub(crate) struct Link {
+    pub(crate) member: Rc<Member>,
+    pub(crate) load: RefCell<PeerLoad>,
+    source: IpAddr,
+    news: Rc<dyn News>,
+    outgoing: RefCell<Option<mpsc::Sender<Body>>>,
+    pending: RefCell<HashMap<u64, Pending>>,
+    replies: RefCell<HashMap<u64, Parts<Reply>>>,
+    fetching: RefCell<Vec<oneshot::Sender<Config>>>,
+    next_exchange: Cell<u64>,
+    /// The life of the other node; zero while it is not connected.
+    life: Cell<Incarnation>,
+    state: Cell<State>,
+    slots: Cell<u32>,
+    heard: Cell<Instant>,
+    lost_since: Cell<Option<Instant>>,
+    closed: Cell<bool>,
+}
+
+impl Link {
+    pub(crate) fn new(member: Rc<Member>, source: IpAddr, news: Rc<dyn News>) -> Rc<Self> {
+        Rc::new(Self {
+            member,
+            load: RefCell::default(),
+            source,
+            news,
+            outgoing: RefCell::default(),
+            pending: RefCell::default(),
+            replies: RefCell::default(),
+            fetching: RefCell::default(),
+            next_exchange: Cell::new(1),
+            life: Cell::default(),
+            state: Cell::new(State::Joining),
+            slots: Cell::new(0),
+            heard: Cell::new(Instant::now()),
+            lost_since: Cell::new(Some(Instant::now())),
+            closed: Cell::new(false),
+        })
+    }
+
+    /// Keeps the connection open for as long as the link is wanted.
+    pub(crate) async fn keep(self: Rc<Self>) {
+        let mut pause = FIRST_PAUSE;
+        while !self.closed.get() {
+            let result = self.connect_and_run().await;
+            let was_open = self.life.get() != Incarnation::default();
+            self.end(was_open, &result);
+            if was_open {
+                pause = FIRST_PAUSE;
+            }
+            sleep(pause.mul_f64(rand::rng().random_range(0.5..1.0))).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+
+    /// Ends the link for good.
+    pub(crate) fn close(&self) {
+        self.closed.set(true);
+        self.disconnect();
+    }
+
+    /// Returns true while requests can be sent.
+    pub(crate) fn is_open(&self) -> bool {
+        self.life.get() != Incarnation::default()
+    }
+
+    /// Returns true if the node takes requests for its upstream, as far as is known.
+    pub(crate) fn is_serving(&self, now: Instant) -> bool {
+        self.is_open() && self.state.get() == State::Serving && !self.is_silent(now)
+    }
+
+    /// Returns how many requests the upstream of the node works on at once.
+    pub(crate) fn slots(&self) -> u32 {
+        self.slots.get()
+    }
+
+    /// Returns for how long the node could not be reached.
+    pub(crate) fn lost_for(&self, now: Instant) -> Duration {
+        let since = self.lost_since.get();
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
+    /// Returns true if nothing has come from the node for some of its intervals.
+    pub(crate) fn is_silent(&self, now: Instant) -> bool {
+        let silence = now.saturating_duration_since(self.heard.get());
+        silence > self.news.interval() * SILENT_INTERVALS
+    }
+
+    /// Sends a request and waits for what becomes of it; dropping the future cancels it.
+    pub(crate) async fn forward(&self, work: &Work) -> Delivery {
+        let life = self.life.get();
+        let (exchange, receiver) = self.begin_reply();
+        let guard = CancelGuard {
+            link: self,
+            exchange,
+        };
+        if !self.send_work(exchange, work).await {
+            guard.forget();
+            return Delivery::Unsent;
+        }
+        let delivery = match receiver.await {
+            Ok(returned) => Delivery::Returned(returned),
+            Err(_) => Delivery::Lost(life),
+        };
+        guard.forget();
+        delivery
+    }
+
+    /// Asks what became of a request that was sent to a life of the node.
+    ///
+    /// The answer is final: a request that never ran never will.
+    pub(crate) async fn recall(&self, attempt: &AttemptKey, life: Incarnation) -> Returned {
+        let asking = async {
+            loop {
+                if self.is_open() && self.life.get() != life {
+                    return Returned::unknown(Reason::HomeGone);
+                }
+                let (exchange, receiver) = self.begin_reply();
+                let recall = Recall {
+                    exchange,
+                    id: attempt.to_string(),
+                    incarnation: life.0,
+                };
+                if self.is_open()
+                    && self.send(Body::Recall(recall))
+                    && let Ok(returned) = receiver.await
+                {
+                    return returned;
+                }
+                self.pending.borrow_mut().remove(&exchange);
+                sleep(LOOK).await;
+            }
+        };
+        let asked = timeout(RECALL_TIME, asking).await;
+        asked.unwrap_or_else(|_| Returned::unknown(Reason::Connection))
+    }
+
+    /// Asks the node to remember that an upstream leaves; returns true if it does.
+    pub(crate) async fn retire(&self, upstream: &UpstreamKey) -> bool {
+        let exchange = self.next();
+        let (sender, receiver) = oneshot::channel();
+        let pending = Pending::Retired(sender);
+        self.pending.borrow_mut().insert(exchange, pending);
+        let retire = Retire {
+            exchange,
+            upstream: upstream.to_string(),
+        };
+        self.send(Body::Retire(retire)) && receiver.await.is_ok()
+    }
+
+    /// Returns the configuration of the node if it is above `version`.
+    pub(crate) async fn fetch(&self, version: ConfigVersion) -> Option<Config> {
+        let (sender, receiver) = oneshot::channel();
+        self.fetching.borrow_mut().push(sender);
+        let fetch = Fetch { version: version.0 };
+        if !self.send(Body::Fetch(fetch)) {
+            return None;
+        }
+        receiver.await.ok()
+    }
+
+    fn next(&self) -> u64 {
+        let exchange = self.next_exchange.get();
+        self.next_exchange.set(exchange + 1);
+        exchange
+    }
+
+    fn begin_reply(&self) -> (u64, oneshot::Receiver<Returned>) {
+        let exchange = self.next();
+        let (sender, receiver) = oneshot::channel();
+        let pending = Pending::Reply(sender);
+        self.pending.borrow_mut().insert(exchange, pending);
+        (exchange, receiver)
+    }
+
+    /// Queues a message; returns false if it will certainly not be sent.
+    fn send(&self, body: Body) -> bool {
+        let mut outgoing = self.outgoing.borrow_mut();
+        let outgoing = outgoing.as_mut();
+        outgoing.is_some_and(|outgoing| outgoing.try_send(body).is_ok())
+    }
+
+    async fn send_work(&self, exchange: u64, work: &Work) -> bool {
+        if !self.is_open() || !self.send(Body::Forward(work_to_wire(exchange, work))) {
+            return false;
+        }
+        let Some(mut outgoing) = self.outgoing.borrow().clone() else {
+            return true;
+        };
+        let mut rest = work.body.slice(work.body.len().min(CHUNK)..);
+        while !rest.is_empty() {
+            let data = rest.split_to(rest.len().min(CHUNK));
+            let chunk = Body::Chunk(Chunk { exchange, data });
+            if outgoing.send(chunk).await.is_err() {
+                break;
+            }
+        }
+        true
+    }
+
+    async fn connect_and_run(&self) -> Result<(), ConnectionError> {
+        let dialed = dial(self.member.address, Some(self.source), CONNECT_TIME)
+            .await
+            .map_err(ConnectionError::Dial)?;
+        give_up_after(&dialed.probe, UNACKNOWLEDGED_TIME).map_err(ConnectionError::Io)?;
+        drop(dialed.probe);
+        let (read, write) = dialed.stream.into_split();
+        let (mut outgoing, frames) = mpsc::channel(OUTGOING_CAPACITY);
+        // The channel is new and empty, so the first message has room.
+        let _ = outgoing.try_send(hello(self.news.hello()));
+        let reading = std::pin::pin!(self.read(FrameReader::new(read), outgoing));
+        let writing = std::pin::pin!(write_frames(write, frames));
+        match select(reading, writing).await {
+            Either::Left((result, _)) | Either::Right((result, _)) => result,
+        }
+    }
+
+    async fn read(
+        &self,
+        mut reader: FrameReader,
+        outgoing: mpsc::Sender<Body>,
+    ) -> Result<(), ConnectionError> {
+        let greeting = timeout(CONNECT_TIME, reader.hello()).await;
+        let hello = greeting.map_err(|_| ConnectionError::Dial(DialError::Timeout))??;
+        *self.outgoing.borrow_mut() = Some(outgoing);
+        self.open(&hello);
+        loop {
+            let patience = self.news.interval() * DEAD_INTERVALS;
+            let message = timeout(patience, reader.next()).await;
+            let message = message.map_err(|_| ConnectionError::Dial(DialError::Timeout))??;
+            self.heard.set(Instant::now());
+            self.take(message);
+        }
+    }
+
+    fn open(&self, hello: &Hello) {
+        let member = hello.member.clone().unwrap_or_default();
+        // A life is never zero, which stands for no connection.
+        self.life.set(Incarnation(member.incarnation.max(1)));
+        self.state.set(member.state());
+        self.slots.set(member.slots);
+        self.heard.set(Instant::now());
+        self.lost_since.set(None);
+        emit(&catalogue::PEER_CONNECTED, &[("node", &self.member.name)]);
+    }
+
+    fn take(&self, message: Body) {
+        match message {
+            Body::Reply(reply) => self.take_reply(reply),
+            Body::Chunk(chunk) => self.take_chunk(&chunk),
+            Body::Presence(presence) => self.take_presence(&presence),
+            Body::Retired(retired) => {
+                let waiting = self.pending.borrow_mut().remove(&retired.exchange);
+                if let Some(Pending::Retired(sender)) = waiting {
+                    // Who asked may have stopped waiting.
+                    let _ = sender.send(());
+                }
+            }
+            Body::Config(config) => {
+                for waiting in self.fetching.borrow_mut().drain(..) {
+                    // The fetch may have timed out.
+                    let _ = waiting.send(config.clone());
+                }
+            }
+            // Everything else is for the other direction.
+            _ => {}
+        }
+    }
+
+    fn take_presence(&self, presence: &Presence) {
+        if let Some(member) = &presence.member {
+            self.state.set(member.state());
+            self.slots.set(member.slots);
+        }
+        let percent = presence.pressure_percent;
+        self.load.borrow_mut().note_told(Instant::now(), percent);
+        self.news.take(&self.member.name, presence);
+    }
+
+    /// Takes the first part of a reply; one that nobody waits for is dropped.
+    fn take_reply(&self, mut reply: Reply) {
+        let exchange = reply.exchange;
+        if !self.pending.borrow().contains_key(&exchange) {
+            return;
+        }
+        let first = std::mem::take(&mut reply.body);
+        let length = reply.body_length;
+        if first.len() as u64 == length {
+            reply.body = first;
+            self.give(exchange, returned_from_wire(reply));
+            return;
+        }
+        match Parts::new(reply, &first, length) {
+            Some(parts) => {
+                self.replies.borrow_mut().insert(exchange, parts);
+            }
+            None => self.give(exchange, Returned::unknown(Reason::AnswerTooLarge)),
+        }
+    }
+
+    fn take_chunk(&self, chunk: &Chunk) {
+        let Some(mut parts) = self.replies.borrow_mut().remove(&chunk.exchange) else {
+            return;
+        };
+        if !parts.add(&chunk.data) {
+            self.give(chunk.exchange, Returned::unknown(Reason::AnswerTooLarge));
+        } else if parts.is_whole() {
+            let (mut reply, body) = parts.finish();
+            reply.body = body;
+            self.give(chunk.exchange, returned_from_wire(reply));
+        } else {
+            self.replies.borrow_mut().insert(chunk.exchange, parts);
+        }
+    }
+
+    fn give(&self, exchange: u64, returned: Returned) {
+        let waiting = self.pending.borrow_mut().remove(&exchange);
+        if let Some(Pending::Reply(sender)) = waiting {
+            let did_not_run = returned.outcome == Outcome::NotRun;
+            if did_not_run && returned.reason == Reason::Draining {
+                self.state.set(State::Leaving);
+            }
+            // The caller may have left.
+            let _ = sender.send(returned);
+        }
+    }
+
+    fn disconnect(&self) {
+        self.life.set(Incarnation::default());
+        self.state.set(State::Joining);
+        *self.outgoing.borrow_mut() = None;
+        self.pending.borrow_mut().clear();
+        self.replies.borrow_mut().clear();
+        self.fetching.borrow_mut().clear();
+    }
+
+    fn end(&self, was_open: bool, result: &Result<(), ConnectionError>) {
+        self.disconnect();
+        if self.lost_since.get().is_none() {
+            self.lost_since.set(Some(Instant::now()));
+        }
+        if let (true, Err(error)) = (was_open, result) {
+            emit(
+                &catalogue::PEER_LOST,
+                &[("node", &self.member.name), ("reason", error)],
+            );
+        }
+    }
+}
+
+/// Cancels a request whose caller stops waiting before the answer has come.
+struct CancelGuard<'a> {
+    link: &'a Link,
+    exchange: u64,
+}
+
+impl CancelGuard<'_> {
+    /// Ends the guard of a request that is over.
+    fn forget(self) {
+        self.link.pending.borrow_mut().remove(&self.exchange);
+    }
+}
+
+impl Drop for CancelGuard<'_> {
+    fn drop(&mut self) {
+        let waited = self.link.pending.borrow_mut().remove(&self.exchange);
+        self.link.replies.borrow_mut().remove(&self.exchange);
+        if waited.is_some() {
+            let exchange = self.exchange;
+            self.link.send(Body::Cancel(Cancel { exchange }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/peer/mod.rs
@@ -0,0 +1,125 @@
+//! Connections between nodes.
+
+mod accept;
+mod convert;
+mod link;
+mod parts;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
+use sailtrack_kernel::Service;
+use sailtrack_net::task;
+use sailtrack_units::{NodeName, ServiceName};
+use sailtrack_wire::{Member as MemberMessage, Presence};
+
+pub(crate) use accept::Acceptor;
+pub(crate) use link::{Delivery, Link};
+
+use crate::directory::{Member, Observer};
+use crate::key::UpstreamKey;
+
+/// A node whose row is gone is kept while it can be reached, and this long after.
+const LOST_TIME: Duration = Duration::from_secs(2);
+/// How many other nodes must remember a leaving upstream while the store does not answer.
+const WITNESSES: usize = 2;
+
+/// What a link needs to know of its own node, and whom it tells of the other one.
+pub(crate) trait News {
+    /// Returns how often nodes say what they are like.
+    fn interval(&self) -> Duration;
+
+    /// Returns what a connection begins with.
+    fn hello(&self) -> MemberMessage;
+
+    /// Takes in what another node says.
+    fn take(&self, from: &NodeName, presence: &Presence);
+}
+
+/// The links to all nodes that are known.
+pub(crate) struct Peers {
+    source: IpAddr,
+    news: Rc<dyn News>,
+    links: RefCell<BTreeMap<NodeName, Rc<Link>>>,
+    by_service: RefCell<BTreeMap<ServiceName, Vec<Rc<Link>>>>,
+}
+
+impl Service for Peers {
+    const NAME: &'static str = "peers";
+}
+
+impl Peers {
+    pub(crate) fn new(source: IpAddr, news: Rc<dyn News>) -> Self {
+        Self {
+            source,
+            news,
+            links: RefCell::default(),
+            by_service: RefCell::default(),
+        }
+    }
+
+    /// Returns the links to the nodes of a service.
+    pub(crate) fn of_service(&self, service: &ServiceName) -> Vec<Rc<Link>> {
+        let by_service = self.by_service.borrow();
+        by_service.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Returns the link to a node.
+    pub(crate) fn get(&self, name: &NodeName) -> Option<Rc<Link>> {
+        self.links.borrow().get(name).cloned()
+    }
+
+    /// Returns how many links are open.
+    pub(crate) fn open_count(&self) -> usize {
+        let links = self.links.borrow();
+        links.values().filter(|link| link.is_open()).count()
+    }
+
+    /// Asks other nodes to remember that an upstream leaves; returns true once enough do.
+    pub(crate) async fn retire(&self, upstream: &UpstreamKey) -> bool {
+        let links: Vec<Rc<Link>> = self.links.borrow().values().cloned().collect();
+        let wanted = WITNESSES.min(links.len()).max(1);
+        let asked = links.iter().map(|link| link.retire(upstream));
+        let asked: FuturesUnordered<_> = asked.collect();
+        let remembered = asked.filter(|remembered| std::future::ready(*remembered));
+        remembered.take(wanted).count().await == wanted
+    }
+
+    fn drop_link(&self, name: &NodeName) {
+        if let Some(link) = self.links.borrow_mut().remove(name) {
+            link.close();
+            let mut by_service = self.by_service.borrow_mut();
+            if let Some(links) = by_service.get_mut(&link.member.service) {
+                links.retain(|other| other.member.name != *name);
+            }
+        }
+    }
+}
+
+impl Observer for Peers {
+    fn joined(&self, member: &Rc<Member>) {
+        self.drop_link(&member.name);
+        let link = Link::new(Rc::clone(member), self.source, Rc::clone(&self.news));
+        let mut by_service = self.by_service.borrow_mut();
+        let links = by_service.entry(member.service.clone()).or_default();
+        links.push(Rc::clone(&link));
+        let name = member.name.clone();
+        self.links.borrow_mut().insert(name, Rc::clone(&link));
+        task::spawn("peer link", link.keep());
+    }
+
+    fn is_gone(&self, member: &Member) -> bool {
+        let lost = self
+            .get(&member.name)
+            .is_none_or(|link| link.lost_for(Instant::now()) > LOST_TIME);
+        if lost {
+            self.drop_link(&member.name);
+        }
+        lost
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/routing/load.rs
@@ -0,0 +1,115 @@
+//! What a node has learned about one other node from the answers to its requests.
+
+use std::time::{Duration, Instant};
+
+use sailtrack_admission::Pressure;
+use sailtrack_wire::{Outcome, Reason};
+
+use crate::work::Returned;
+
+/// The weight of the newest answer in the averages.
+const NEWEST_WEIGHT: f64 = 0.1;
+/// The time that is assumed for an answer before the first one, in seconds.
+const FIRST_TIME: f64 = 0.02;
+/// This many failures in a row keep requests away from a node.
+const FAILURES_TO_EJECT: u32 = 5;
+/// For how long they do the first time; each further time doubles it.
+const FIRST_EJECTION: Duration = Duration::from_millis(300);
+/// How often it doubles at most.
+const MOST_DOUBLINGS: u32 = 4;
+
+/// What a node has learned about one other node.
+#[derive(Debug)]
+pub(crate) struct PeerLoad {
+    /// Requests sent and not answered yet.
+    pub(crate) outstanding: u32,
+    told: Option<(Pressure, Instant)>,
+    /// How long an answer takes on average, in seconds.
+    time: f64,
+    /// The share of requests that failed lately.
+    failing: f64,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+}
+
+impl Default for PeerLoad {
+    fn default() -> Self {
+        Self {
+            outstanding: 0,
+            told: None,
+            time: FIRST_TIME,
+            failing: 0.0,
+            failures: 0,
+            ejections: 0,
+            ejected_until: None,
+        }
+    }
+}
+
+impl PeerLoad {
+    /// Notes how full the node says that it is.
+    pub(crate) fn note_told(&mut self, now: Instant, percent: u32) {
+        self.told = Some((Pressure::from_percent(percent), now));
+    }
+
+    /// Notes what became of a request after `time`.
+    pub(crate) fn note(&mut self, now: Instant, time: Duration, returned: &Returned) {
+        self.told = Some((returned.pressure, now));
+        let failed = is_failure(returned);
+        self.failing += (f64::from(u8::from(failed)) - self.failing) * NEWEST_WEIGHT;
+        if failed {
+            self.note_failure(now);
+            return;
+        }
+        if returned.outcome == Outcome::Done {
+            self.time += (time.as_secs_f64() - self.time) * NEWEST_WEIGHT;
+            self.failures = 0;
+            self.ejections = 0;
+            self.ejected_until = None;
+        }
+    }
+
+    /// Returns how full the node is, as far as is known; its upstream has this many slots.
+    pub(crate) fn pressure(&self, now: Instant, slots: u32) -> Pressure {
+        let own = Pressure::of(self.outstanding as usize, slots as usize);
+        let told = self.told.map(|(told, heard)| told.faded(heard, now));
+        told.unwrap_or_default().greater(own)
+    }
+
+    /// Returns what one more request is expected to cost there; the least is the best.
+    ///
+    /// A node that fails a share of its requests looks slower by as many repeats.
+    pub(crate) fn cost(&self, slots: u32) -> f64 {
+        let share = f64::from(self.outstanding + 1) / f64::from(slots.max(1));
+        self.time * (0.2 + share) / (1.0 - self.failing.min(0.9)).powi(2)
+    }
+
+    /// Returns true if a request may be sent; a node that returns gets one at a time.
+    pub(crate) fn is_available(&self, now: Instant) -> bool {
+        match self.ejected_until {
+            None => true,
+            Some(until) => now >= until && self.outstanding == 0,
+        }
+    }
+
+    fn note_failure(&mut self, now: Instant) {
+        self.failures += 1;
+        if self.failures < FAILURES_TO_EJECT {
+            return;
+        }
+        let doublings = self.ejections.min(MOST_DOUBLINGS);
+        self.ejected_until = Some(now + FIRST_EJECTION * 2u32.pow(doublings));
+        self.ejections += 1;
+        self.failures = 0;
+    }
+}
+
+/// Returns true if what became of a request speaks against the node itself, not its load.
+fn is_failure(returned: &Returned) -> bool {
+    match returned.outcome {
+        Outcome::Done => returned.status >= 500,
+        Outcome::NotRun => returned.reason != Reason::Overload,
+        Outcome::Unknown => true,
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/routing/mod.rs
@@ -0,0 +1,182 @@
+//! Chooses which upstream of a service gets a request.
+
+mod load;
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rand::seq::IndexedRandom as _;
+use sailtrack_admission::{Admission, Pressure};
+use sailtrack_kernel::Service;
+use sailtrack_units::{DomainName, Importance, NodeName, ServiceName};
+
+pub(crate) use load::PeerLoad;
+
+use crate::gate::Upstream;
+use crate::peer::{Link, Peers};
+use crate::work::Returned;
+
+/// An upstream of another failure domain is preferred if it is emptier by this share of its slots.
+/// Bytes between failure domains have a price, and so has waiting.
+const SPILL_MARGIN: f64 = 0.25;
+
+/// Where a request goes.
+#[derive(Clone)]
+pub(crate) enum Target {
+    /// To the own upstream.
+    Local,
+    /// To the upstream beside another node.
+    Remote(Rc<Link>),
+}
+
+impl Target {
+    /// Returns the name of the node, which is this one if the target is local.
+    pub(crate) fn name<'a>(&'a self, own: &'a NodeName) -> &'a NodeName {
+        match self {
+            Self::Local => own,
+            Self::Remote(link) => &link.member.name,
+        }
+    }
+}
+
+/// Chooses which upstream of a service gets a request.
+pub(crate) struct Routing {
+    pub(crate) name: NodeName,
+    pub(crate) service: ServiceName,
+    pub(crate) domain: DomainName,
+    pub(crate) peers: Rc<Peers>,
+    pub(crate) upstream: Rc<Upstream>,
+    pub(crate) admission: Rc<Admission>,
+    /// What is known about the own upstream.
+    pub(crate) local: Rc<std::cell::RefCell<PeerLoad>>,
+}
+
+impl Service for Routing {
+    const NAME: &'static str = "routing";
+}
+
+/// A possible target with what speaks for and against it.
+struct Candidate {
+    target: Target,
+    pressure: Pressure,
+    cost: f64,
+}
+
+impl Routing {
+    /// Returns where a request to a service goes, leaving out the nodes that were tried.
+    pub(crate) fn choose(&self, service: &ServiceName, tried: &[NodeName]) -> Option<Target> {
+        let now = Instant::now();
+        let links = self.peers.of_service(service);
+        let usable = links
+            .into_iter()
+            .filter(|link| link.is_serving(now) && !tried.contains(&link.member.name));
+        let (near, far): (Vec<_>, Vec<_>) =
+            usable.partition(|link| link.member.domain == self.domain);
+        let local = self.local(service, tried, now);
+        let near = near.into_iter().map(|link| remote(link, now));
+        let near = pick(local.into_iter().chain(near.flatten()).collect());
+        if let Some(near) = &near
+            && near.pressure < Pressure::FULL
+        {
+            return Some(near.target.clone());
+        }
+        let far = far.into_iter().filter_map(|link| remote(link, now));
+        let far = pick(far.collect());
+        match (near, far) {
+            (Some(near), Some(far)) if far.pressure.0 + SPILL_MARGIN < near.pressure.0 => {
+                Some(far.target)
+            }
+            (near, far) => near.or(far).map(|candidate| candidate.target),
+        }
+    }
+
+    /// Notes that a request goes to a target; the guard notes its end.
+    pub(crate) fn begin(&self, target: &Target) -> Outstanding {
+        let load = match target {
+            Target::Local => Load::Local(Rc::clone(&self.local)),
+            Target::Remote(link) => Load::Remote(Rc::clone(link)),
+        };
+        load.with(|load| load.outstanding += 1);
+        Outstanding {
+            load,
+            began: Instant::now(),
+        }
+    }
+
+    fn local(&self, service: &ServiceName, tried: &[NodeName], now: Instant) -> Option<Candidate> {
+        let is_own = *service == self.service && !tried.contains(&self.name);
+        if !is_own || self.upstream.ready(now).is_none() {
+            return None;
+        }
+        let load = self.local.borrow();
+        load.is_available(now).then(|| Candidate {
+            target: Target::Local,
+            pressure: self.admission.pressure(now, Importance::Normal),
+            cost: load.cost(self.upstream.slots()),
+        })
+    }
+}
+
+fn remote(link: Rc<Link>, now: Instant) -> Option<Candidate> {
+    let slots = link.slots();
+    let load = link.load.borrow();
+    if !load.is_available(now) {
+        return None;
+    }
+    let pressure = load.pressure(now, slots);
+    let cost = load.cost(slots);
+    drop(load);
+    Some(Candidate {
+        target: Target::Remote(link),
+        pressure,
+        cost,
+    })
+}
+
+/// Returns the better of two random candidates.
+fn pick(candidates: Vec<Candidate>) -> Option<Candidate> {
+    let mut two: Vec<usize> = (0..candidates.len()).collect();
+    if two.len() > 2 {
+        two = two.choose_multiple(&mut rand::rng(), 2).copied().collect();
+    }
+    let best = two
+        .into_iter()
+        .min_by(|one, other| candidates[*one].cost.total_cmp(&candidates[*other].cost))?;
+    candidates.into_iter().nth(best)
+}
+
+/// Where the load of a target is kept.
+enum Load {
+    Local(Rc<std::cell::RefCell<PeerLoad>>),
+    Remote(Rc<Link>),
+}
+
+impl Load {
+    fn with(&self, change: impl FnOnce(&mut PeerLoad)) {
+        match self {
+            Self::Local(load) => change(&mut load.borrow_mut()),
+            Self::Remote(link) => change(&mut link.load.borrow_mut()),
+        }
+    }
+}
+
+/// A request that is on its way to a target.
+pub(crate) struct Outstanding {
+    load: Load,
+    began: Instant,
+}
+
+impl Outstanding {
+    /// Notes what became of the request.
+    pub(crate) fn note(&self, returned: &Returned) {
+        let now = Instant::now();
+        let time: Duration = now.saturating_duration_since(self.began);
+        self.load.with(|load| load.note(now, time, returned));
+    }
+}
+
+impl Drop for Outstanding {
+    fn drop(&mut self) {
+        self.load.with(|load| load.outstanding -= 1);
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/settings.rs
@@ -0,0 +1,143 @@
+//! The settings of a mesh node.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use log::LevelFilter;
+use sailtrack_settings::{Document, Problems, Section};
+use sailtrack_units::{DomainName, NodeName, Period, Ratio, ServiceName};
+
+const SECTIONS: &str = "[node], [ports], [upstream], [store], [bounds], [log]";
+const NAME: &str = "a name of a-z, 0-9, '-', '_' and '.'";
+const ADDRESS: &str = "an IP number with a port, such as 127.0.0.1:7100";
+const PERIOD: &str = "a period such as 250ms, 2.5s or 10m";
+const RATIO: &str = "a number from 0 to 1";
+const LEVEL: &str = "error, warn, info or debug";
+
+/// Who the node is.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Its name, unique in the mesh.
+    pub name: NodeName,
+    /// The service of the upstream beside it.
+    pub service: ServiceName,
+    /// The failure domain that it stands in.
+    pub domain: DomainName,
+}
+
+/// The addresses on which the node listens.
+#[derive(Debug, Clone, Copy)]
+pub struct Ports {
+    /// For clients on this instance and for the calls of the own upstream.
+    pub entry: SocketAddr,
+    /// For the question whether the node is ready.
+    pub ready: SocketAddr,
+    /// For the announcements of the own upstream.
+    pub announcements: SocketAddr,
+    /// For other nodes.
+    pub peer: SocketAddr,
+}
+
+/// What all nodes together may send once more to one service.
+#[derive(Debug, Clone, Copy)]
+pub struct RetryBounds {
+    /// The share of its requests that repeats may add,
+    pub ratio: Ratio,
+    /// beside this many repeats,
+    pub slack: f64,
+    /// in any window of this length.
+    pub window: Period,
+}
+
+/// All settings of a mesh node.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Who the node is.
+    pub identity: Identity,
+    /// Where it listens.
+    pub ports: Ports,
+    /// Where the upstream beside it is.
+    pub upstream: SocketAddr,
+    /// Where the store is.
+    pub store: SocketAddr,
+    /// How long a planned stop may take.
+    pub stop_time: Period,
+    /// What may be sent once more.
+    pub retry: RetryBounds,
+    /// What is logged.
+    pub log_level: LevelFilter,
+}
+
+impl Settings {
+    /// Reads the settings in the file at `path`.
+    pub fn load(path: &Path) -> Result<Self, Problems> {
+        Self::read(Document::load(path)?)
+    }
+
+    /// Reads the settings in `text`; `file` names it in messages.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Problems> {
+        Self::read(Document::parse(file, text)?)
+    }
+
+    fn read(document: Document) -> Result<Self, Problems> {
+        let identity = read_identity(&document.section("node"));
+        let ports = read_ports(&document.section("ports"));
+        let upstream = document.section("upstream").required("address", ADDRESS);
+        let store = document.section("store").required("address", ADDRESS);
+        let bounds = document.section("bounds");
+        let stop_time = bounds.required("stop-time", PERIOD);
+        let retry = read_retry(&bounds);
+        drop(bounds);
+        let log = document.optional_section("log");
+        let log_level = log.or("level", LevelFilter::Info, LEVEL);
+        drop(log);
+        document.finish(SECTIONS)?;
+        let whole = || {
+            Some(Self {
+                identity: identity?,
+                ports: ports?,
+                upstream: upstream?,
+                store: store?,
+                stop_time: stop_time?,
+                retry: retry?,
+                log_level,
+            })
+        };
+        whole().ok_or_else(Problems::default)
+    }
+}
+
+fn read_identity(section: &Section<'_>) -> Option<Identity> {
+    let name = section.required("name", NAME);
+    let service = section.required("service", NAME);
+    let domain = section.required("domain", NAME);
+    Some(Identity {
+        name: name?,
+        service: service?,
+        domain: domain?,
+    })
+}
+
+fn read_ports(section: &Section<'_>) -> Option<Ports> {
+    let entry = section.required("entry", ADDRESS);
+    let ready = section.required("ready", ADDRESS);
+    let announcements = section.required("announcements", ADDRESS);
+    let peer = section.required("peer", ADDRESS);
+    Some(Ports {
+        entry: entry?,
+        ready: ready?,
+        announcements: announcements?,
+        peer: peer?,
+    })
+}
+
+fn read_retry(section: &Section<'_>) -> Option<RetryBounds> {
+    let ratio = section.required("retry-ratio", RATIO);
+    let slack = section.required("retry-slack", "a number of requests");
+    let window = section.required("retry-window", PERIOD);
+    Some(RetryBounds {
+        ratio: ratio?,
+        slack: slack?,
+        window: window?,
+    })
+}
--- /dev/null
+++ b/crates/mesh/src/status.rs
@@ -0,0 +1,105 @@
+//! What this node tells others about itself.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Instant;
+
+use futures::channel::mpsc;
+use sailtrack_admission::Admission;
+use sailtrack_kernel::{Phase, Service};
+use sailtrack_units::{Importance, Incarnation};
+use sailtrack_wire::{Body, Member as MemberMessage, Presence, State};
+
+use crate::configuration::Current;
+use crate::directory::{Directory, Member};
+use crate::gate::Upstream;
+use crate::retired::Retired;
+
+/// What this node tells others about itself, and to whom.
+pub(crate) struct Status {
+    pub(crate) life: Incarnation,
+    pub(crate) phase: Rc<Cell<Phase>>,
+    pub(crate) directory: Rc<Directory>,
+    pub(crate) upstream: Rc<Upstream>,
+    pub(crate) admission: Rc<Admission>,
+    pub(crate) current: Rc<Current>,
+    pub(crate) retired: Rc<Retired>,
+    pub(crate) subscribers: RefCell<Vec<mpsc::Sender<Body>>>,
+}
+
+impl Service for Status {
+    const NAME: &'static str = "status";
+}
+
+impl Status {
+    /// Returns what a connection begins with.
+    pub(crate) fn member(&self) -> MemberMessage {
+        to_wire(
+            self.directory.own(),
+            self.life,
+            self.state(),
+            self.upstream.slots(),
+        )
+    }
+
+    /// Returns what this node says at present.
+    pub(crate) fn presence(&self) -> Presence {
+        let now = Instant::now();
+        let upstream = self.upstream.ready(now);
+        Presence {
+            member: Some(self.member()),
+            config_version: self.current.version().0,
+            pressure_percent: self.admission.pressure(now, Importance::Normal).percent(),
+            upstream: upstream.map_or_else(String::new, |key| key.to_string()),
+            retired: Vec::new(),
+            known: Vec::new(),
+        }
+    }
+
+    /// Returns the first message after the hello: also what this node knows of others.
+    pub(crate) fn introduction(&self) -> Presence {
+        let retired = self.retired.all();
+        let known = self.directory.all();
+        Presence {
+            retired: retired.iter().map(ToString::to_string).collect(),
+            known: known
+                .iter()
+                .map(|member| to_wire(member, Incarnation(0), State::Joining, 0))
+                .collect(),
+            ..self.presence()
+        }
+    }
+
+    /// Tells everybody who follows this node what it says now.
+    pub(crate) fn publish(&self) {
+        let presence = self.presence();
+        let mut subscribers = self.subscribers.borrow_mut();
+        subscribers.retain(|subscriber| !subscriber.is_closed());
+        for subscriber in subscribers.iter_mut() {
+            // A full channel holds an answer that will be followed by the regular presence.
+            let _ = subscriber.try_send(Body::Presence(presence.clone()));
+        }
+    }
+
+    fn state(&self) -> State {
+        match self.phase.get() {
+            Phase::Joining => State::Joining,
+            Phase::Draining | Phase::Stopped => State::Leaving,
+            Phase::Serving if self.upstream.ready(Instant::now()).is_some() => State::Serving,
+            Phase::Serving => State::Joining,
+        }
+    }
+}
+
+fn to_wire(member: &Member, life: Incarnation, state: State, slots: u32) -> MemberMessage {
+    MemberMessage {
+        node: member.name.to_string(),
+        incarnation: life.0,
+        revision: 0,
+        service: member.service.to_string(),
+        domain: member.domain.to_string(),
+        address: member.address.to_string(),
+        state: state.into(),
+        slots,
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/store/mirror.rs
@@ -0,0 +1,93 @@
+//! Follows a table of the store for as long as the node lives.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::time::sleep;
+use rand::Rng as _;
+use sailtrack_kernel::Service;
+use sailtrack_log::{catalogue, emit};
+
+use crate::store::{Row, Rows, Store, StoreError, StoreVersion, Table};
+
+/// How long one call waits for changes; the store allows 30 s, and every call has its price.
+const WAIT: Duration = Duration::from_secs(20);
+/// The first pause after a failed call.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+/// The longest pause after failed calls: entries are to be back two seconds after the store is.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
+
+/// What is told about the table that is followed.
+pub(crate) trait Follower {
+    /// All rows of the table as of one moment.
+    fn reset(&self, rows: &[Row]);
+
+    /// Rows that changed since.
+    fn change(&self, rows: &[Row]);
+}
+
+/// Whether the store answers, as seen by the calls that follow it.
+#[derive(Debug, Default)]
+pub(crate) struct Reach {
+    lost: Cell<bool>,
+}
+
+impl Service for Reach {
+    const NAME: &'static str = "store-reach";
+}
+
+impl Reach {
+    fn note(&self, error: Option<&StoreError>) {
+        match (self.lost.replace(error.is_some()), error) {
+            (false, Some(error)) => emit(&catalogue::PLATFORM_LOST, &[("reason", error)]),
+            (true, None) => emit(&catalogue::PLATFORM_FOUND, &[]),
+            _ => {}
+        }
+    }
+}
+
+/// Follows a table for as long as the task lives.
+pub(crate) async fn follow(
+    store: Rc<dyn Store>,
+    table: Table,
+    reach: Rc<Reach>,
+    follower: Rc<dyn Follower>,
+) {
+    let mut pause = FIRST_PAUSE;
+    let mut at: Option<StoreVersion> = None;
+    loop {
+        let result = advance(&*store, table, at, &*follower).await;
+        reach.note(result.as_ref().err());
+        match result {
+            Ok(version) => {
+                at = Some(version);
+                pause = FIRST_PAUSE;
+            }
+            Err(StoreError::HistoryGone) if at.is_some() => at = None,
+            Err(_) => {
+                sleep(pause.mul_f64(rand::rng().random_range(0.5..1.0))).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+/// Reads the table, or waits for what changed after a version; returns the version reached.
+async fn advance(
+    store: &dyn Store,
+    table: Table,
+    at: Option<StoreVersion>,
+    follower: &dyn Follower,
+) -> Result<StoreVersion, StoreError> {
+    let Some(after) = at else {
+        let Rows { rows, version } = store.rows(table).await?;
+        follower.reset(&rows);
+        return Ok(version);
+    };
+    let Rows { rows, version } = store.changes(table, after, WAIT).await?;
+    if !rows.is_empty() {
+        follower.change(&rows);
+    }
+    Ok(version.max(after))
+}
--- /dev/null
+++ b/crates/mesh/src/store/mod.rs
@@ -0,0 +1,86 @@
+//! The store in which everything lives that must outlast a node.
+
+mod mirror;
+
+use std::time::Duration;
+
+use displaydoc::Display;
+use futures::future::LocalBoxFuture;
+
+pub(crate) use mirror::{Follower, Reach, follow};
+
+/// The tables that the mesh uses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Table {
+    /// configuration
+    Configuration,
+    /// members
+    Members,
+    /// retired upstreams
+    Retired,
+}
+
+/// The version of the whole store after a transaction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct StoreVersion(pub u64);
+
+/// One row of a table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    /// Its key.
+    pub key: String,
+    /// What it holds; nothing if it was removed.
+    pub value: Option<String>,
+    /// The version at which it was last changed.
+    pub version: StoreVersion,
+}
+
+/// Rows as of one moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Rows {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// The version of the store at that moment.
+    pub version: StoreVersion,
+}
+
+/// Why an operation on the store failed.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum StoreError {
+    /// the store cannot be reached, or its answer was lost: {0}
+    Unanswered(String),
+    /// the store refuses at present, with status {0}; nothing was done
+    Refused(u16),
+    /// the store no longer has the history that was asked for
+    HistoryGone,
+    /// a row has another version than was required
+    Conflict,
+    /// the answer of the store cannot be read: {0}
+    Malformed(String),
+}
+
+impl std::error::Error for StoreError {}
+
+/// The future of an operation on the store.
+pub type Operation<'a, T> = LocalBoxFuture<'a, Result<T, StoreError>>;
+
+/// A transactional store of rows.
+///
+/// An operation without an answer may have been performed, or may be later.
+pub trait Store {
+    /// Returns all rows of a table.
+    fn rows(&self, table: Table) -> Operation<'_, Rows>;
+
+    /// Returns one row of a table, if it is there.
+    fn row<'a>(&'a self, table: Table, key: &'a str) -> Operation<'a, Option<Row>>;
+
+    /// Returns the rows that changed after a version, as soon as there is one or `wait` is over.
+    fn changes(&self, table: Table, after: StoreVersion, wait: Duration) -> Operation<'_, Rows>;
+
+    /// Writes a row, whatever stands there.
+    fn put<'a>(&'a self, table: Table, key: &'a str, value: &'a str) -> Operation<'a, ()>;
+
+    /// Removes a row if it still has this version.
+    fn remove<'a>(&'a self, table: Table, key: &'a str, version: StoreVersion)
+    -> Operation<'a, ()>;
+}
--- /dev/null
+++ b/crates/mesh/src/work.rs
@@ -0,0 +1,111 @@
+//! A request on its way to an upstream, and what became of it.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use sailtrack_admission::Pressure;
+use sailtrack_units::{KindName, Rank, ServiceName};
+use sailtrack_wire::{Outcome, Reason};
+
+use crate::key::AttemptKey;
+
+/// A request for one upstream.
+#[derive(Debug, Clone)]
+pub(crate) struct Work {
+    pub(crate) attempt: AttemptKey,
+    pub(crate) service: ServiceName,
+    /// The route that it came by.
+    pub(crate) kind: KindName,
+    /// Whether it may run more than once.
+    pub(crate) idempotent: bool,
+    pub(crate) rank: Rank,
+    /// An upstream made it while it worked on another request.
+    pub(crate) begun: bool,
+    pub(crate) deadline: Instant,
+    /// The request line and the fields to be passed on.
+    pub(crate) head: Bytes,
+    pub(crate) body: Bytes,
+}
+
+impl Work {
+    /// Returns the time left until the deadline.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// What became of a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Returned {
+    pub(crate) outcome: Outcome,
+    pub(crate) reason: Reason,
+    /// The upstream's status if the outcome is done.
+    pub(crate) status: u16,
+    /// The status line and the fields to be passed on.
+    pub(crate) head: Bytes,
+    pub(crate) body: Bytes,
+    /// Whether it was sent to the upstream, whatever came of it.
+    pub(crate) offered: bool,
+    /// How full the upstream is.
+    pub(crate) pressure: Pressure,
+    /// The greatest pressure that the request met, at the upstream or further down.
+    pub(crate) path_pressure: Pressure,
+    /// When to come back; zero if nothing is said.
+    pub(crate) retry_after: Duration,
+}
+
+impl Returned {
+    fn without_answer(outcome: Outcome, reason: Reason, offered: bool) -> Self {
+        Self {
+            outcome,
+            reason,
+            status: 0,
+            head: Bytes::new(),
+            body: Bytes::new(),
+            offered,
+            pressure: Pressure::default(),
+            path_pressure: Pressure::default(),
+            retry_after: Duration::ZERO,
+        }
+    }
+
+    /// Returns the refusal of a request that no upstream has seen.
+    pub(crate) fn refused(reason: Reason) -> Self {
+        Self::without_answer(Outcome::NotRun, reason, false)
+    }
+
+    /// Returns the refusal of a request that the upstream itself turned away.
+    pub(crate) fn turned_away(reason: Reason) -> Self {
+        Self::without_answer(Outcome::NotRun, reason, true)
+    }
+
+    /// Returns the end of a request that may or may not have run.
+    pub(crate) fn unknown(reason: Reason) -> Self {
+        Self::without_answer(Outcome::Unknown, reason, true)
+    }
+
+    /// Returns the upstream's answer.
+    pub(crate) fn answered(status: u16, head: Bytes, body: Bytes) -> Self {
+        Self {
+            status,
+            head,
+            body,
+            ..Self::without_answer(Outcome::Done, Reason::None, true)
+        }
+    }
+
+    /// Returns true if the upstream ran the request and did not fail.
+    pub(crate) fn is_success(&self) -> bool {
+        self.outcome == Outcome::Done && self.status < 500
+    }
+
+    /// Returns the pressure that the request met; one refused for overload met too much.
+    pub(crate) fn met_pressure(&self) -> Pressure {
+        match self.reason {
+            Reason::Overload | Reason::UpstreamShed => {
+                self.path_pressure.greater(Pressure::REFUSING)
+            }
+            _ => self.path_pressure,
+        }
+    }
+}
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -6,7 +6,7 @@
 
 use displaydoc::Display;
 use monoio::net::TcpStream;
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
 /// Why a connection could not be opened.
 #[derive(Debug, Display)]
@@ -71,6 +71,13 @@
     }
 }
 
+/// Ends the connection once sent data is not acknowledged for this long.
+///
+/// Without it a connection through a partition is held for minutes.
+pub fn give_up_after(stream: &StdStream, time: Duration) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(Some(time))
+}
+
 /// Returns true if the other side has neither closed nor sent anything.
 #[must_use]
 pub fn is_quiet(probe: &StdStream) -> bool {
--- a/crates/net/src/transparent/fields.rs
+++ b/crates/net/src/transparent/fields.rs
@@ -92,9 +92,5 @@
 /// Returns true if a comma-separated value lists `token`, in any case.
 fn has_token(value: &[u8], token: &str) -> bool {
     let mut members = value.split(|byte| *byte == b',');
-    members.any(|member| {
-        member
-            .trim_ascii()
-            .eq_ignore_ascii_case(token.as_bytes())
-    })
+    members.any(|member| member.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
 }
--- a/crates/net/src/transparent/reader.rs
+++ b/crates/net/src/transparent/reader.rs
@@ -75,6 +75,11 @@
         self.buffer.len()
     }
 
+    /// Drops the bytes that have come.
+    pub fn discard(&mut self) {
+        self.buffer.clear();
+    }
+
     /// Reads once; returns how many bytes came, zero at the end of the stream.
     ///
     /// Dropping the future loses no bytes: a read takes bytes only when it ends.
--- a/crates/units/src/quantity.rs
+++ b/crates/units/src/quantity.rs
@@ -53,12 +53,24 @@
     type Err = QuantityError;
 
     fn from_str(text: &str) -> Result<Self, QuantityError> {
+        if let Some(seconds) = fractional_seconds(text) {
+            return Ok(Self(seconds));
+        }
         humantime::parse_duration(text)
             .map(Self)
             .map_err(QuantityError::Period)
     }
 }
 
+/// Returns the length of a text such as `2.5s`, which `humantime` does not read.
+fn fractional_seconds(text: &str) -> Option<Duration> {
+    let number = text.strip_suffix('s')?;
+    if !number.contains('.') {
+        return None;
+    }
+    Duration::try_from_secs_f64(number.parse().ok()?).ok()
+}
+
 const KIB: u64 = 1024;
 const MIB: u64 = 1024 * KIB;
 
