--- a/crates/mesh/src/contexts.rs
+++ b/crates/mesh/src/contexts.rs
@@ -23,6 +23,8 @@
 #[derive(Debug)]
 pub(crate) struct Context {
     pub(crate) rank: Rank,
+    /// Whether it was sent to another upstream before.
+    pub(crate) repeated: bool,
     /// The greatest pressure that a call made for it met.
     pub(crate) pressure: Cell<Pressure>,
 }
@@ -42,6 +44,7 @@
     pub(crate) fn open(self: &Rc<Self>, work: &Work) -> Open {
         let context = Rc::new(Context {
             rank: work.rank,
+            repeated: work.repeated,
             pressure: Cell::default(),
         });
         let key = work.attempt.clone();
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -54,18 +54,18 @@
     pub(crate) async fn dispatch(&self, work: &Work, route: &Route) -> Returned {
         let mut tries = Tries::default();
         let mut last = None;
+        let mut work = work.clone();
+        self.budget.note_request(&work, Instant::now());
         while let Some(target) = self.routing.choose(&work.service, &tries.nodes) {
-            if tries.sent == 0 && tries.redirects == 0 {
-                self.budget.note_request(&work.service, Instant::now());
-            }
-            let returned = self.attempt(work, &target).await;
-            let goes_on = self.goes_on(work, route, &returned, &mut tries);
+            let returned = self.attempt(&work, &target).await;
+            let goes_on = self.goes_on(&work, route, &returned, &mut tries);
             if !goes_on {
                 return conclude(tries.ran, Some(returned));
             }
             self.events.note_retry(&work.attempt, &returned);
             let name = target.name(&self.routing.name);
             tries.nodes.push(name.clone());
+            work.repeated |= tries.sent > 0;
             if returned.outcome == Outcome::NotRun {
                 last = Some(returned);
             } else if tries.ran.is_none() {
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -27,6 +27,8 @@
 const MOST_READ_AHEAD: usize = 64 * 1024;
 /// When a client of a node without a configuration may come back.
 const UNCONFIGURED_RETURN: Duration = Duration::from_millis(500);
+/// When a client of a node that is about to end may come back; it finds another node at once.
+const CLOSED_RETURN: Duration = Duration::from_millis(100);
 /// How long what a refused client still sends is read, so that it can read the refusal.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
@@ -163,6 +165,9 @@
         };
         let fields = entry.dialect.fields();
         let (work, parent) = incoming.work(fields, &entry.service, service, &entry.contexts, body);
+        if entry.closed.get() && !work.begun {
+            return Some(Returned::refused(Reason::Draining).come_back(CLOSED_RETURN));
+        }
         let deadline = Deadline::from_std(incoming.deadline);
         let dispatch = entry.dispatcher.dispatch(&work, &incoming.route);
         let dispatch = std::pin::pin!(timeout_at(deadline, dispatch));
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -35,6 +35,8 @@
     pub(crate) dispatcher: Rc<Dispatcher>,
     pub(crate) events: Rc<Events>,
     pub(crate) in_flight: Rc<Cell<usize>>,
+    /// Set once the rest of a planned stop is needed for what is in flight.
+    pub(crate) closed: Cell<bool>,
 }
 
 impl Service for Entry {
@@ -42,6 +44,11 @@
 }
 
 impl Entry {
+    /// Refuses new requests of clients from now on; calls of the own upstream are still taken.
+    pub(crate) fn close(&self) {
+        self.closed.set(true);
+    }
+
     /// Accepts connections for as long as the task lives.
     pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
         let open = Rc::new(Cell::new(0));
--- a/crates/mesh/src/entry/request.rs
+++ b/crates/mesh/src/entry/request.rs
@@ -77,6 +77,7 @@
             idempotent: self.route.is_idempotent(),
             rank,
             begun: parent.is_some(),
+            repeated: parent.as_ref().is_some_and(|parent| parent.repeated),
             deadline: self.deadline,
             head: self.passed_on(fields, caller, body.len()),
             body,
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -212,6 +212,7 @@
         dispatcher: table.find()?,
         events: table.find()?,
         in_flight: Rc::clone(in_flight),
+        closed: Cell::new(false),
     });
     table.install(Acceptor {
         gate: table.find::<Gate>()?,
--- a/crates/mesh/src/node/stop.rs
+++ b/crates/mesh/src/node/stop.rs
@@ -9,6 +9,7 @@
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::terminate::Signals;
 
+use crate::entry::Entry;
 use crate::error::Error;
 use crate::node::{LOOK, is_stop, start};
 use crate::settings::Settings;
@@ -18,6 +19,9 @@
 const LEAVING_TIME: Duration = Duration::from_millis(2300);
 /// It ends once nothing has been in flight for this long.
 const QUIET_TIME: Duration = Duration::from_millis(200);
+/// After this share of the time for a stop no new requests of clients are taken: a client may go
+/// on sending when too few other nodes are ready, and what is taken has to be finished.
+const TAKING_SHARE: f64 = 0.45;
 /// How long before the end of the time for a stop it ends in any case.
 const RESERVE: Duration = Duration::from_millis(300);
 
@@ -47,9 +51,14 @@
     let began = Instant::now();
     let longest = settings.stop_time.0.saturating_sub(RESERVE);
     let mut busy = began;
+    let entry = table.find::<Entry>()?;
+    let taking = settings.stop_time.0.mul_f64(TAKING_SHARE);
     loop {
         sleep(LOOK).await;
         let now = Instant::now();
+        if now - began >= taking {
+            entry.close();
+        }
         if in_flight.get() > 0 {
             busy = now;
         }
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -34,6 +34,7 @@
         head: work.head.clone(),
         body: work.body.slice(..first),
         body_length: work.body.len() as u64,
+        repeated: work.repeated,
     }
 }
 
@@ -48,6 +49,7 @@
         idempotent: message.idempotent,
         rank: Rank::from_index(rank),
         begun: message.begun,
+        repeated: message.repeated,
         deadline: Instant::now() + Duration::from_micros(message.time_left_us),
         head: message.head,
         body: message.body,
--- a/crates/mesh/src/retry.rs
+++ b/crates/mesh/src/retry.rs
@@ -11,10 +11,15 @@
 use sailtrack_units::ServiceName;
 
 use crate::settings::RetryBounds;
+use crate::work::Work;
 
-/// The part of the allowed share that is used: a repeat's own calls count at the services below,
-/// where this node cannot see how many other nodes repeat at the same time.
-const USED_SHARE: f64 = 0.5;
+/// The part of the allowed ratio that a node uses for a service. The calls made for a repeat
+/// count as repeats of the services below, so the shares of a chain of services add up at its
+/// end: four services deep, a quarter each.
+const RATIO_SHARE: f64 = 0.25;
+/// The part of the allowed number that all nodes use. One repeat at the top of four services whose
+/// last one is called four times makes some 13 at the bottom.
+const SLACK_SHARE: f64 = 0.08;
 /// The window is counted in this many slices.
 const SLICES: u32 = 20;
 
@@ -51,17 +56,20 @@
         }
     }
 
-    /// Notes a request that is sent to a service for the first time.
-    pub(crate) fn note_request(&self, service: &ServiceName, now: Instant) {
-        self.with_slice(service, now, |slice| slice.requests += 1);
+    /// Notes a request to a service; one that is made for a repeat counts as a repeat itself.
+    pub(crate) fn note_request(&self, work: &Work, now: Instant) {
+        self.with_slice(&work.service, now, |slice| {
+            slice.requests += 1;
+            slice.repeats += u32::from(work.repeated);
+        });
     }
 
     /// Takes the right to send a request once more; `nodes` share the budget.
     pub(crate) fn take(&self, service: &ServiceName, now: Instant, nodes: usize) -> bool {
         let (requests, repeats) = self.sums(service, now);
         #[allow(clippy::cast_precision_loss)]
-        let slack = self.bounds.slack / nodes.max(1) as f64;
-        let allowed = (requests * self.bounds.ratio.0 + slack) * USED_SHARE;
+        let slack = self.bounds.slack * SLACK_SHARE / nodes.max(1) as f64;
+        let allowed = requests * self.bounds.ratio.0 * RATIO_SHARE + slack;
         if repeats + 1.0 > allowed {
             return false;
         }
--- a/crates/mesh/src/work.rs
+++ b/crates/mesh/src/work.rs
@@ -21,6 +21,8 @@
     pub(crate) rank: Rank,
     /// An upstream made it while it worked on another request.
     pub(crate) begun: bool,
+    /// It, or the request that it is made for, was sent to another upstream before.
+    pub(crate) repeated: bool,
     pub(crate) deadline: Instant,
     /// The request line and the fields to be passed on.
     pub(crate) head: Bytes,
@@ -74,6 +76,12 @@
         Self::without_answer(Outcome::NotRun, reason, false)
     }
 
+    /// Returns it with the time after which the caller may come back.
+    pub(crate) fn come_back(mut self, after: Duration) -> Self {
+        self.retry_after = after;
+        self
+    }
+
     /// Returns the refusal of a request that the upstream itself turned away.
     pub(crate) fn turned_away(reason: Reason) -> Self {
         Self::without_answer(Outcome::NotRun, reason, true)
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -215,6 +215,9 @@
     /// The length of the whole body; what is missing here follows in chunks.
     #[prost(uint64, tag = "11")]
     pub body_length: u64,
+    /// The request, or the one that it is made for, was sent to another upstream before.
+    #[prost(bool, tag = "12")]
+    pub repeated: bool,
 }
 /// What became of a forwarded request.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
