What an upstream turns away is repeated by rank; failures below spare the node above

Now: the budget counts exactly what is told, goes by rank to the power of three, requests are counted in the greatest of three windows as operators allow; a node is left out for its own failures only and never as the last one; windows grow by up to 4 x (AIMD share unchanged). Ruled out: load as the cause of the shedding (it began at the usual load at once).

--- a/crates/admission/src/window.rs
+++ b/crates/admission/src/window.rs
@@ -25,7 +25,7 @@
 /// What is added to a window that may grow, so that a small one grows at all.
 const PROBE: f64 = 0.25;
 /// The least and the greatest factor by which a window changes at once.
-const FACTORS: (f64, f64) = (0.5, 1.25);
+const FACTORS: (f64, f64) = (0.5, 4.0);
 /// The shortest time after which a window is judged.
 const SHORTEST_ROUND: Duration = Duration::from_millis(100);
 /// The fewest requests by which a window is judged; one is enough for a window below one place.
--- a/crates/mesh/src/contexts.rs
+++ b/crates/mesh/src/contexts.rs
@@ -14,7 +14,7 @@
 use sailtrack_units::Rank;
 
 use crate::key::AttemptKey;
-use crate::work::Work;
+use crate::work::{Returned, Work};
 
 /// Separates the id of a call from that of the request that it is made for.
 const SEPARATOR: char = '.';
@@ -27,6 +27,8 @@
     pub(crate) repeated: bool,
     /// The greatest pressure that a call made for it met.
     pub(crate) pressure: Cell<Pressure>,
+    /// Whether a call made for it failed.
+    pub(crate) failed_below: Cell<bool>,
 }
 
 /// The requests that run in the own upstream.
@@ -46,6 +48,7 @@
             rank: work.rank,
             repeated: work.repeated,
             pressure: Cell::default(),
+            failed_below: Cell::new(false),
         });
         let key = work.attempt.clone();
         let mut running = self.running.borrow_mut();
@@ -78,9 +81,13 @@
 }
 
 impl Context {
-    /// Notes the pressure that a call made for the request met.
-    pub(crate) fn note(&self, pressure: Pressure) {
-        self.pressure.set(self.pressure.get().greater(pressure));
+    /// Notes what became of a call made for the request.
+    pub(crate) fn note(&self, returned: &Returned) {
+        let met = returned.met_pressure();
+        self.pressure.set(self.pressure.get().greater(met));
+        if !returned.is_success() {
+            self.failed_below.set(true);
+        }
     }
 }
 
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -21,6 +21,9 @@
 
 /// How often a request that no upstream has seen is brought elsewhere.
 const MOST_REDIRECTS: u32 = 2;
+/// How often a request that upstreams turned away is sent to another one, within the budget. An
+/// upstream that turns away half of its requests lets 31 in 32 in at the fifth try.
+const MOST_TURNED_AWAY: u32 = 4;
 /// How often a node that may stand still is looked at while it works on a request.
 const SILENCE_LOOK: Duration = Duration::from_millis(250);
 
@@ -41,8 +44,10 @@
 #[derive(Default)]
 struct Tries {
     nodes: Vec<NodeName>,
-    /// How many upstreams it was sent to.
-    sent: u32,
+    /// How many upstreams it may have run on.
+    ran_on: u32,
+    /// How often an upstream turned it away without running it.
+    turned_away: u32,
     /// How often it was brought elsewhere without having been sent.
     redirects: u32,
     /// The first end after which it may have run; no later refusal can say that it did not.
@@ -50,13 +55,20 @@
 }
 
 impl Dispatcher {
+    /// Notes whether a request that came in here could be told to be a call of the own upstream.
+    pub(crate) fn note_origin(&self, work: &Work) {
+        if work.begun {
+            self.budget.note_told(true);
+        }
+    }
+
     /// Brings a request to its final answer; dropping the future cancels it.
     pub(crate) async fn dispatch(&self, work: &Work, route: &Route) -> Returned {
         let mut tries = Tries::default();
         let mut last = None;
         let mut work = work.clone();
         self.budget.note_request(&work, Instant::now());
-        while let Some(target) = self.routing.choose(&work.service, &tries.nodes) {
+        while let Some(target) = self.choose(&work, &mut tries) {
             let returned = self.attempt(&work, &target).await;
             let goes_on = self.goes_on(&work, route, &returned, &mut tries);
             if !goes_on {
@@ -65,7 +77,7 @@
             self.events.note_retry(&work.attempt, &returned);
             let name = target.name(&self.routing.name);
             tries.nodes.push(name.clone());
-            work.repeated |= tries.sent > 0;
+            work.repeated |= returned.offered;
             if returned.outcome == Outcome::NotRun {
                 last = Some(returned);
             } else if tries.ran.is_none() {
@@ -75,6 +87,17 @@
         conclude(tries.ran, last)
     }
 
+    /// Returns where the request goes next; upstreams that turned it away are asked again when
+    /// no other one is left.
+    fn choose(&self, work: &Work, tries: &mut Tries) -> Option<Target> {
+        let target = self.routing.choose(&work.service, &tries.nodes);
+        if target.is_some() || tries.turned_away == 0 || tries.ran.is_some() {
+            return target;
+        }
+        tries.nodes.clear();
+        self.routing.choose(&work.service, &tries.nodes)
+    }
+
     /// Returns true if the request may be sent to one more upstream.
     fn goes_on(&self, work: &Work, route: &Route, returned: &Returned, tries: &mut Tries) -> bool {
         if returned.is_success() || work.time_left().is_zero() {
@@ -84,15 +107,19 @@
             tries.redirects += 1;
             return tries.redirects <= MOST_REDIRECTS;
         }
-        tries.sent += 1;
-        let may_run_again = returned.outcome == Outcome::NotRun || work.idempotent;
-        // A failure of an overloaded service further down would only be repeated there.
-        let is_overloaded = returned.path_pressure >= Pressure::FULL;
-        if !may_run_again || is_overloaded || tries.sent >= route.attempts {
-            return false;
-        }
+        let may_go_on = if returned.outcome == Outcome::NotRun {
+            tries.turned_away += 1;
+            tries.turned_away <= MOST_TURNED_AWAY
+        } else {
+            tries.ran_on += 1;
+            // A failure further down was repeated there as far as that helps; the whole request
+            // would make all its calls again.
+            let is_overloaded = returned.path_pressure >= Pressure::FULL;
+            let is_hopeless = is_overloaded || returned.failed_below;
+            work.idempotent && !is_hopeless && tries.ran_on < route.attempts
+        };
         let nodes = self.directory.len() + 1;
-        self.budget.take(&work.service, Instant::now(), nodes)
+        may_go_on && self.budget.take(work, Instant::now(), nodes)
     }
 
     async fn attempt(&self, work: &Work, target: &Target) -> Returned {
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -165,6 +165,7 @@
         };
         let fields = entry.dialect.fields();
         let (work, parent) = incoming.work(fields, &entry.service, service, &entry.contexts, body);
+        entry.dispatcher.note_origin(&work);
         if entry.closed.get() && !work.begun {
             return Some(Returned::refused(Reason::Draining).come_back(CLOSED_RETURN));
         }
@@ -178,7 +179,7 @@
             Either::Right(_) => return None,
         };
         if let Some(parent) = parent {
-            parent.note(returned.met_pressure());
+            parent.note(&returned);
         }
         Some(returned)
     }
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -255,6 +255,7 @@
         };
         Returned {
             path_pressure: entry.context.pressure.get(),
+            failed_below: entry.context.failed_below.get(),
             ..returned
         }
     }
--- a/crates/mesh/src/retry.rs
+++ b/crates/mesh/src/retry.rs
@@ -3,23 +3,29 @@
 //! All nodes together share one budget for each service. Each takes a fixed
 //! part by what it sees itself, so the bound holds without agreement.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use sailtrack_kernel::Service;
-use sailtrack_units::ServiceName;
+use sailtrack_units::{Rank, ServiceName};
 
 use crate::settings::RetryBounds;
 use crate::work::Work;
 
-/// The part of the allowed ratio that a node uses for a service. The calls made for a repeat
-/// count as repeats of the services below, so the shares of a chain of services add up at its
-/// end: four services deep, a quarter each.
-const RATIO_SHARE: f64 = 0.25;
+/// The part of the allowed ratio that a node uses for a service while it can tell which calls are
+/// made for repeats, which count as repeats themselves. The rest is for calls in transit.
+const TOLD_SHARE: f64 = 0.85;
+/// The part that it uses while it cannot: the shares of a chain of services add up at its end, and
+/// four services deep that is a quarter each.
+const UNTOLD_SHARE: f64 = 0.25;
 /// The part of the allowed number that all nodes use. One repeat at the top of four services whose
 /// last one is called four times makes some 13 at the bottom.
 const SLACK_SHARE: f64 = 0.08;
+/// The power of a request's place in the order of shedding that is the part of the budget which it
+/// may use: normal requests up to 2/5 of it, critical ones from there on. Within an importance the
+/// same requests come first at every service, so that those which get repeats complete.
+const RANK_POWER: i32 = 3;
 /// The window is counted in this many slices.
 const SLICES: u32 = 20;
 
@@ -42,6 +48,7 @@
 pub(crate) struct Budget {
     bounds: RetryBounds,
     windows: RefCell<HashMap<ServiceName, Window>>,
+    is_told: Cell<bool>,
 }
 
 impl Service for Budget {
@@ -53,6 +60,7 @@
         Self {
             bounds,
             windows: RefCell::default(),
+            is_told: Cell::new(false),
         }
     }
 
@@ -65,29 +73,45 @@
     }
 
     /// Takes the right to send a request once more; `nodes` share the budget.
-    pub(crate) fn take(&self, service: &ServiceName, now: Instant, nodes: usize) -> bool {
-        let (requests, repeats) = self.sums(service, now);
+    pub(crate) fn take(&self, work: &Work, now: Instant, nodes: usize) -> bool {
+        let (requests, repeats) = self.sums(&work.service, now);
         #[allow(clippy::cast_precision_loss)]
         let slack = self.bounds.slack * SLACK_SHARE / nodes.max(1) as f64;
-        let allowed = requests * self.bounds.ratio.0 * RATIO_SHARE + slack;
-        if repeats + 1.0 > allowed {
+        let share = if self.is_told.get() {
+            TOLD_SHARE
+        } else {
+            UNTOLD_SHARE
+        };
+        let allowed = requests * self.bounds.ratio.0 * share + slack;
+        let place = f64::from(work.rank.index()) / f64::from(Rank::HIGHEST.index());
+        if repeats + 1.0 > allowed * place.powi(RANK_POWER) {
             return false;
         }
-        self.with_slice(service, now, |slice| slice.repeats += 1);
+        self.with_slice(&work.service, now, |slice| slice.repeats += 1);
         true
     }
 
+    /// Notes whether calls of upstreams can be told from requests of clients.
+    pub(crate) fn note_told(&self, is_told: bool) {
+        self.is_told.set(is_told);
+    }
+
+    /// Returns the requests that the ratio is taken of, and the repeats of the present window.
+    ///
+    /// The requests are counted in the present window, the one before it or the one half a window
+    /// before it, whichever has most: when the demand falls, its repeats are still under way.
     fn sums(&self, service: &ServiceName, now: Instant) -> (f64, f64) {
         let mut windows = self.windows.borrow_mut();
         let Some(window) = windows.get_mut(service) else {
             return (0.0, 0.0);
         };
-        window.forget_before(now, self.bounds.window.0);
-        let sum = |count: fn(&Slice) -> u32| window.slices.iter().map(count).sum::<u32>();
-        (
-            f64::from(sum(|slice| slice.requests)),
-            f64::from(sum(|slice| slice.repeats)),
-        )
+        let length = self.bounds.window.0;
+        window.forget_before(now, length * 2);
+        let present = window.sum(now, Duration::ZERO, length, |slice| slice.requests);
+        let half = window.sum(now, length / 2, length, |slice| slice.requests);
+        let before = window.sum(now, length, length, |slice| slice.requests);
+        let repeats = window.sum(now, Duration::ZERO, length, |slice| slice.repeats);
+        (present.max(half).max(before), repeats)
     }
 
     fn with_slice(&self, service: &ServiceName, now: Instant, change: impl FnOnce(&mut Slice)) {
@@ -101,7 +125,7 @@
         let length = self.bounds.window.0 / SLICES;
         let is_over = |slice: &Slice| now.saturating_duration_since(slice.began) >= length;
         if window.slices.back().is_none_or(is_over) {
-            window.forget_before(now, self.bounds.window.0);
+            window.forget_before(now, self.bounds.window.0 * 2);
             window.slices.push_back(Slice {
                 began: now,
                 requests: 0,
@@ -115,6 +139,15 @@
 }
 
 impl Window {
+    /// Returns the sum over the slices that began within `length` before the moment `ago`.
+    fn sum(&self, now: Instant, ago: Duration, length: Duration, count: fn(&Slice) -> u32) -> f64 {
+        let counted = self.slices.iter().filter(|slice| {
+            let age = now.saturating_duration_since(slice.began);
+            age >= ago && age < ago + length
+        });
+        f64::from(counted.map(count).sum::<u32>())
+    }
+
     fn forget_before(&mut self, now: Instant, length: Duration) {
         let is_old = |slice: &Slice| now.saturating_duration_since(slice.began) >= length;
         while self.slices.front().is_some_and(is_old) {
--- a/crates/mesh/src/routing/load.rs
+++ b/crates/mesh/src/routing/load.rs
@@ -58,6 +58,10 @@
         self.told = Some((returned.pressure, now));
         let failed = is_failure(returned);
         self.failing += (f64::from(u8::from(failed)) - self.failing) * NEWEST_WEIGHT;
+        if returned.reason == Reason::UpstreamShed {
+            // The next request may be let in; without any the service would be gone.
+            return;
+        }
         if failed {
             self.note_failure(now);
             return;
@@ -108,7 +112,7 @@
 /// Returns true if what became of a request speaks against the node itself, not its load.
 fn is_failure(returned: &Returned) -> bool {
     match returned.outcome {
-        Outcome::Done => returned.status >= 500,
+        Outcome::Done => returned.status >= 500 && !returned.failed_below,
         Outcome::NotRun => returned.reason != Reason::Overload,
         Outcome::Unknown => true,
     }
--- a/crates/mesh/src/routing/mod.rs
+++ b/crates/mesh/src/routing/mod.rs
@@ -58,31 +58,33 @@
 /// A possible target with what speaks for and against it.
 struct Candidate {
     target: Target,
+    /// It stands in the own failure domain.
+    is_near: bool,
+    /// It did not fail too often lately.
+    is_available: bool,
     pressure: Pressure,
     cost: f64,
 }
 
 impl Routing {
     /// Returns where a request to a service goes, leaving out the nodes that were tried.
+    ///
+    /// Nodes that failed lately are left out too, unless there is no other one.
     pub(crate) fn choose(&self, service: &ServiceName, tried: &[NodeName]) -> Option<Target> {
         let now = Instant::now();
-        let links = self.peers.of_service(service);
-        let usable = links
+        let all = self.candidates(service, tried, now);
+        let is_left = all.iter().any(|candidate| candidate.is_available);
+        let usable = all
             .into_iter()
-            .filter(|link| link.is_serving(now) && !tried.contains(&link.member.name));
-        let (near, far): (Vec<_>, Vec<_>) =
-            usable.partition(|link| link.member.domain == self.domain);
-        let local = self.local(service, tried, now);
-        let near = near.into_iter().map(|link| remote(link, now));
-        let near = pick(local.into_iter().chain(near.flatten()).collect());
+            .filter(|candidate| candidate.is_available || !is_left);
+        let (near, far): (Vec<_>, Vec<_>) = usable.partition(|candidate| candidate.is_near);
+        let near = pick(near);
         if let Some(near) = &near
             && near.pressure < Pressure::FULL
         {
             return Some(near.target.clone());
         }
-        let far = far.into_iter().filter_map(|link| remote(link, now));
-        let far = pick(far.collect());
-        match (near, far) {
+        match (near, pick(far)) {
             (Some(near), Some(far)) if far.pressure.0 + SPILL_MARGIN < near.pressure.0 => {
                 Some(far.target)
             }
@@ -90,6 +92,26 @@
         }
     }
 
+    fn candidates(
+        &self,
+        service: &ServiceName,
+        tried: &[NodeName],
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let links = self.peers.of_service(service);
+        let usable = links
+            .into_iter()
+            .filter(|link| link.is_serving(now) && !tried.contains(&link.member.name));
+        let remote = usable.map(|link| {
+            let is_near = link.member.domain == self.domain;
+            remote(link, is_near, now)
+        });
+        self.local(service, tried, now)
+            .into_iter()
+            .chain(remote)
+            .collect()
+    }
+
     /// Notes that a request goes to a target; the guard notes its end.
     pub(crate) fn begin(&self, target: &Target) -> Outstanding {
         let load = match target {
@@ -109,28 +131,30 @@
             return None;
         }
         let load = self.local.borrow();
-        load.is_available(now).then(|| Candidate {
+        Some(Candidate {
             target: Target::Local,
+            is_near: true,
+            is_available: load.is_available(now),
             pressure: self.admission.pressure(now, Importance::Normal),
             cost: load.cost(self.upstream.slots()),
         })
     }
 }
 
-fn remote(link: Rc<Link>, now: Instant) -> Option<Candidate> {
+fn remote(link: Rc<Link>, is_near: bool, now: Instant) -> Candidate {
     let slots = link.slots();
     let load = link.load.borrow();
-    if !load.is_available(now) {
-        return None;
-    }
     let pressure = load.pressure(now, slots);
     let cost = load.cost(slots);
+    let is_available = load.is_available(now);
     drop(load);
-    Some(Candidate {
+    Candidate {
         target: Target::Remote(link),
+        is_near,
+        is_available,
         pressure,
         cost,
-    })
+    }
 }
 
 /// Returns the better of two random candidates.
--- a/crates/mesh/src/work.rs
+++ b/crates/mesh/src/work.rs
@@ -52,6 +52,8 @@
     pub(crate) pressure: Pressure,
     /// The greatest pressure that the request met, at the upstream or further down.
     pub(crate) path_pressure: Pressure,
+    /// Whether a call that was made for it failed, as far as is known.
+    pub(crate) failed_below: bool,
     /// When to come back; zero if nothing is said.
     pub(crate) retry_after: Duration,
 }
@@ -67,6 +69,7 @@
             offered,
             pressure: Pressure::default(),
             path_pressure: Pressure::default(),
+            failed_below: false,
             retry_after: Duration::ZERO,
         }
     }
@@ -108,11 +111,12 @@
     }
 
     /// Returns the pressure that the request met; one refused for overload met too much.
+    ///
+    /// An upstream that turns requests away tells nothing: its gate lets in no more than it has
+    /// slots for, so it does not do so for want of room.
     pub(crate) fn met_pressure(&self) -> Pressure {
         match self.reason {
-            Reason::Overload | Reason::UpstreamShed => {
-                self.path_pressure.greater(Pressure::REFUSING)
-            }
+            Reason::Overload => self.path_pressure.greater(Pressure::REFUSING),
             _ => self.path_pressure,
         }
     }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -247,6 +247,9 @@
     pub path_pressure_percent: u32,
     #[prost(uint64, tag = "11")]
     pub retry_after_ms: u64,
+    /// A call that was made for the request failed.
+    #[prost(bool, tag = "12")]
+    pub failed_below: bool,
 }
 /// Asks what became of a request that must not run twice. If it never ran it never will.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
