--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -1,4 +1,4 @@
-//! Numbered log events with fields, written as JSON lines to standard error.
+//! Numbered log events with fields, written as JSON lines.
 //!
 //! [`catalogue::ALL`] lists every event; `docs/EVENTS.md` is checked against it.
 
@@ -6,4 +6,4 @@
 mod output;
 
 pub use catalogue::Entry;
-pub use output::{Field, emit, install};
+pub use output::{Destination, Field, emit, install, install_to};
--- a/crates/log/src/output.rs
+++ b/crates/log/src/output.rs
@@ -14,22 +14,38 @@
 /// The target that every event carries.
 const TARGET: &str = "sailtrack";
 
+/// Where the log of a process goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Destination {
+    /// To standard error, as for a tool whose output is something else.
+    Stderr,
+    /// To standard output, where those who run the process collect logs.
+    Stdout,
+}
+
 /// Sends all events of at least `level` to standard error, one JSON object a line.
 pub fn install(level: LevelFilter) {
+    install_to(Destination::Stderr, level);
+}
+
+/// Sends all events of at least `level` to `destination`, one JSON object a line.
+pub fn install_to(destination: Destination, level: LevelFilter) {
     let filter = match level {
         LevelFilter::Off | LevelFilter::Error => logforth::record::Level::Error,
         LevelFilter::Warn => logforth::record::Level::Warn,
         LevelFilter::Info => logforth::record::Level::Info,
         LevelFilter::Debug | LevelFilter::Trace => logforth::record::Level::Debug,
     };
-    let appender = append::Stderr::default().with_layout(JsonLayout::default());
-    logforth::starter_log::builder()
-        .dispatch(|dispatch| {
-            dispatch
-                .filter(logforth::record::LevelFilter::MoreSevereEqual(filter))
-                .append(appender)
-        })
-        .apply();
+    let filter = logforth::record::LevelFilter::MoreSevereEqual(filter);
+    let layout = JsonLayout::default();
+    let builder = logforth::starter_log::builder().dispatch(|dispatch| {
+        let dispatch = dispatch.filter(filter);
+        match destination {
+            Destination::Stderr => dispatch.append(append::Stderr::default().with_layout(layout)),
+            Destination::Stdout => dispatch.append(append::Stdout::default().with_layout(layout)),
+        }
+    });
+    builder.apply();
 }
 
 /// Logs one event with its fields.
--- a/crates/mesh/src/announcement.rs
+++ b/crates/mesh/src/announcement.rs
@@ -23,6 +23,8 @@
 const RETIRE_TIME: Duration = Duration::from_millis(900);
 /// How long the store may take to remember a leaving upstream before the other nodes suffice.
 const STORE_TIME: Duration = Duration::from_millis(600);
+/// What the row of a retired upstream holds; its key says all.
+const RETIRED: &str = "retired";
 /// How long the store may take to say whether an upstream has left before.
 const LOOKUP_TIME: Duration = Duration::from_millis(800);
 /// How often the word of other nodes is looked for while the store does not answer.
@@ -54,7 +56,7 @@
         let announcements = &self.0;
         match announcements.dialect.announcement(&request) {
             Ok(announcement) => announcements.take(announcement).await,
-            Err(error) => announcements.refuse(&error),
+            Err(error) => refuse(&error),
         }
     }
 }
@@ -78,18 +80,6 @@
         }
     }
 
-    fn refuse(&self, error: &DialectError) -> Response {
-        emit(
-            &catalogue::INPUT_REFUSED,
-            &[("port", &"announcements"), ("reason", error)],
-        );
-        let status = match error {
-            DialectError::NotFound => StatusCode::NOT_FOUND,
-            DialectError::Malformed { .. } => StatusCode::BAD_REQUEST,
-        };
-        Response::text(status, format!("{error}\n"))
-    }
-
     /// Sends nothing new to an upstream, and returns true once that outlasts this process.
     async fn retire(self: &Rc<Self>, upstream: &UpstreamKey, reason: &str) -> bool {
         self.upstream.retire(upstream, reason);
@@ -105,28 +95,33 @@
         matches!(timeout(RETIRE_TIME, receiver).await, Ok(Ok(true)))
     }
 
-    /// Lets the store remember an upstream, or other nodes while the store does not answer.
+    /// Lets the store and other nodes remember an upstream.
+    ///
+    /// The store suffices; while it does not answer, the other nodes do.
     async fn remember(&self, upstream: &UpstreamKey) -> bool {
-        let stored = self.store.put(Table::Retired, upstream.as_str(), "");
-        let stored = std::pin::pin!(stored);
-        let witnessed = std::pin::pin!(async {
-            let remembered = self.peers.retire(upstream).await;
-            sleep(STORE_TIME).await;
-            remembered
-        });
+        let stored = std::pin::pin!(self.store_retired(upstream));
+        let witnessed = std::pin::pin!(self.peers.retire(upstream));
         match select(stored, witnessed).await {
-            Either::Left((Ok(()), _)) => true,
-            Either::Left((Err(error), witnessed)) => {
-                emit(
-                    &catalogue::STORE_FAILED,
-                    &[("operation", &"remember upstream"), ("reason", &error)],
-                );
-                timeout(STORE_TIME, witnessed).await.unwrap_or(false)
-            }
-            Either::Right((remembered, _)) => remembered,
+            Either::Left((true, _)) => true,
+            Either::Left((false, witnessed)) => witnessed.await,
+            Either::Right((witnessed, stored)) => stored.await || witnessed,
         }
     }
 
+    async fn store_retired(&self, upstream: &UpstreamKey) -> bool {
+        let put = self.store.put(Table::Retired, upstream.as_str(), RETIRED);
+        let reason = match timeout(STORE_TIME, put).await {
+            Ok(Ok(())) => return true,
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "late".to_owned(),
+        };
+        emit(
+            &catalogue::STORE_FAILED,
+            &[("operation", &"remember upstream"), ("reason", &reason)],
+        );
+        false
+    }
+
     /// Takes in a beat of an upstream that takes requests.
     ///
     /// A life that this process has not seen is believed only once nobody says
@@ -174,3 +169,15 @@
         self.retired.contains(upstream)
     }
 }
+
+fn refuse(error: &DialectError) -> Response {
+    emit(
+        &catalogue::INPUT_REFUSED,
+        &[("port", &"announcements"), ("reason", error)],
+    );
+    let status = match error {
+        DialectError::NotFound => StatusCode::NOT_FOUND,
+        DialectError::Malformed { .. } => StatusCode::BAD_REQUEST,
+    };
+    Response::text(status, format!("{error}\n"))
+}
--- a/crates/mesh/src/configuration/split.rs
+++ b/crates/mesh/src/configuration/split.rs
@@ -1,5 +1,8 @@
 //! Divides the requests of a route among its services by weight.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::RefCell;
 use std::collections::HashMap;
 
--- a/crates/mesh/src/contexts.rs
+++ b/crates/mesh/src/contexts.rs
@@ -5,6 +5,9 @@
 //! of a request that runs here at this moment, it is taken for a call of that
 //! request; nothing but importance and pressure depends on it.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
--- /dev/null
+++ b/crates/mesh/src/contexts/tests.rs
@@ -0,0 +1,57 @@
+//! Calls are told by their ids only where that is checked.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use sailtrack_units::Rank;
+
+use crate::contexts::Contexts;
+use crate::key::AttemptKey;
+use crate::work::Work;
+
+fn work(id: &str) -> Work {
+    Work {
+        attempt: AttemptKey::from(id),
+        service: "bank".parse().expect("a name"),
+        kind: "read".parse().expect("a name"),
+        idempotent: true,
+        rank: Rank::HIGHEST,
+        begun: false,
+        repeated: true,
+        deadline: Instant::now(),
+        head: Bytes::new(),
+        body: Bytes::new(),
+    }
+}
+
+fn has_parent(contexts: &Contexts, id: &str) -> bool {
+    contexts.parent(&AttemptKey::from(id)).is_some()
+}
+
+#[test]
+fn told_by_prefix() {
+    let contexts = Rc::new(Contexts::default());
+    let open = contexts.open(&work("a.b"));
+    let parent = contexts
+        .parent(&AttemptKey::from("a.b.c"))
+        .expect("its parent runs");
+    assert!(parent.repeated && parent.rank == Rank::HIGHEST);
+    assert!(has_parent(&contexts, "a.b.c.d"));
+    for other in ["a.b", "a.bc", "a.bc.d", "a.c", "x.a.b.c", "", "."] {
+        assert!(!has_parent(&contexts, other), "{other}");
+    }
+    drop(open);
+    assert!(!has_parent(&contexts, "a.b.c"));
+}
+
+#[test]
+fn same_id_twice() {
+    let contexts = Rc::new(Contexts::default());
+    let first = contexts.open(&work("a"));
+    let second = contexts.open(&work("a"));
+    drop(first);
+    assert!(has_parent(&contexts, "a.b"), "the second one still runs");
+    drop(second);
+    assert!(!has_parent(&contexts, "a.b"));
+}
--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -168,21 +168,10 @@
         };
         match serde_json::from_str::<Member>(value) {
             Ok(member) if member.name.as_str() == row.key => self.learn(member),
-            Ok(_) => self.refuse(row, "the name differs from the key"),
-            Err(error) => self.refuse(row, &error.to_string()),
+            Ok(_) => refuse(row, "the name differs from the key"),
+            Err(error) => refuse(row, &error.to_string()),
         }
     }
-
-    fn refuse(&self, row: &Row, reason: &str) {
-        emit(
-            &catalogue::ROW_REFUSED,
-            &[
-                ("table", &"members"),
-                ("key", &row.key),
-                ("reason", &reason),
-            ],
-        );
-    }
 }
 
 impl Follower for Directory {
@@ -211,3 +200,14 @@
         }
     }
 }
+
+fn refuse(row: &Row, reason: &str) {
+    emit(
+        &catalogue::ROW_REFUSED,
+        &[
+            ("table", &"members"),
+            ("key", &row.key),
+            ("reason", &reason),
+        ],
+    );
+}
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::directory::Directory;
 use crate::events::Events;
 use crate::gate::Gate;
+use crate::metrics::Metrics;
 use crate::peer::{Delivery, Link};
 use crate::retry::Budget;
 use crate::routing::{Routing, Target};
@@ -34,6 +35,7 @@
     pub(crate) budget: Rc<Budget>,
     pub(crate) directory: Rc<Directory>,
     pub(crate) events: Rc<Events>,
+    pub(crate) metrics: Rc<Metrics>,
 }
 
 impl Service for Dispatcher {
@@ -75,6 +77,7 @@
                 return conclude(tries.ran, Some(returned));
             }
             self.events.note_retry(&work.attempt, &returned);
+            self.metrics.note_repeat(&work.service);
             let name = target.name(&self.routing.name);
             tries.nodes.push(name.clone());
             work.repeated |= returned.offered;
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -18,7 +18,8 @@
 use crate::entry::Entry;
 use crate::entry::answer::{Refusal, conclude, refuse};
 use crate::entry::request::Incoming;
-use crate::events::Decision;
+
+use crate::metrics::Place;
 use crate::work::Returned;
 
 /// How long a client may take to accept an answer.
@@ -186,6 +187,9 @@
 
     async fn answer(&mut self, incoming: &Incoming, returned: &Returned) -> Next {
         self.log(incoming, returned);
+        let time = incoming.came.elapsed();
+        let kind = &incoming.route.name;
+        self.entry.metrics.note_answer(kind, returned, time);
         let is_leaving = self.entry.phase.get() > Phase::Serving;
         let close = is_leaving || !incoming.head.keeps_alive();
         let left = incoming.deadline.saturating_duration_since(Instant::now());
@@ -203,7 +207,7 @@
         match returned.outcome {
             Outcome::Done => {}
             Outcome::NotRun => {
-                events.note_refusal(Decision::Entry, &incoming.attempt, returned.reason);
+                events.note_refusal(Place::Entry, &incoming.attempt, returned.reason);
             }
             Outcome::Unknown => {
                 let refusal = if returned.reason == Reason::Deadline {
@@ -261,5 +265,5 @@
             return;
         }
     }
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -18,6 +18,7 @@
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
 use crate::events::Events;
+use crate::metrics::Metrics;
 
 /// The most client connections open at once: each has a descriptor, of which an instance has some
 /// thousand, and up to some 20 KiB of memory.
@@ -34,6 +35,7 @@
     pub(crate) contexts: Rc<Contexts>,
     pub(crate) dispatcher: Rc<Dispatcher>,
     pub(crate) events: Rc<Events>,
+    pub(crate) metrics: Rc<Metrics>,
     pub(crate) in_flight: Rc<Cell<usize>>,
     /// Set once the rest of a planned stop is needed for what is in flight.
     pub(crate) closed: Cell<bool>,
--- a/crates/mesh/src/entry/request.rs
+++ b/crates/mesh/src/entry/request.rs
@@ -20,6 +20,7 @@
     pub(super) framing: Framing,
     pub(super) attempt: AttemptKey,
     pub(super) route: Rc<Route>,
+    pub(super) came: Instant,
     pub(super) deadline: Instant,
 }
 
@@ -46,6 +47,7 @@
         Ok(Self {
             attempt: AttemptKey::from(attempt),
             route: Rc::clone(route),
+            came,
             deadline: came + time,
             framing,
             head,
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -4,28 +4,19 @@
 use std::fmt::Display;
 use std::time::{Duration, Instant};
 
-use displaydoc::Display as DisplayDoc;
 use sailtrack_kernel::Service;
 use sailtrack_log::{Entry, Field, catalogue, emit};
 use sailtrack_units::KindName;
 use sailtrack_wire::{Outcome, Reason};
 
 use crate::key::AttemptKey;
+use crate::metrics::Place;
 use crate::work::Returned;
 
 /// The most events about single requests in one second; a line costs some 10 us of processor
 /// time, so these are at most 0.05 % of a core.
 const EVENTS_PER_SECOND: u32 = 50;
 
-/// Where a decision about a request was taken.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, DisplayDoc)]
-pub(crate) enum Decision {
-    /// entry
-    Entry,
-    /// gate
-    Gate,
-}
-
 /// The events of the present second.
 #[derive(Debug)]
 struct Second {
@@ -58,7 +49,7 @@
 
 impl Events {
     /// Notes that a request was refused.
-    pub(crate) fn note_refusal(&self, at: Decision, attempt: &AttemptKey, reason: Reason) {
+    pub(crate) fn note_refusal(&self, at: Place, attempt: &AttemptKey, reason: Reason) {
         let reason = reason.as_str_name();
         self.write(
             &catalogue::REQUEST_REFUSED,
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -27,8 +27,9 @@
 
 use crate::contexts::Contexts;
 use crate::dialect::Dialect;
-use crate::events::{Decision, Events};
+use crate::events::Events;
 use crate::key::{AttemptKey, UpstreamKey};
+use crate::metrics::{Metrics, Place};
 use crate::work::{Returned, Work};
 use exchange::{ExchangeError, UpstreamAnswer, exchange};
 use pool::Pool;
@@ -55,6 +56,7 @@
     contexts: Rc<Contexts>,
     records: Rc<Records>,
     events: Rc<Events>,
+    metrics: Rc<Metrics>,
     pool: Pool,
     in_flight: Rc<Cell<usize>>,
 }
@@ -87,6 +89,7 @@
             contexts: Rc::default(),
             records: Rc::default(),
             events: Rc::default(),
+            metrics: Rc::new(Metrics::new()),
             pool: Pool::new(target),
             in_flight: Rc::default(),
         };
@@ -114,9 +117,10 @@
         self
     }
 
-    /// Sets where decisions are logged.
-    pub(crate) fn events(mut self, events: Rc<Events>) -> Self {
+    /// Sets where decisions are logged and counted.
+    pub(crate) fn reports(mut self, events: Rc<Events>, metrics: Rc<Metrics>) -> Self {
         self.gate.events = events;
+        self.gate.metrics = metrics;
         self
     }
 
@@ -138,6 +142,8 @@
         drop(held);
         let pressure = self.admission.pressure(Instant::now(), importance);
         self.events.note_gate(&kind, &returned);
+        self.metrics
+            .note_end(Place::Gate, &kind, returned.outcome, returned.reason);
         Returned {
             pressure,
             path_pressure: returned.path_pressure.greater(pressure),
@@ -234,8 +240,7 @@
     }
 
     fn refuse(&self, work: &Work, reason: Reason) -> Returned {
-        self.events
-            .note_refusal(Decision::Gate, &work.attempt, reason);
+        self.events.note_refusal(Place::Gate, &work.attempt, reason);
         let spread = self.admission.return_spread(Instant::now());
         let after = SHORTEST_RETURN + spread.mul_f64(rand::rng().random());
         Returned {
--- a/crates/mesh/src/gate/records.rs
+++ b/crates/mesh/src/gate/records.rs
@@ -3,6 +3,9 @@
 //! Only the node beside an upstream can reach it, so its word about a request
 //! is final: a request that it has refused here it never lets run later.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -16,7 +19,7 @@
 use crate::work::Returned;
 
 /// How long the end of a request is remembered: no client waits longer than this.
-const MEMORY: Duration = Duration::from_secs(60);
+const MEMORY: Duration = Duration::from_mins(1);
 /// How long an answer is kept for a caller whose connection broke; it asks within two seconds.
 const ANSWER_MEMORY: Duration = Duration::from_secs(5);
 /// The most bytes of answers that are kept.
@@ -45,7 +48,7 @@
 /// What became of the requests that must not run twice.
 #[derive(Default)]
 pub(crate) struct Records {
-    records: RefCell<HashMap<AttemptKey, Record>>,
+    by_attempt: RefCell<HashMap<AttemptKey, Record>>,
     by_age: RefCell<VecDeque<(Instant, AttemptKey)>>,
     answers: RefCell<VecDeque<(Instant, AttemptKey, usize)>>,
     answer_bytes: Cell<usize>,
@@ -59,7 +62,7 @@
     /// Opens the record of a request, or returns nothing if there is one already.
     pub(crate) fn begin(self: &Rc<Self>, attempt: &AttemptKey, now: Instant) -> Option<Place> {
         self.forget_old(now);
-        let mut records = self.records.borrow_mut();
+        let mut records = self.by_attempt.borrow_mut();
         if records.contains_key(attempt) {
             return None;
         }
@@ -74,7 +77,7 @@
     /// Returns what became of a request; one that never ran is refused for good.
     pub(crate) fn recall(&self, attempt: &AttemptKey, now: Instant) -> Recalled {
         self.forget_old(now);
-        let mut records = self.records.borrow_mut();
+        let mut records = self.by_attempt.borrow_mut();
         let Some(record) = records.get_mut(attempt) else {
             records.insert(attempt.clone(), Record::Refused);
             self.by_age.borrow_mut().push_back((now, attempt.clone()));
@@ -97,7 +100,7 @@
 
     /// Returns how many requests are remembered.
     pub(crate) fn len(&self) -> usize {
-        self.records.borrow().len()
+        self.by_attempt.borrow().len()
     }
 
     fn keep(&self, attempt: &AttemptKey, answer: &Returned, now: Instant) {
@@ -115,7 +118,7 @@
             |entry: &(Instant, AttemptKey)| now.saturating_duration_since(entry.0) >= MEMORY;
         while by_age.front().is_some_and(is_old) {
             if let Some((_, attempt)) = by_age.pop_front() {
-                self.records.borrow_mut().remove(&attempt);
+                self.by_attempt.borrow_mut().remove(&attempt);
             }
         }
     }
@@ -127,7 +130,7 @@
             if !is_old && self.answer_bytes.get() <= ANSWER_BYTES {
                 return;
             }
-            if let Some(record) = self.records.borrow_mut().get_mut(attempt) {
+            if let Some(record) = self.by_attempt.borrow_mut().get_mut(attempt) {
                 *record = Record::Ended(None);
             }
             self.answer_bytes.set(self.answer_bytes.get() - size);
@@ -147,7 +150,7 @@
 impl Place {
     /// Notes that the request is sent now; returns false if it was refused meanwhile.
     pub(crate) fn start(&self) -> bool {
-        let mut records = self.records.records.borrow_mut();
+        let mut records = self.records.by_attempt.borrow_mut();
         match records.get_mut(&self.attempt) {
             Some(record @ Record::Waiting) => {
                 *record = Record::Running(Vec::new());
@@ -159,7 +162,7 @@
 
     /// Notes what became of the request and tells all who wait for it.
     pub(crate) fn end(self, returned: &Returned, now: Instant) {
-        let mut records = self.records.records.borrow_mut();
+        let mut records = self.records.by_attempt.borrow_mut();
         let Some(record) = records.get_mut(&self.attempt) else {
             return;
         };
@@ -181,7 +184,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let mut records = self.records.records.borrow_mut();
+        let mut records = self.records.by_attempt.borrow_mut();
         let Some(record) = records.get_mut(&self.attempt) else {
             return;
         };
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -16,6 +16,7 @@
 mod events;
 mod gate;
 mod key;
+mod metrics;
 mod news;
 mod node;
 mod peer;
@@ -23,11 +24,14 @@
 mod retired;
 mod retry;
 mod routing;
+mod scrape;
 mod settings;
 mod status;
 mod store;
 mod work;
 
+use sailtrack_log::Destination;
+
 pub use configuration::{ClientLimits, Configuration, Route, RouteBuilder, ServiceRules, Share};
 pub use dialect::{Announcement, Beat, Dialect, DialectError, FieldNames, Load, Readiness};
 pub use error::Error;
@@ -38,6 +42,6 @@
 
 /// Runs a node until it is stopped.
 pub fn run(settings: Settings, surroundings: Surroundings) -> Result<(), Error> {
-    sailtrack_log::install(settings.log_level);
+    sailtrack_log::install_to(Destination::Stdout, settings.log_level);
     sailtrack_net::runtime::run(node::run(settings, surroundings)).map_err(Error::Runtime)?
 }
--- /dev/null
+++ b/crates/mesh/src/metrics.rs
@@ -0,0 +1,207 @@
+//! What the node counts, for scraping.
+
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use displaydoc::Display;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+use sailtrack_kernel::Service;
+use sailtrack_units::{KindName, ServiceName};
+use sailtrack_wire::{Outcome, Reason};
+
+use crate::work::Returned;
+
+/// The first and smallest bucket of the time to an answer, in seconds.
+const FIRST_BUCKET: f64 = 0.001;
+/// The number of buckets, each twice the one before; the last one is near 8 s.
+const BUCKETS: u16 = 14;
+/// The most different kinds that are counted apart; a configuration may have some hundred routes.
+const MOST_KINDS: usize = 600;
+
+/// Where requests end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) enum Place {
+    /// entry
+    Entry,
+    /// gate
+    Gate,
+}
+
+/// The labels of requests that ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndLabels {
+    place: String,
+    kind: String,
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+/// The labels of a time that is kept for each kind.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabels {
+    kind: String,
+}
+
+/// The labels of what is counted for each service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
+/// Values that are read at the time of a scrape.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Snapshot {
+    /// The requests that run in the own upstream.
+    pub(crate) running: usize,
+    /// The requests that wait for admission.
+    pub(crate) waiting: usize,
+    /// The slots of the own upstream; zero while it takes nothing.
+    pub(crate) slots: usize,
+    /// The requests that must not run twice and are remembered.
+    pub(crate) records: usize,
+    /// The other nodes that are known,
+    pub(crate) members: usize,
+    /// and those to which a connection is open.
+    pub(crate) links: usize,
+    /// The version of the configuration in force.
+    pub(crate) version: u64,
+}
+
+type Count<L> = Family<L, Counter<u64, AtomicU64>>;
+
+/// The gauges, each with the value that it shows.
+type Gauges = [(Gauge, fn(&Snapshot) -> u64); 7];
+
+/// What the node counts.
+pub(crate) struct Metrics {
+    registry: Registry,
+    ended: Count<EndLabels>,
+    repeats: Count<ServiceLabels>,
+    times: Family<KindLabels, Histogram>,
+    gauges: Gauges,
+}
+
+impl Service for Metrics {
+    const NAME: &'static str = "metrics";
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("sailtrack_mesh");
+        let ended = Count::<EndLabels>::default();
+        let repeats = Count::<ServiceLabels>::default();
+        let times = Family::<KindLabels, Histogram>::new_with_constructor(|| {
+            Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS))
+        });
+        registry.register(
+            "requests",
+            "Requests that ended, where and how",
+            ended.clone(),
+        );
+        let help = "Requests sent to a service once more";
+        registry.register("repeats", help, repeats.clone());
+        let help = "Time from a request of a client to its answer";
+        registry.register_with_unit("answer", help, Unit::Seconds, times.clone());
+        let gauges = register_gauges(&mut registry);
+        Self {
+            registry,
+            ended,
+            repeats,
+            times,
+            gauges,
+        }
+    }
+
+    /// Notes how a request ended.
+    pub(crate) fn note_end(&self, place: Place, kind: &KindName, outcome: Outcome, reason: Reason) {
+        let labels = EndLabels {
+            place: place.to_string(),
+            kind: kind.to_string(),
+            outcome: outcome.as_str_name(),
+            reason: reason.as_str_name(),
+        };
+        self.ended.get_or_create(&labels).inc();
+    }
+
+    /// Notes how a request of a client ended after `time`.
+    pub(crate) fn note_answer(&self, kind: &KindName, returned: &Returned, time: Duration) {
+        self.note_end(Place::Entry, kind, returned.outcome, returned.reason);
+        let labels = KindLabels {
+            kind: kind.to_string(),
+        };
+        let times = self.times.get_or_create(&labels);
+        times.observe(time.as_secs_f64());
+    }
+
+    /// Notes that a request is sent to a service once more.
+    pub(crate) fn note_repeat(&self, service: &ServiceName) {
+        let labels = ServiceLabels {
+            service: service.to_string(),
+        };
+        self.repeats.get_or_create(&labels).inc();
+    }
+
+    /// Forgets the counts of kinds when too many have been seen, as routes come and go.
+    pub(crate) fn bound(&self, kinds: usize) {
+        if kinds > MOST_KINDS {
+            self.ended.clear();
+            self.times.clear();
+        }
+    }
+
+    /// Returns everything in the text format of Prometheus.
+    pub(crate) fn text(&self, snapshot: &Snapshot) -> String {
+        for (gauge, value) in &self.gauges {
+            gauge.set(i64::try_from(value(snapshot)).unwrap_or(i64::MAX));
+        }
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+fn register_gauges(registry: &mut Registry) -> Gauges {
+    let mut gauge = |name: &str, help: &str, value: fn(&Snapshot) -> u64| {
+        let gauge = Gauge::default();
+        registry.register(name, help, gauge.clone());
+        (gauge, value)
+    };
+    [
+        gauge("running", "Requests that run in the own upstream", |now| {
+            now.running as u64
+        }),
+        gauge("waiting", "Requests that wait for admission", |now| {
+            now.waiting as u64
+        }),
+        gauge(
+            "slots",
+            "Slots of the own upstream, 0 while it takes nothing",
+            |now| now.slots as u64,
+        ),
+        gauge(
+            "records",
+            "Remembered requests that must not run twice",
+            |now| now.records as u64,
+        ),
+        gauge("members", "Other nodes that are known", |now| {
+            now.members as u64
+        }),
+        gauge(
+            "links",
+            "Other nodes to which a connection is open",
+            |now| now.links as u64,
+        ),
+        gauge(
+            "config_version",
+            "Version of the configuration in force",
+            |now| now.version,
+        ),
+    ]
+}
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -27,6 +27,7 @@
 use crate::error::Error;
 use crate::events::Events;
 use crate::gate::{Builder as GateBuilder, Gate, Records, Upstream};
+use crate::metrics::Metrics;
 use crate::news::{Listener, keep_telling};
 use crate::node::{ADMISSION_RULES, Surroundings};
 use crate::peer::{Acceptor, News, Peers};
@@ -34,6 +35,7 @@
 use crate::retired::Retired;
 use crate::retry::Budget;
 use crate::routing::Routing;
+use crate::scrape::MetricsPort;
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::store::{Follower, Reach, Row, Store, Table as StoreTable, follow};
@@ -56,6 +58,7 @@
     peer: TcpListener,
     ready: Port,
     announcements: Port,
+    metrics: Option<Port>,
 }
 
 /// Starts all services of a node.
@@ -91,6 +94,13 @@
             .map_err(|error| failed("ready", ports.ready, error))?,
         announcements: announcements
             .map_err(|error| failed("announcements", ports.announcements, error))?,
+        metrics: match ports.metrics {
+            Some(address) => Some(
+                Port::open("metrics", address, Limits::server())
+                    .map_err(|error| failed("metrics", address, error))?,
+            ),
+            None => None,
+        },
     })
 }
 
@@ -120,6 +130,7 @@
 ) -> Result<(), Error> {
     let identity = &settings.identity;
     table.install(Events::default());
+    table.install(Metrics::new());
     table.install(Reach::default());
     table.install(Retired::default());
     table.install(Contexts::default());
@@ -184,7 +195,7 @@
         .life(life.watch(), Rc::clone(in_flight))
         .admission(table.find()?, table.find()?)
         .memory(table.find()?, table.find()?)
-        .events(table.find()?);
+        .reports(table.find()?, table.find()?);
     table.install(gate.build());
     table.install(Routing {
         name: identity.name.clone(),
@@ -201,6 +212,7 @@
         budget: table.find()?,
         directory: table.find()?,
         events: table.find()?,
+        metrics: table.find()?,
     });
     table.install(Entry {
         dialect: Rc::clone(dialect),
@@ -211,6 +223,7 @@
         contexts: table.find()?,
         dispatcher: table.find()?,
         events: table.find()?,
+        metrics: table.find()?,
         in_flight: Rc::clone(in_flight),
         closed: Cell::new(false),
     });
@@ -279,6 +292,11 @@
     task::spawn("members", members);
     let status = table.find::<Status>()?;
     let upstream = table.find::<Upstream>()?;
+    let metrics = table.find::<Metrics>()?;
+    let counted = Rc::clone(&current);
+    current.listen(move || {
+        metrics.bound(counted.get().map_or(0, |current| current.route_count()));
+    });
     let told = Rc::clone(&status);
     current.listen(move || told.publish());
     upstream.listen(move || status.publish());
@@ -342,6 +360,19 @@
         current: table.find()?,
     });
     let announcements = Rc::new(AnnouncementPort(table.find()?));
+    if let Some(port) = sockets.metrics {
+        let metrics = Rc::new(MetricsPort {
+            metrics: table.find()?,
+            contexts: table.find()?,
+            admission: table.find()?,
+            upstream: table.find()?,
+            records: table.find()?,
+            directory: table.find()?,
+            peers: table.find()?,
+            current: table.find()?,
+        });
+        task::spawn("metrics port", serve(port, metrics));
+    }
     task::spawn("ready port", serve(sockets.ready, ready));
     task::spawn(
         "announcement port",
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -143,7 +143,7 @@
                 }
                 Body::Recall(recall) => self.recall(recall, outgoing, open),
                 Body::Retire(retire) => self.remember(&retire, outgoing),
-                Body::Fetch(fetch) => self.give_configuration(&fetch, outgoing),
+                Body::Fetch(fetch) => self.give_configuration(fetch, outgoing),
                 // Everything else is for the other direction.
                 _ => {}
             }
@@ -238,7 +238,7 @@
             .try_send(Body::Retired(RetiredMessage { exchange }));
     }
 
-    fn give_configuration(&self, fetch: &Fetch, outgoing: &mpsc::Sender<Body>) {
+    fn give_configuration(&self, fetch: Fetch, outgoing: &mpsc::Sender<Body>) {
         let version = self.current.version();
         if version.0 <= fetch.version {
             return;
--- a/crates/mesh/src/peer/link.rs
+++ b/crates/mesh/src/peer/link.rs
@@ -34,7 +34,7 @@
 /// The first pause before a lost connection is opened anew.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause; a node is to be found within a second or so after a partition ends.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1000);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 /// Data that is not acknowledged for this long ends a connection.
 const UNACKNOWLEDGED_TIME: Duration = Duration::from_millis(2500);
 /// A node from which nothing came for this many of its intervals gets no new requests,
--- a/crates/mesh/src/retry.rs
+++ b/crates/mesh/src/retry.rs
@@ -3,6 +3,9 @@
 //! All nodes together share one budget for each service. Each takes a fixed
 //! part by what it sees itself, so the bound holds without agreement.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/crates/mesh/src/retry/tests.rs
@@ -0,0 +1,114 @@
+//! The budget under time that the test sets.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use sailtrack_units::{Period, Rank, Ratio};
+
+use crate::key::AttemptKey;
+use crate::retry::Budget;
+use crate::settings::RetryBounds;
+use crate::work::Work;
+
+const BOUNDS: RetryBounds = RetryBounds {
+    ratio: Ratio(0.2),
+    slack: 49.0,
+    window: Period::from_millis(10_000),
+};
+
+fn work(rank: Rank, repeated: bool) -> Work {
+    Work {
+        attempt: AttemptKey::from("a"),
+        service: "ledger".parse().expect("a name"),
+        kind: "read".parse().expect("a name"),
+        idempotent: true,
+        rank,
+        begun: false,
+        repeated,
+        deadline: Instant::now(),
+        head: Bytes::new(),
+        body: Bytes::new(),
+    }
+}
+
+/// Takes repeats until there are none left.
+fn drain(budget: &Budget, rank: Rank, now: Instant) -> usize {
+    let work = work(rank, false);
+    (0..10_000)
+        .take_while(|_| budget.take(&work, now, 15))
+        .count()
+}
+
+fn note(budget: &Budget, requests: usize, repeated: bool, now: Instant) {
+    for _ in 0..requests {
+        budget.note_request(&work(Rank::HIGHEST, repeated), now);
+    }
+}
+
+#[test]
+fn within_the_ratio() {
+    let budget = Budget::new(BOUNDS);
+    let now = Instant::now();
+    note(&budget, 1000, false, now);
+    budget.note_told(true);
+    let taken = drain(&budget, Rank::HIGHEST, now);
+    assert!((150..=200).contains(&taken), "{taken} of 200 allowed");
+}
+
+/// Four services deep, each at its share, the deepest stays within the ratio.
+#[test]
+fn untold_chain() {
+    let budget = Budget::new(BOUNDS);
+    let now = Instant::now();
+    note(&budget, 1000, false, now);
+    let taken = drain(&budget, Rank::HIGHEST, now);
+    assert!(taken * 4 <= 204, "{taken} at each of four services");
+    assert!(taken > 0);
+}
+
+/// Fifteen nodes without requests use no more than the slack, also where one repeat makes many.
+#[test]
+fn slack_is_shared() {
+    let budget = Budget::new(BOUNDS);
+    let taken = drain(&budget, Rank::HIGHEST, Instant::now());
+    assert!(taken * 15 * 13 <= 49, "{taken} on each of 15 nodes");
+}
+
+#[test]
+fn calls_of_repeats_count() {
+    let budget = Budget::new(BOUNDS);
+    let now = Instant::now();
+    budget.note_told(true);
+    note(&budget, 800, false, now);
+    note(&budget, 200, true, now);
+    assert_eq!(drain(&budget, Rank::HIGHEST, now), 0);
+}
+
+#[test]
+fn important_ones_first() {
+    let budget = Budget::new(BOUNDS);
+    let now = Instant::now();
+    budget.note_told(true);
+    note(&budget, 1000, false, now);
+    let normal = drain(&budget, Rank::from_index(130), now);
+    let critical = drain(&budget, Rank::HIGHEST, now);
+    assert!(normal > 0);
+    assert!(critical > normal * 3, "{critical} after {normal}");
+}
+
+#[test]
+fn windows_pass() {
+    let budget = Budget::new(BOUNDS);
+    let now = Instant::now();
+    budget.note_told(true);
+    note(&budget, 1000, false, now);
+    let first = drain(&budget, Rank::HIGHEST, now);
+    let later = now + Duration::from_secs(11);
+    assert_eq!(
+        drain(&budget, Rank::HIGHEST, later),
+        first,
+        "the window before counts"
+    );
+    let much_later = now + Duration::from_secs(40);
+    assert!(drain(&budget, Rank::HIGHEST, much_later) < 2);
+}
--- a/crates/mesh/src/routing/load.rs
+++ b/crates/mesh/src/routing/load.rs
@@ -1,5 +1,8 @@
 //! What a node has learned about one other node from the answers to its requests.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::{Duration, Instant};
 
 use sailtrack_admission::Pressure;
--- /dev/null
+++ b/crates/mesh/src/routing/load/tests.rs
@@ -0,0 +1,61 @@
+//! What speaks for and against a node.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use sailtrack_wire::Reason;
+
+use crate::routing::load::PeerLoad;
+use crate::work::Returned;
+
+const TIME: Duration = Duration::from_millis(20);
+
+fn failed(below: bool) -> Returned {
+    Returned {
+        failed_below: below,
+        ..Returned::answered(500, Bytes::new(), Bytes::new())
+    }
+}
+
+#[test]
+fn failures_leave_it_out() {
+    let (mut load, now) = (PeerLoad::default(), Instant::now());
+    for _ in 0..5 {
+        load.note(now, TIME, &failed(false));
+    }
+    assert!(!load.is_available(now));
+    assert!(load.is_available(now + Duration::from_secs(1)));
+}
+
+/// Whole services were gone when a service further down failed.
+#[test]
+fn failures_below_do_not() {
+    let (mut load, now) = (PeerLoad::default(), Instant::now());
+    for _ in 0..50 {
+        load.note(now, TIME, &failed(true));
+    }
+    assert!(load.is_available(now));
+}
+
+/// Whole services were gone when every upstream turned half of its requests away.
+#[test]
+fn turning_away_does_not() {
+    let (mut load, now) = (PeerLoad::default(), Instant::now());
+    for _ in 0..50 {
+        load.note(now, TIME, &Returned::turned_away(Reason::UpstreamShed));
+    }
+    assert!(load.is_available(now));
+    let sound = PeerLoad::default();
+    assert!(load.cost(20) > sound.cost(20), "another node is preferred");
+}
+
+#[test]
+fn slow_ones_cost_more() {
+    let (mut slow, mut quick, now) = (PeerLoad::default(), PeerLoad::default(), Instant::now());
+    let answer = Returned::answered(200, Bytes::new(), Bytes::new());
+    for _ in 0..30 {
+        slow.note(now, TIME * 5, &answer);
+        quick.note(now, TIME, &answer);
+    }
+    assert!(slow.cost(20) > quick.cost(20) * 2.0);
+}
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -36,6 +36,8 @@
     pub announcements: SocketAddr,
     /// For other nodes.
     pub peer: SocketAddr,
+    /// For scraping counters, if they are wanted.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// What all nodes together may send once more to one service.
@@ -128,6 +130,7 @@
         ready: ready?,
         announcements: announcements?,
         peer: peer?,
+        metrics: section.optional("metrics", ADDRESS),
     })
 }
 
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -83,10 +83,9 @@
 
     fn state(&self) -> State {
         match self.phase.get() {
-            Phase::Joining => State::Joining,
             Phase::Draining | Phase::Stopped => State::Leaving,
             Phase::Serving if self.upstream.ready(Instant::now()).is_some() => State::Serving,
-            Phase::Serving => State::Joining,
+            Phase::Joining | Phase::Serving => State::Joining,
         }
     }
 }
--- a/crates/net/src/transparent/chunked.rs
+++ b/crates/net/src/transparent/chunked.rs
@@ -1,5 +1,8 @@
 //! Takes the data out of a chunked body, however its bytes arrive.
 
+#[cfg(test)]
+mod tests;
+
 use bytes::{Buf as _, BytesMut};
 
 /// The longest line with the size of a chunk, in bytes, or field after the last one.
--- a/crates/net/src/transparent/framing.rs
+++ b/crates/net/src/transparent/framing.rs
@@ -1,5 +1,8 @@
 //! Where the body of a message ends.
 
+#[cfg(test)]
+mod tests;
+
 use crate::transparent::fields::Fields;
 use crate::transparent::head::HeadError;
 
--- a/crates/net/src/transparent/head.rs
+++ b/crates/net/src/transparent/head.rs
@@ -98,9 +98,8 @@
 fn complete(parsed: httparse::Result<usize>) -> Result<(), HeadError> {
     match parsed {
         Ok(Status::Complete(_)) => Ok(()),
-        Ok(Status::Partial) => Err(HeadError::Malformed),
         Err(httparse::Error::TooManyHeaders) => Err(HeadError::TooLarge),
-        Err(_) => Err(HeadError::Malformed),
+        Ok(Status::Partial) | Err(_) => Err(HeadError::Malformed),
     }
 }
 
