Repeats at low rates; members are followed with a pause

A node that sends a service few requests had less than one repeat allowed and never used it: failures of upstreams (0.4 % of downloads) were passed on. It now draws for the fraction.

--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use displaydoc::Display;
 use sailtrack_kernel::Service;
@@ -14,6 +15,10 @@
 
 use crate::store::{Follower, Row};
 
+/// How long changes of members are gathered: a new node connects to those that it finds, so
+/// others know it before they read its row.
+const GATHERING_TIME: Duration = Duration::from_millis(1500);
+
 /// One node of the mesh. Nothing in it changes while the node lives, so its row is written once.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Member {
@@ -175,6 +180,10 @@
 }
 
 impl Follower for Directory {
+    fn pace(&self) -> Duration {
+        GATHERING_TIME
+    }
+
     fn reset(&self, rows: &[Row]) {
         for row in rows {
             self.take(row);
--- a/crates/mesh/src/retry.rs
+++ b/crates/mesh/src/retry.rs
@@ -10,6 +10,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use rand::Rng as _;
 use sailtrack_kernel::Service;
 use sailtrack_units::{Rank, ServiceName};
 
@@ -87,7 +88,8 @@
         };
         let allowed = requests * self.bounds.ratio.0 * share + slack;
         let place = f64::from(work.rank.index()) / f64::from(Rank::HIGHEST.index());
-        if repeats + 1.0 > allowed * place.powi(RANK_POWER) {
+        let room = allowed * place.powi(RANK_POWER) - repeats;
+        if room <= 0.0 || !may_draw(room) {
             return false;
         }
         self.with_slice(&work.service, now, |slice| slice.repeats += 1);
@@ -141,6 +143,14 @@
     }
 }
 
+/// Returns true if one more fits; into less than one with as much probability.
+///
+/// A node that sends a service ten requests in a window is allowed less than one repeat. All of
+/// them together are allowed some, and only the draw gives them to anybody.
+fn may_draw(room: f64) -> bool {
+    room >= 1.0 || rand::rng().random::<f64>() < room
+}
+
 impl Window {
     /// Returns the sum over the slices that began within `length` before the moment `ago`.
     fn sum(&self, now: Instant, ago: Duration, length: Duration, count: fn(&Slice) -> u32) -> f64 {
--- a/crates/mesh/src/store/mirror.rs
+++ b/crates/mesh/src/store/mirror.rs
@@ -12,7 +12,7 @@
 use crate::store::{Row, Rows, Store, StoreError, StoreVersion, Table};
 
 /// How long one call waits for changes; the store allows 30 s, and every call has its price.
-const WAIT: Duration = Duration::from_secs(20);
+const WAIT: Duration = Duration::from_secs(29);
 /// The first pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// The longest pause after failed calls: entries are to be back two seconds after the store is.
@@ -20,6 +20,14 @@
 
 /// What is told about the table that is followed.
 pub(crate) trait Follower {
+    /// Returns how long changes are gathered before the next ones are asked for.
+    ///
+    /// A mass start changes a row for each node; without a pause each change is a call of each
+    /// node: 14 calls a node in a start of 70 nodes.
+    fn pace(&self) -> Duration {
+        Duration::ZERO
+    }
+
     /// All rows of the table as of one moment.
     fn reset(&self, rows: &[Row]);
 
@@ -63,6 +71,7 @@
             Ok(version) => {
                 at = Some(version);
                 pause = FIRST_PAUSE;
+                sleep(follower.pace()).await;
             }
             Err(StoreError::HistoryGone) if at.is_some() => at = None,
             Err(_) => {
