Long answers are streamed; nodes wait for connections before they ask for witnesses

Answers above 128 KiB are passed on while they are read; the gate sends no more chunks than the entry grants, so a slow reader holds up its own answer only (long_answers::slow_reader: four clients that read nothing of 20 MB each, 40 MB bound a node). A body that breaks off ends the client's connection. The tests' mesh now waits until every node knows that all others serve.

--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -13,11 +13,15 @@
 use sailtrack_wire::Member as MemberMessage;
 use serde::{Deserialize, Serialize};
 
-use crate::store::{Follower, Row};
+use crate::store::{Follower, Pace, Row};
 
-/// How long changes of members are gathered: a new node connects to those that it finds, so
-/// others know it before they read its row.
-const GATHERING_TIME: Duration = Duration::from_millis(1500);
+/// How long changes of members are gathered. Nodes that start together write their rows within
+/// some 0.3 s. Later a new node connects to those that it finds, so others know it before they
+/// read its row.
+const PACE: Pace = Pace {
+    whole: Duration::from_millis(400),
+    changes: Duration::from_millis(1500),
+};
 
 /// One node of the mesh. Nothing in it changes while the node lives, so its row is written once.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -180,8 +184,8 @@
 }
 
 impl Follower for Directory {
-    fn pace(&self) -> Duration {
-        GATHERING_TIME
+    fn pace(&self) -> Pace {
+        PACE
     }
 
     fn reset(&self, rows: &[Row]) {
--- a/crates/mesh/src/entry/answer.rs
+++ b/crates/mesh/src/entry/answer.rs
@@ -6,6 +6,7 @@
 use displaydoc::Display;
 use sailtrack_wire::{Outcome, Reason};
 
+use crate::body::{Body, Stream};
 use crate::work::Returned;
 
 /// The part of the time left after which a client is asked to come back at the latest.
@@ -72,40 +73,90 @@
         bytes.put_slice(field.as_bytes());
     }
     bytes.put_slice(b"Content-Type: text/plain; charset=utf-8\r\n");
-    end_head(&mut bytes, Some(text.len()), close);
+    end_head(&mut bytes, Some(text.len() as u64), close);
     bytes.put_slice(text.as_bytes());
     bytes
 }
 
-/// Returns the bytes of what became of a request; `time_left` is what the client still waits.
-pub(super) fn conclude(
-    returned: &Returned,
-    is_head: bool,
-    time_left: Duration,
-    close: bool,
-) -> BytesMut {
-    match (returned.outcome, returned.reason) {
-        (Outcome::Done, _) => pass_on(returned, is_head, close),
-        (Outcome::NotRun, _) => {
-            let after = returned.retry_after.min(time_left / RETURN_SHARE);
-            refuse(Refusal::NotRun, Some(after), close)
+/// What is written to a client: all at once, or a head and then a stream.
+pub(super) struct Written {
+    pub(super) bytes: BytesMut,
+    pub(super) stream: Option<Stream>,
+    /// The stream is written in chunks, since its length is not known.
+    pub(super) is_chunked: bool,
+    /// The connection ends after it.
+    pub(super) close: bool,
+}
+
+impl Written {
+    fn whole(bytes: BytesMut, close: bool) -> Self {
+        Self {
+            bytes,
+            stream: None,
+            is_chunked: false,
+            close,
         }
-        (Outcome::Unknown, Reason::Deadline) => refuse(Refusal::Late, None, close),
-        (Outcome::Unknown, _) => refuse(Refusal::Lost, None, close),
     }
 }
 
-fn pass_on(returned: &Returned, is_head: bool, close: bool) -> BytesMut {
-    let mut bytes = BytesMut::with_capacity(returned.head.len() + returned.body.len() + 64);
+/// What a client asked for, as far as its answer depends on it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Asked {
+    /// Only the head is wanted.
+    pub(super) is_head: bool,
+    /// It understands chunks.
+    pub(super) is_1_1: bool,
+    /// How long it still waits.
+    pub(super) time_left: Duration,
+    /// The connection ends after the answer.
+    pub(super) close: bool,
+}
+
+/// Returns what is written about what became of a request.
+pub(super) fn conclude(returned: Returned, asked: Asked) -> Written {
+    let close = asked.close;
+    let refusal = match (returned.outcome, returned.reason) {
+        (Outcome::Done, _) => return pass_on(returned, asked),
+        (Outcome::NotRun, _) => {
+            let after = returned.retry_after.min(asked.time_left / RETURN_SHARE);
+            return Written::whole(refuse(Refusal::NotRun, Some(after), close), close);
+        }
+        (Outcome::Unknown, Reason::Deadline) => Refusal::Late,
+        (Outcome::Unknown, _) => Refusal::Lost,
+    };
+    Written::whole(refuse(refusal, None, close), close)
+}
+
+fn pass_on(returned: Returned, asked: Asked) -> Written {
+    let mut bytes = BytesMut::with_capacity(returned.head.len() + 256);
     bytes.put_slice(&returned.head);
-    let has_no_length = is_head || matches!(returned.status, 204 | 304);
-    let length = (!has_no_length).then_some(returned.body.len());
-    end_head(&mut bytes, length, close);
-    bytes.put_slice(&returned.body);
-    bytes
+    let has_no_length = asked.is_head || matches!(returned.status, 204 | 304);
+    match returned.body {
+        Body::Whole(body) => {
+            let length = (!has_no_length).then_some(body.len() as u64);
+            end_head(&mut bytes, length, asked.close);
+            bytes.put_slice(&body);
+            Written::whole(bytes, asked.close)
+        }
+        Body::Stream(stream) => {
+            let is_chunked = stream.length.is_none() && asked.is_1_1;
+            if is_chunked {
+                bytes.put_slice(b"Transfer-Encoding: chunked\r\n");
+            }
+            // Without a length or chunks the body ends with the connection.
+            let close = asked.close || (stream.length.is_none() && !is_chunked);
+            end_head(&mut bytes, stream.length, close);
+            Written {
+                bytes,
+                stream: Some(stream),
+                is_chunked,
+                close,
+            }
+        }
+    }
 }
 
-fn end_head(bytes: &mut BytesMut, length: Option<usize>, close: bool) {
+fn end_head(bytes: &mut BytesMut, length: Option<u64>, close: bool) {
     if let Some(length) = length {
         bytes.put_slice(format!("Content-Length: {length}\r\n").as_bytes());
     }
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -14,9 +14,10 @@
 use sailtrack_net::transparent::{BodyError, HeadError, MessageError, Reader};
 use sailtrack_wire::{Outcome, Reason};
 
+use crate::body::Stream;
 use crate::configuration::ClientLimits;
 use crate::entry::Entry;
-use crate::entry::answer::{Refusal, conclude, refuse};
+use crate::entry::answer::{Asked, Refusal, conclude, refuse};
 use crate::entry::request::Incoming;
 
 use crate::metrics::Place;
@@ -134,7 +135,7 @@
         };
         let returned = self.run(&incoming, body).await;
         match returned {
-            Some(returned) => self.answer(&incoming, &returned).await,
+            Some(returned) => self.answer(&incoming, returned).await,
             None => Next::Close,
         }
     }
@@ -185,23 +186,59 @@
         Some(returned)
     }
 
-    async fn answer(&mut self, incoming: &Incoming, returned: &Returned) -> Next {
-        self.log(incoming, returned);
+    async fn answer(&mut self, incoming: &Incoming, returned: Returned) -> Next {
+        self.log(incoming, &returned);
         let time = incoming.came.elapsed();
         let kind = &incoming.route.name;
-        self.entry.metrics.note_answer(kind, returned, time);
+        self.entry.metrics.note_answer(kind, &returned, time);
         let is_leaving = self.entry.phase.get() > Phase::Serving;
-        let close = is_leaving || !incoming.head.keeps_alive();
-        let left = incoming.deadline.saturating_duration_since(Instant::now());
-        let is_head = &incoming.head.method[..] == b"HEAD";
-        let bytes = conclude(returned, is_head, left, close);
-        if self.write(bytes).await && !close {
+        let asked = Asked {
+            is_head: &incoming.head.method[..] == b"HEAD",
+            is_1_1: incoming.head.is_1_1,
+            time_left: incoming.deadline.saturating_duration_since(Instant::now()),
+            close: is_leaving || !incoming.head.keeps_alive(),
+        };
+        let written = conclude(returned, asked);
+        let is_whole = match written.stream {
+            None => self.write(written.bytes).await,
+            Some(stream) => {
+                self.write(written.bytes).await
+                    && self.pass_stream(stream, written.is_chunked).await
+            }
+        };
+        if is_whole && !written.close {
             Next::Request
         } else {
             Next::Close
         }
     }
 
+    /// Writes a streamed body; returns false if it broke off or the client left.
+    async fn pass_stream(&mut self, mut stream: Stream, is_chunked: bool) -> bool {
+        loop {
+            let piece = {
+                let next = std::pin::pin!(stream.next());
+                let leaving = std::pin::pin!(wait_for_end(&mut self.reader));
+                match select(next, leaving).await {
+                    Either::Left((piece, _)) => piece,
+                    Either::Right(_) => return false,
+                }
+            };
+            let Ok(piece) = piece else {
+                // The connection ends without the end of the body, so it cannot look whole.
+                return false;
+            };
+            let is_last = piece.is_none();
+            let bytes = framed(piece, is_chunked);
+            if !bytes.is_empty() && !self.write(bytes).await {
+                return false;
+            }
+            if is_last {
+                return true;
+            }
+        }
+    }
+
     fn log(&self, incoming: &Incoming, returned: &Returned) {
         let events = &self.entry.events;
         match returned.outcome {
@@ -258,6 +295,22 @@
     }
 }
 
+/// Returns the bytes for a piece of a streamed body, or for its end.
+fn framed(piece: Option<Bytes>, is_chunked: bool) -> BytesMut {
+    match (piece, is_chunked) {
+        (Some(piece), false) => BytesMut::from(piece),
+        (Some(piece), true) => {
+            let mut bytes = BytesMut::with_capacity(piece.len() + 16);
+            bytes.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+            bytes.extend_from_slice(&piece);
+            bytes.extend_from_slice(b"\r\n");
+            bytes
+        }
+        (None, true) => BytesMut::from(&b"0\r\n\r\n"[..]),
+        (None, false) => BytesMut::new(),
+    }
+}
+
 /// Waits until the client closes its connection; what it sends meanwhile is kept.
 async fn wait_for_end(reader: &mut Reader) {
     while reader.buffered() < MOST_READ_AHEAD {
--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -1,16 +1,19 @@
 //! One request to the own upstream and its answer.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
-use futures::future::{Either, select};
+use futures::FutureExt as _;
+use futures::future::{Either, LocalBoxFuture, select};
 use monoio::io::AsyncWriteRentExt as _;
+use monoio::time::timeout;
 use sailtrack_net::dial::DialError;
 use sailtrack_net::transparent::{
-    BodyError, Framing, HeadError, MessageError, ResponseHead, response_framing,
+    BodyError, BodyRest, Framing, HeadError, MessageError, ResponseHead, response_framing,
 };
 
+use crate::body::{Body, Broken, Source, Stream};
 use crate::dialect::FieldNames;
 use crate::gate::pool::{Connection, Pool};
 use crate::key::{AttemptKey, UpstreamKey};
@@ -18,8 +21,13 @@
 
 /// The most bytes of an answer's head.
 const HEAD_BYTES: usize = 64 * 1024;
-/// The most bytes of an answer's body that a node holds in memory.
-const BODY_BYTES: usize = 16 * 1024 * 1024;
+/// A longer body is passed on while it is read. Up to here an answer that breaks off can be
+/// repeated or refused, beyond it a hundred answers at once still fit into 13 MB.
+const WHOLE_BYTES: usize = 128 * 1024;
+/// How long an upstream may pause within a streamed body.
+const PIECE_TIME: Duration = Duration::from_secs(30);
+/// The most bytes of the body of an answer that is passed over.
+const FOREIGN_BYTES: usize = 1024 * 1024;
 /// The most answers to other requests that are passed over before the awaited one.
 const MOST_FOREIGN: u32 = 3;
 
@@ -51,15 +59,38 @@
     }
 }
 
-/// A whole answer of the upstream.
+/// An answer of the upstream.
 pub(super) struct UpstreamAnswer {
     pub(super) head: ResponseHead,
-    pub(super) body: Bytes,
+    pub(super) body: Body,
 }
 
-/// Sends a request to this life of the upstream and returns the whole answer.
+/// The rest of a long body on the connection to the upstream.
+struct UpstreamSource {
+    connection: Connection,
+    first: Option<Bytes>,
+    rest: BodyRest,
+}
+
+impl Source for UpstreamSource {
+    fn next(&mut self) -> LocalBoxFuture<'_, Result<Option<Bytes>, Broken>> {
+        async {
+            if let Some(first) = self.first.take() {
+                return Ok(Some(first));
+            }
+            let piece = self.connection.reader.piece(&mut self.rest);
+            match timeout(PIECE_TIME, piece).await {
+                Ok(Ok(piece)) => Ok(piece),
+                Ok(Err(_)) | Err(_) => Err(Broken),
+            }
+        }
+        .boxed_local()
+    }
+}
+
+/// Sends a request to this life of the upstream and returns its answer, a long body as a stream.
 ///
-/// Dropping the future closes the connection, which tells the upstream to stop.
+/// Dropping the future or the stream closes the connection, which tells the upstream to stop.
 pub(super) async fn exchange(
     pool: &Pool,
     fields: &FieldNames,
@@ -87,11 +118,48 @@
     let (first, was_sent) = early;
     let first = first.map_err(ExchangeError::Message)?;
     let is_head = work.head.starts_with(b"HEAD ");
-    let answer = read_answer(&mut connection, fields, &work.attempt, first, is_head).await?;
-    if was_sent && answer.is_reusable {
-        pool.give_back(connection, &answer.answer.head);
+    let own = find_own(&mut connection, fields, &work.attempt, first, is_head).await?;
+    let Own {
+        head,
+        framing,
+        mut rest,
+    } = own;
+    let begun = read_begin(&mut connection, &mut rest).await?;
+    if rest.is_ended() {
+        if was_sent && framing != Framing::UntilClose {
+            pool.give_back(connection, &head);
+        }
+        let body = Body::Whole(begun);
+        return Ok(UpstreamAnswer { head, body });
+    }
+    let length = match framing {
+        Framing::Length(length) => Some(length),
+        Framing::None | Framing::Chunked | Framing::UntilClose => None,
+    };
+    let source = UpstreamSource {
+        connection,
+        first: Some(begun),
+        rest,
+    };
+    let body = Body::Stream(Stream::new(length, Box::new(source)));
+    Ok(UpstreamAnswer { head, body })
+}
+
+/// Reads a body to its end, or as far as it is held in memory.
+async fn read_begin(
+    connection: &mut Connection,
+    rest: &mut BodyRest,
+) -> Result<Bytes, ExchangeError> {
+    let mut body = BytesMut::new();
+    while body.len() < WHOLE_BYTES {
+        let piece = connection.reader.piece(rest).await;
+        match piece.map_err(ExchangeError::Body)? {
+            Some(piece) if body.is_empty() && rest.is_ended() => return Ok(piece),
+            Some(piece) => body.extend_from_slice(&piece),
+            None => break,
+        }
     }
-    Ok(answer.answer)
+    Ok(body.freeze())
 }
 
 fn request_bytes(fields: &FieldNames, upstream: &UpstreamKey, work: &Work) -> BytesMut {
@@ -109,41 +177,40 @@
     bytes
 }
 
-/// A whole answer, and whether its connection can carry another exchange.
-struct Complete {
-    answer: UpstreamAnswer,
-    is_reusable: bool,
+/// The head of the awaited answer; its body has not been read.
+struct Own {
+    head: ResponseHead,
+    framing: Framing,
+    rest: BodyRest,
 }
 
-/// Reads answers until the one to the request with this id.
+/// Passes over answers until the one to the request with this id.
 ///
 /// An upstream may answer an earlier request twice; the second answer then
 /// stands before the one that is awaited.
-async fn read_answer(
+async fn find_own(
     connection: &mut Connection,
     fields: &FieldNames,
     attempt: &AttemptKey,
     first: Bytes,
     is_head: bool,
-) -> Result<Complete, ExchangeError> {
+) -> Result<Own, ExchangeError> {
     let mut bytes = first;
     for _ in 0..=MOST_FOREIGN {
         let head = ResponseHead::parse(&bytes).map_err(ExchangeError::Head)?;
         let framing = response_framing(head.status, is_head, &head.fields);
         let framing = framing.map_err(ExchangeError::Head)?;
-        let body = connection.reader.body(framing, BODY_BYTES).await;
-        let body = body.map_err(ExchangeError::Body)?;
         let is_interim = head.status < 200;
-        let is_own = belongs_to(&head, fields, attempt);
-        if !is_interim && is_own {
+        if !is_interim && belongs_to(&head, fields, attempt) {
             check(&head, fields)?;
-            let is_reusable = framing != Framing::UntilClose;
-            let answer = UpstreamAnswer { head, body };
-            return Ok(Complete {
-                answer,
-                is_reusable,
+            return Ok(Own {
+                rest: BodyRest::new(framing),
+                head,
+                framing,
             });
         }
+        let body = connection.reader.body(framing, FOREIGN_BYTES).await;
+        body.map_err(ExchangeError::Body)?;
         if !is_interim && !head.keeps_alive() {
             return Err(ExchangeError::Foreign);
         }
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -138,8 +138,8 @@
         let held = Held::new(&self.in_flight);
         let kind = work.kind.clone();
         let importance = work.rank.importance();
-        let returned = self.admit(work).await;
-        drop(held);
+        let mut returned = self.admit(work).await;
+        returned.body.hold(held);
         let pressure = self.admission.pressure(Instant::now(), importance);
         self.events.note_gate(&kind, &returned);
         self.metrics
@@ -181,11 +181,11 @@
             return self.refuse(&work, Reason::Draining);
         };
         let Some(place) = place else {
-            let returned = self.send(&work, &upstream, work.deadline).await;
-            if let Some(window) = window {
+            let mut returned = self.send(&work, &upstream, work.deadline).await;
+            if let Some(window) = &window {
                 window.note(Instant::now(), returned.path_pressure);
             }
-            drop(permit);
+            returned.body.hold((permit, window));
             return returned;
         };
         if !place.start() {
@@ -196,14 +196,14 @@
         let held = Held::new(&self.in_flight);
         task::spawn("execution", async move {
             let patience = work.deadline + ANSWER_GRACE;
-            let returned = gate.send(&work, &upstream, patience).await;
+            let mut returned = gate.send(&work, &upstream, patience).await;
             place.end(&returned, Instant::now());
-            if let Some(window) = window {
+            if let Some(window) = &window {
                 window.note(Instant::now(), returned.path_pressure);
             }
+            returned.body.hold((permit, window, held));
             // The caller may have left; the record has the answer.
             let _ = sender.send(returned);
-            drop((permit, held));
         });
         let returned = receiver.await;
         returned.unwrap_or_else(|_| Returned::unknown(Reason::Cancelled))
--- a/crates/mesh/src/gate/records.rs
+++ b/crates/mesh/src/gate/records.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use futures::channel::oneshot;
 use sailtrack_kernel::Service;
 use sailtrack_wire::Reason;
@@ -89,7 +90,10 @@
                 waiting.push(sender);
                 Recalled::Running(receiver)
             }
-            Record::Ended(Some(answer)) => Recalled::Ended((**answer).clone()),
+            Record::Ended(Some(answer)) => {
+                let unknown = || Returned::unknown(Reason::Connection);
+                Recalled::Ended(answer.copy().unwrap_or_else(unknown))
+            }
             Record::Ended(None) => Recalled::Ended(Returned::unknown(Reason::Connection)),
             Record::Waiting | Record::Refused => {
                 *record = Record::Refused;
@@ -104,7 +108,7 @@
     }
 
     fn keep(&self, attempt: &AttemptKey, answer: &Returned, now: Instant) {
-        let size = answer.head.len() + answer.body.len();
+        let size = answer.head.len() + answer.body.whole().map_or(0, Bytes::len);
         self.answers
             .borrow_mut()
             .push_back((now, attempt.clone(), size));
@@ -170,13 +174,17 @@
         let ended = if did_not_run {
             Record::Refused
         } else {
-            self.records.keep(&self.attempt, returned, now);
-            Record::Ended(Some(Box::new(returned.clone())))
+            let copy = returned.copy();
+            if copy.is_some() {
+                self.records.keep(&self.attempt, returned, now);
+            }
+            Record::Ended(copy.map(Box::new))
         };
         if let Record::Running(waiting) = std::mem::replace(record, ended) {
             for sender in waiting {
                 // Who asked may have left.
-                let _ = sender.send(returned.clone());
+                let unknown = || Returned::unknown(Reason::AnswerTooLarge);
+                let _ = sender.send(returned.copy().unwrap_or_else(unknown));
             }
         }
     }
--- a/crates/mesh/src/gate/records/tests.rs
+++ b/crates/mesh/src/gate/records/tests.rs
@@ -6,10 +6,15 @@
 use bytes::Bytes;
 use sailtrack_wire::{Outcome, Reason};
 
+use crate::body::Body;
 use crate::gate::records::{Recalled, Records};
 use crate::key::AttemptKey;
 use crate::work::Returned;
 
+fn text(returned: &Returned) -> &[u8] {
+    returned.body.whole().expect("it is whole")
+}
+
 fn recall(records: &Records, key: &AttemptKey, now: Instant) -> Returned {
     match records.recall(key, now) {
         Recalled::Ended(returned) => returned,
@@ -55,14 +60,14 @@
     let Recalled::Running(mut receiver) = records.recall(&key, now) else {
         panic!("it runs");
     };
-    let answer = Returned::answered(200, Bytes::new(), Bytes::from("done"));
+    let answer = Returned::answered(200, Bytes::new(), Body::Whole(Bytes::from("done")));
     place.end(&answer, now);
     let told = receiver
         .try_recv()
         .expect("the sender lives")
         .expect("it was told");
-    assert_eq!(told.body, "done");
-    assert_eq!(recall(&records, &key, now).body, "done");
+    assert_eq!(text(&told), b"done");
+    assert_eq!(text(&recall(&records, &key, now)), b"done");
 }
 
 #[test]
@@ -75,7 +80,7 @@
     let place = records.begin(&key, now).expect("it is new");
     place.start();
     place.end(
-        &Returned::answered(200, Bytes::new(), Bytes::from("done")),
+        &Returned::answered(200, Bytes::new(), Body::Whole(Bytes::from("done"))),
         now,
     );
     let later = now + Duration::from_secs(10);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`Store`]; all decisions are here.
 
 mod announcement;
+mod body;
 mod configuration;
 mod contexts;
 mod dialect;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -67,8 +67,10 @@
     pub(crate) records: usize,
     /// The other nodes that are known,
     pub(crate) members: usize,
-    /// and those to which a connection is open.
+    /// those to which a connection is open,
     pub(crate) links: usize,
+    /// and those that take requests for their upstreams.
+    pub(crate) serving: usize,
     /// The version of the configuration in force.
     pub(crate) version: u64,
 }
@@ -76,7 +78,7 @@
 type Count<L> = Family<L, Counter<u64, AtomicU64>>;
 
 /// The gauges, each with the value that it shows.
-type Gauges = [(Gauge, fn(&Snapshot) -> u64); 7];
+type Gauges = [(Gauge, fn(&Snapshot) -> u64); 8];
 
 /// What the node counts.
 pub(crate) struct Metrics {
@@ -198,6 +200,11 @@
             "Other nodes to which a connection is open",
             |now| now.links as u64,
         ),
+        gauge(
+            "serving",
+            "Other nodes that take requests for their upstreams",
+            |now| now.serving as u64,
+        ),
         gauge(
             "config_version",
             "Version of the configuration in force",
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures::SinkExt as _;
+use bytes::Bytes;
 use futures::channel::mpsc;
 use futures::future::{AbortHandle, Abortable};
+use futures::{SinkExt as _, StreamExt as _};
 use monoio::io::Splitable as _;
 use monoio::net::{TcpListener, TcpStream};
 use monoio::time::timeout;
@@ -20,11 +21,12 @@
     Body, Chunk, Config, Fetch, Forward, Hello, Reason, Recall, Retire, Retired as RetiredMessage,
 };
 
+use crate::body::{Body as AnswerBody, Stream};
 use crate::configuration::Current;
 use crate::directory::{Directory, Member};
 use crate::gate::Gate;
 use crate::key::{AttemptKey, UpstreamKey};
-use crate::peer::convert::{CHUNK, returned_to_wire, work_from_wire};
+use crate::peer::convert::{CHUNK, FIRST_GRANT, returned_to_wire, work_from_wire};
 use crate::peer::parts::Parts;
 use crate::retired::Retired;
 use crate::status::Status;
@@ -55,6 +57,8 @@
 struct Open {
     running: RefCell<HashMap<u64, AbortHandle>>,
     arriving: RefCell<HashMap<u64, Parts<Forward>>>,
+    /// Where the grants for streamed answers go.
+    granting: RefCell<HashMap<u64, mpsc::UnboundedSender<u32>>>,
 }
 
 impl Acceptor {
@@ -141,6 +145,12 @@
                         running.abort();
                     }
                 }
+                Body::Grant(grant) => {
+                    if let Some(granting) = open.granting.borrow().get(&grant.exchange) {
+                        // The answer may have ended.
+                        let _ = granting.unbounded_send(grant.chunks);
+                    }
+                }
                 Body::Recall(recall) => self.recall(recall, outgoing, open),
                 Body::Retire(retire) => self.remember(&retire, outgoing),
                 Body::Fetch(fetch) => self.give_configuration(fetch, outgoing),
@@ -273,27 +283,86 @@
     task::spawn("peer request", async move {
         let answer = async {
             let returned = work.await;
-            send(&mut outgoing, exchange, returned).await;
+            send(&mut outgoing, exchange, returned, &open).await;
         };
         // An aborted request was cancelled and needs no answer.
         let _ = Abortable::new(answer, registration).await;
         open.running.borrow_mut().remove(&exchange);
+        open.granting.borrow_mut().remove(&exchange);
     });
 }
 
 /// Sends what became of a request, a long body in chunks so that others are not held up.
-async fn send(outgoing: &mut mpsc::Sender<Body>, exchange: u64, returned: Returned) {
+async fn send(outgoing: &mut mpsc::Sender<Body>, exchange: u64, returned: Returned, open: &Open) {
     let mut reply = returned_to_wire(exchange, &returned);
-    let mut rest = returned.body;
-    reply.body = rest.split_to(rest.len().min(CHUNK));
-    if outgoing.send(Body::Reply(reply)).await.is_err() {
-        return;
+    match returned.body {
+        AnswerBody::Whole(mut rest) => {
+            reply.body = rest.split_to(rest.len().min(CHUNK));
+            if outgoing.send(Body::Reply(reply)).await.is_ok() {
+                send_rest(outgoing, exchange, rest).await;
+            }
+        }
+        AnswerBody::Stream(stream) => {
+            let (sender, grants) = mpsc::unbounded();
+            open.granting.borrow_mut().insert(exchange, sender);
+            if outgoing.send(Body::Reply(reply)).await.is_ok() {
+                send_stream(outgoing, exchange, stream, grants).await;
+            }
+        }
     }
+}
+
+async fn send_rest(outgoing: &mut mpsc::Sender<Body>, exchange: u64, mut rest: Bytes) {
     while !rest.is_empty() {
         let data = rest.split_to(rest.len().min(CHUNK));
-        let chunk = Body::Chunk(Chunk { exchange, data });
-        if outgoing.send(chunk).await.is_err() {
+        let chunk = Chunk {
+            exchange,
+            data,
+            ..Chunk::default()
+        };
+        if outgoing.send(Body::Chunk(chunk)).await.is_err() {
             return;
         }
     }
 }
+
+/// Sends a streamed body, no more than the other side has granted: a client that reads slowly
+/// holds up its own answer only.
+async fn send_stream(
+    outgoing: &mut mpsc::Sender<Body>,
+    exchange: u64,
+    mut stream: Stream,
+    mut grants: mpsc::UnboundedReceiver<u32>,
+) {
+    let mut granted = FIRST_GRANT;
+    loop {
+        let piece = stream.next().await;
+        let mut rest = match &piece {
+            Ok(Some(piece)) => piece.clone(),
+            Ok(None) | Err(_) => Bytes::new(),
+        };
+        while !rest.is_empty() {
+            while granted == 0 {
+                let Some(more) = grants.next().await else {
+                    return;
+                };
+                granted += more;
+            }
+            granted -= 1;
+            let first = rest.split_to(rest.len().min(CHUNK));
+            send_rest(outgoing, exchange, first).await;
+        }
+        if matches!(piece, Ok(Some(_))) {
+            continue;
+        }
+        let end = Chunk {
+            exchange,
+            last: piece.is_ok(),
+            broken: piece.is_err(),
+            ..Chunk::default()
+        };
+        // Without an end the other side takes the body for broken.
+        let _ = outgoing.send(Body::Chunk(end)).await;
+        return;
+    }
+}
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -2,17 +2,22 @@
 
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use displaydoc::Display;
 use sailtrack_admission::Pressure;
 use sailtrack_units::Rank;
 use sailtrack_wire::{Forward, Reply};
 
+use crate::body::Body;
 use crate::key::AttemptKey;
 use crate::work::{Returned, Work};
 
 /// The most bytes of a body in one message, so that a long one does not hold up others.
 pub(super) const CHUNK: usize = 32 * 1024;
 
+/// The chunks of a streamed body that are sent before the first grant.
+pub(super) const FIRST_GRANT: u32 = 4;
+
 /// the message holds no sound request: {0}
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub(super) struct WorkError(String);
@@ -58,14 +63,20 @@
 
 /// Returns the message for what became of a request, without its body.
 pub(super) fn returned_to_wire(exchange: u64, returned: &Returned) -> Reply {
+    let (length_known, body_length) = match &returned.body {
+        Body::Whole(bytes) => (true, bytes.len() as u64),
+        Body::Stream(stream) => (stream.length.is_some(), stream.length.unwrap_or(0)),
+    };
     Reply {
         exchange,
         outcome: returned.outcome.into(),
         reason: returned.reason.into(),
         status: u32::from(returned.status),
         head: returned.head.clone(),
-        body: bytes::Bytes::new(),
-        body_length: returned.body.len() as u64,
+        body: Bytes::new(),
+        body_length,
+        streamed: returned.body.whole().is_none(),
+        length_known,
         offered: returned.offered,
         pressure_percent: returned.pressure.percent(),
         path_pressure_percent: returned.path_pressure.percent(),
@@ -74,8 +85,8 @@
     }
 }
 
-/// Returns what became of a request, from a message with its whole body.
-pub(super) fn returned_from_wire(message: Reply) -> Returned {
+/// Returns what became of a request, from a message and its body.
+pub(super) fn returned_from_wire(message: Reply, body: Body) -> Returned {
     Returned {
         outcome: message.outcome(),
         reason: message.reason(),
@@ -86,6 +97,6 @@
         failed_below: message.failed_below,
         retry_after: Duration::from_millis(message.retry_after_ms),
         head: message.head,
-        body: message.body,
+        body,
     }
 }
--- a/crates/mesh/src/peer/link.rs
+++ b/crates/mesh/src/peer/link.rs
@@ -3,12 +3,13 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::IpAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-use futures::SinkExt as _;
+use bytes::Bytes;
 use futures::channel::{mpsc, oneshot};
-use futures::future::{Either, select};
+use futures::future::{Either, LocalBoxFuture, select};
+use futures::{FutureExt as _, SinkExt as _, StreamExt as _};
 use monoio::io::Splitable as _;
 use monoio::time::{sleep, timeout};
 use rand::Rng as _;
@@ -17,10 +18,11 @@
 use sailtrack_net::frames::{ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, write_frames};
 use sailtrack_units::{ConfigVersion, Incarnation};
 use sailtrack_wire::{
-    Body, Cancel, Chunk, Config, Fetch, Hello, Outcome, Presence, Reason, Recall, Reply, Retire,
-    State,
+    Body, Cancel, Chunk, Config, Fetch, Grant, Hello, Outcome, Presence, Reason, Recall, Reply,
+    Retire, State,
 };
 
+use crate::body::{Body as AnswerBody, Broken, Source, Stream};
 use crate::directory::Member;
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::peer::News;
@@ -71,6 +73,8 @@
     outgoing: RefCell<Option<mpsc::Sender<Body>>>,
     pending: RefCell<HashMap<u64, Pending>>,
     replies: RefCell<HashMap<u64, Parts<Reply>>>,
+    /// Where the chunks of streamed bodies go.
+    streams: RefCell<HashMap<u64, mpsc::UnboundedSender<Chunk>>>,
     fetching: RefCell<Vec<oneshot::Sender<Config>>>,
     next_exchange: Cell<u64>,
     /// The life of the other node; zero while it is not connected.
@@ -80,11 +84,60 @@
     heard: Cell<Instant>,
     lost_since: Cell<Option<Instant>>,
     closed: Cell<bool>,
+    own: Weak<Self>,
+}
+
+/// A body that another node sends as it is asked for.
+struct LinkSource {
+    link: Weak<Link>,
+    exchange: u64,
+    chunks: mpsc::UnboundedReceiver<Chunk>,
+    ended: bool,
+}
+
+impl Source for LinkSource {
+    fn next(&mut self) -> LocalBoxFuture<'_, Result<Option<Bytes>, Broken>> {
+        async {
+            let Some(chunk) = self.chunks.next().await else {
+                return Err(Broken);
+            };
+            self.ended = chunk.last || chunk.broken;
+            if chunk.broken {
+                return Err(Broken);
+            }
+            if chunk.last {
+                return Ok(None);
+            }
+            if let Some(link) = self.link.upgrade() {
+                let exchange = self.exchange;
+                // A full channel ends the connection's other users too; the body then breaks off.
+                link.send(Body::Grant(Grant {
+                    exchange,
+                    chunks: 1,
+                }));
+            }
+            Ok(Some(chunk.data))
+        }
+        .boxed_local()
+    }
+}
+
+impl Drop for LinkSource {
+    fn drop(&mut self) {
+        let Some(link) = self.link.upgrade() else {
+            return;
+        };
+        let exchange = self.exchange;
+        link.streams.borrow_mut().remove(&exchange);
+        if !self.ended {
+            link.send(Body::Cancel(Cancel { exchange }));
+        }
+    }
 }
 
 impl Link {
     pub(crate) fn new(member: Rc<Member>, source: IpAddr, news: Rc<dyn News>) -> Rc<Self> {
-        Rc::new(Self {
+        Rc::new_cyclic(|own| Self {
             member,
             load: RefCell::default(),
             source,
@@ -92,6 +145,8 @@
             outgoing: RefCell::default(),
             pending: RefCell::default(),
             replies: RefCell::default(),
+            streams: RefCell::default(),
+            own: Weak::clone(own),
             fetching: RefCell::default(),
             next_exchange: Cell::new(1),
             life: Cell::default(),
@@ -201,7 +256,13 @@
     }
 
     /// Asks the node to remember that an upstream leaves; returns true if it does.
+    ///
+    /// A connection that is just being opened is waited for: after a start an upstream may leave
+    /// before its node has met the others.
     pub(crate) async fn retire(&self, upstream: &UpstreamKey) -> bool {
+        while !self.is_open() {
+            sleep(LOOK).await;
+        }
         let exchange = self.next();
         let (sender, receiver) = oneshot::channel();
         let pending = Pending::Retired(sender);
@@ -255,7 +316,11 @@
         let mut rest = work.body.slice(work.body.len().min(CHUNK)..);
         while !rest.is_empty() {
             let data = rest.split_to(rest.len().min(CHUNK));
-            let chunk = Body::Chunk(Chunk { exchange, data });
+            let chunk = Body::Chunk(Chunk {
+                exchange,
+                data,
+                ..Chunk::default()
+            });
             if outgoing.send(chunk).await.is_err() {
                 break;
             }
@@ -312,7 +377,7 @@
     fn take(&self, message: Body) {
         match message {
             Body::Reply(reply) => self.take_reply(reply),
-            Body::Chunk(chunk) => self.take_chunk(&chunk),
+            Body::Chunk(chunk) => self.take_chunk(chunk),
             Body::Presence(presence) => self.take_presence(&presence),
             Body::Retired(retired) => {
                 let waiting = self.pending.borrow_mut().remove(&retired.exchange);
@@ -348,11 +413,17 @@
         if !self.pending.borrow().contains_key(&exchange) {
             return;
         }
+        if reply.streamed {
+            self.take_stream(reply);
+            return;
+        }
         let first = std::mem::take(&mut reply.body);
         let length = reply.body_length;
         if first.len() as u64 == length {
-            reply.body = first;
-            self.give(exchange, returned_from_wire(reply));
+            self.give(
+                exchange,
+                returned_from_wire(reply, AnswerBody::Whole(first)),
+            );
             return;
         }
         match Parts::new(reply, &first, length) {
@@ -363,18 +434,38 @@
         }
     }
 
-    fn take_chunk(&self, chunk: &Chunk) {
-        let Some(mut parts) = self.replies.borrow_mut().remove(&chunk.exchange) else {
+    fn take_stream(&self, reply: Reply) {
+        let exchange = reply.exchange;
+        let length = reply.length_known.then_some(reply.body_length);
+        let (sender, chunks) = mpsc::unbounded();
+        self.streams.borrow_mut().insert(exchange, sender);
+        let source = LinkSource {
+            link: Weak::clone(&self.own),
+            exchange,
+            chunks,
+            ended: false,
+        };
+        let body = AnswerBody::Stream(Stream::new(length, Box::new(source)));
+        self.give(exchange, returned_from_wire(reply, body));
+    }
+
+    fn take_chunk(&self, chunk: Chunk) {
+        let exchange = chunk.exchange;
+        if let Some(stream) = self.streams.borrow().get(&exchange) {
+            // Who reads the body may have stopped.
+            let _ = stream.unbounded_send(chunk);
+            return;
+        }
+        let Some(mut parts) = self.replies.borrow_mut().remove(&exchange) else {
             return;
         };
         if !parts.add(&chunk.data) {
-            self.give(chunk.exchange, Returned::unknown(Reason::AnswerTooLarge));
+            self.give(exchange, Returned::unknown(Reason::AnswerTooLarge));
         } else if parts.is_whole() {
-            let (mut reply, body) = parts.finish();
-            reply.body = body;
-            self.give(chunk.exchange, returned_from_wire(reply));
+            let (reply, body) = parts.finish();
+            self.give(exchange, returned_from_wire(reply, AnswerBody::Whole(body)));
         } else {
-            self.replies.borrow_mut().insert(chunk.exchange, parts);
+            self.replies.borrow_mut().insert(exchange, parts);
         }
     }
 
@@ -396,6 +487,7 @@
         *self.outgoing.borrow_mut() = None;
         self.pending.borrow_mut().clear();
         self.replies.borrow_mut().clear();
+        self.streams.borrow_mut().clear();
         self.fetching.borrow_mut().clear();
     }
 
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -80,6 +80,13 @@
         links.values().filter(|link| link.is_open()).count()
     }
 
+    /// Returns how many other nodes take requests for their upstreams.
+    pub(crate) fn serving_count(&self) -> usize {
+        let now = Instant::now();
+        let links = self.links.borrow();
+        links.values().filter(|link| link.is_serving(now)).count()
+    }
+
     /// Asks other nodes to remember that an upstream leaves; returns true once enough do.
     pub(crate) async fn retire(&self, upstream: &UpstreamKey) -> bool {
         let links: Vec<Rc<Link>> = self.links.borrow().values().cloned().collect();
--- a/crates/mesh/src/routing/load/tests.rs
+++ b/crates/mesh/src/routing/load/tests.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use sailtrack_wire::Reason;
 
+use crate::body::Body;
 use crate::routing::load::PeerLoad;
 use crate::work::Returned;
 
@@ -13,7 +14,7 @@
 fn failed(below: bool) -> Returned {
     Returned {
         failed_below: below,
-        ..Returned::answered(500, Bytes::new(), Bytes::new())
+        ..Returned::answered(500, Bytes::new(), Body::Whole(Bytes::new()))
     }
 }
 
@@ -52,7 +53,7 @@
 #[test]
 fn slow_ones_cost_more() {
     let (mut slow, mut quick, now) = (PeerLoad::default(), PeerLoad::default(), Instant::now());
-    let answer = Returned::answered(200, Bytes::new(), Bytes::new());
+    let answer = Returned::answered(200, Bytes::new(), Body::Whole(Bytes::new()));
     for _ in 0..30 {
         slow.note(now, TIME * 5, &answer);
         quick.note(now, TIME, &answer);
--- a/crates/mesh/src/scrape.rs
+++ b/crates/mesh/src/scrape.rs
@@ -40,6 +40,7 @@
             records: self.records.len(),
             members: self.directory.len(),
             links: self.peers.open_count(),
+            serving: self.peers.serving_count(),
             version: self.current.version().0,
         };
         Response::text(StatusCode::OK, self.metrics.text(&snapshot))
--- a/crates/mesh/src/store/mirror.rs
+++ b/crates/mesh/src/store/mirror.rs
@@ -18,14 +18,24 @@
 /// The longest pause after failed calls: entries are to be back two seconds after the store is.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
 
+/// How long changes are gathered before the next ones are asked for.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Pace {
+    /// After the whole table was read,
+    pub(crate) whole: Duration,
+    /// and after changes.
+    pub(crate) changes: Duration,
+}
+
 /// What is told about the table that is followed.
 pub(crate) trait Follower {
-    /// Returns how long changes are gathered before the next ones are asked for.
+    /// Returns how long changes are gathered before the next ones are asked for, after a whole
+    /// table and after changes.
     ///
     /// A mass start changes a row for each node; without a pause each change is a call of each
     /// node: 14 calls a node in a start of 70 nodes.
-    fn pace(&self) -> Duration {
-        Duration::ZERO
+    fn pace(&self) -> Pace {
+        Pace::default()
     }
 
     /// All rows of the table as of one moment.
@@ -69,9 +79,15 @@
         reach.note(result.as_ref().err());
         match result {
             Ok(version) => {
+                let pace = follower.pace();
+                let gathering = if at.is_none() {
+                    pace.whole
+                } else {
+                    pace.changes
+                };
                 at = Some(version);
                 pause = FIRST_PAUSE;
-                sleep(follower.pace()).await;
+                sleep(gathering).await;
             }
             Err(StoreError::HistoryGone) if at.is_some() => at = None,
             Err(_) => {
--- a/crates/mesh/src/store/mod.rs
+++ b/crates/mesh/src/store/mod.rs
@@ -7,7 +7,7 @@
 use displaydoc::Display;
 use futures::future::LocalBoxFuture;
 
-pub(crate) use mirror::{Follower, Reach, follow};
+pub(crate) use mirror::{Follower, Pace, Reach, follow};
 
 /// The tables that the mesh uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
--- a/crates/mesh/src/work.rs
+++ b/crates/mesh/src/work.rs
@@ -7,6 +7,7 @@
 use sailtrack_units::{KindName, Rank, ServiceName};
 use sailtrack_wire::{Outcome, Reason};
 
+use crate::body::Body;
 use crate::key::AttemptKey;
 
 /// A request for one upstream.
@@ -37,7 +38,7 @@
 }
 
 /// What became of a request.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Returned {
     pub(crate) outcome: Outcome,
     pub(crate) reason: Reason,
@@ -45,7 +46,7 @@
     pub(crate) status: u16,
     /// The status line and the fields to be passed on.
     pub(crate) head: Bytes,
-    pub(crate) body: Bytes,
+    pub(crate) body: Body,
     /// Whether it was sent to the upstream, whatever came of it.
     pub(crate) offered: bool,
     /// How full the upstream is.
@@ -65,7 +66,7 @@
             reason,
             status: 0,
             head: Bytes::new(),
-            body: Bytes::new(),
+            body: Body::Whole(Bytes::new()),
             offered,
             pressure: Pressure::default(),
             path_pressure: Pressure::default(),
@@ -96,7 +97,7 @@
     }
 
     /// Returns the upstream's answer.
-    pub(crate) fn answered(status: u16, head: Bytes, body: Bytes) -> Self {
+    pub(crate) fn answered(status: u16, head: Bytes, body: Body) -> Self {
         Self {
             status,
             head,
@@ -105,6 +106,16 @@
         }
     }
 
+    /// Returns a copy that can be given again, unless the body is streamed.
+    pub(crate) fn copy(&self) -> Option<Self> {
+        let body = Body::Whole(self.body.whole()?.clone());
+        Some(Self {
+            head: self.head.clone(),
+            body,
+            ..*self
+        })
+    }
+
     /// Returns true if the upstream ran the request and did not fail.
     pub(crate) fn is_success(&self) -> bool {
         self.outcome == Outcome::Done && self.status < 500
--- a/crates/net/src/transparent/mod.rs
+++ b/crates/net/src/transparent/mod.rs
@@ -13,4 +13,4 @@
 pub use fields::{Field, Fields};
 pub use framing::{Framing, request_framing, response_framing};
 pub use head::{HeadError, RequestHead, ResponseHead};
-pub use reader::{BodyError, MessageError, Reader};
+pub use reader::{BodyError, BodyRest, MessageError, Reader};
--- a/crates/net/src/transparent/reader.rs
+++ b/crates/net/src/transparent/reader.rs
@@ -50,6 +50,37 @@
 
 impl std::error::Error for BodyError {}
 
+/// What is still to come of a body.
+#[derive(Debug)]
+pub struct BodyRest(Rest);
+
+#[derive(Debug)]
+enum Rest {
+    Ended,
+    Fixed(u64),
+    Chunked(Decoder),
+    UntilClose,
+}
+
+impl BodyRest {
+    /// Returns a body of which nothing has been read.
+    #[must_use]
+    pub fn new(framing: Framing) -> Self {
+        Self(match framing {
+            Framing::None => Rest::Ended,
+            Framing::Length(length) => Rest::Fixed(length),
+            Framing::Chunked => Rest::Chunked(Decoder::new()),
+            Framing::UntilClose => Rest::UntilClose,
+        })
+    }
+
+    /// Returns true if it is known that nothing is missing.
+    #[must_use]
+    pub fn is_ended(&self) -> bool {
+        matches!(self.0, Rest::Ended | Rest::Fixed(0))
+    }
+}
+
 /// Reads messages off one connection.
 pub struct Reader {
     stream: OwnedReadHalf<TcpStream>,
@@ -84,13 +115,7 @@
     ///
     /// Dropping the future loses no bytes: a read takes bytes only when it ends.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        let mut space = std::mem::take(&mut self.space);
-        space.resize(READ_SIZE, 0);
-        let (result, space) = self.stream.read(space).await;
-        let count = result?;
-        self.buffer.extend_from_slice(&space[..count]);
-        self.space = space;
-        Ok(count)
+        fill(&mut self.stream, &mut self.buffer, &mut self.space).await
     }
 
     /// Returns true if the other side has neither closed nor sent anything unasked.
@@ -148,48 +173,57 @@
 
     /// Returns the whole body of the message whose head was read last.
     pub async fn body(&mut self, framing: Framing, limit: usize) -> Result<Bytes, BodyError> {
-        match framing {
-            Framing::None => Ok(Bytes::new()),
-            Framing::Length(length) => self.fixed(length, limit).await,
-            Framing::Chunked => self.chunked(limit).await,
-            Framing::UntilClose => self.until_close(limit).await,
-        }
-    }
-
-    async fn fixed(&mut self, length: u64, limit: usize) -> Result<Bytes, BodyError> {
-        let length = usize::try_from(length).unwrap_or(usize::MAX);
-        if length > limit {
+        if matches!(framing, Framing::Length(length) if length > limit as u64) {
             return Err(BodyError::TooLarge);
         }
-        while self.buffer.len() < length {
-            self.more().await?;
-        }
-        Ok(self.buffer.split_to(length).freeze())
-    }
-
-    async fn chunked(&mut self, limit: usize) -> Result<Bytes, BodyError> {
-        let mut decoder = Decoder::new();
+        let mut rest = BodyRest::new(framing);
         let mut body = BytesMut::new();
-        loop {
-            let advanced = decoder.advance(&mut self.buffer, &mut body);
-            let ended = advanced.map_err(|_| BodyError::Malformed)?;
-            if body.len() > limit {
+        while let Some(piece) = self.piece(&mut rest).await? {
+            if body.len() + piece.len() > limit {
                 return Err(BodyError::TooLarge);
             }
-            if ended {
-                return Ok(body.freeze());
-            }
-            self.more().await?;
+            body.extend_from_slice(&piece);
         }
+        Ok(body.freeze())
     }
 
-    async fn until_close(&mut self, limit: usize) -> Result<Bytes, BodyError> {
-        loop {
-            if self.buffer.len() > limit {
-                return Err(BodyError::TooLarge);
+    /// Returns the next bytes of a body as they come, or nothing at its end.
+    pub async fn piece(&mut self, rest: &mut BodyRest) -> Result<Option<Bytes>, BodyError> {
+        match &mut rest.0 {
+            Rest::Ended | Rest::Fixed(0) => Ok(None),
+            Rest::Fixed(left) => {
+                if self.buffer.is_empty() {
+                    self.more().await?;
+                }
+                let here = usize::try_from(*left).unwrap_or(usize::MAX);
+                let piece = self.buffer.split_to(here.min(self.buffer.len()));
+                *left -= piece.len() as u64;
+                Ok(Some(piece.freeze()))
             }
-            if self.fill().await.map_err(BodyError::Io)? == 0 {
-                return Ok(std::mem::take(&mut self.buffer).freeze());
+            Rest::Chunked(decoder) => {
+                let mut body = BytesMut::new();
+                loop {
+                    let advanced = decoder.advance(&mut self.buffer, &mut body);
+                    let ended = advanced.map_err(|_| BodyError::Malformed)?;
+                    if ended || !body.is_empty() {
+                        if ended {
+                            rest.0 = Rest::Ended;
+                        }
+                        return Ok((!body.is_empty()).then(|| body.freeze()));
+                    }
+                    // Only this field is borrowed by the decoder.
+                    let filled = fill(&mut self.stream, &mut self.buffer, &mut self.space).await;
+                    if filled.map_err(BodyError::Io)? == 0 {
+                        return Err(BodyError::Cut);
+                    }
+                }
+            }
+            Rest::UntilClose => {
+                if self.buffer.is_empty() && self.fill().await.map_err(BodyError::Io)? == 0 {
+                    rest.0 = Rest::Ended;
+                    return Ok(None);
+                }
+                Ok(Some(std::mem::take(&mut self.buffer).freeze()))
             }
         }
     }
@@ -201,3 +235,17 @@
         }
     }
 }
+
+async fn fill(
+    stream: &mut OwnedReadHalf<TcpStream>,
+    buffer: &mut BytesMut,
+    kept: &mut Vec<u8>,
+) -> io::Result<usize> {
+    let mut space = std::mem::take(kept);
+    space.resize(READ_SIZE, 0);
+    let (result, space) = stream.read(space).await;
+    let count = result?;
+    buffer.extend_from_slice(&space[..count]);
+    *kept = space;
+    Ok(count)
+}
--- a/crates/node/src/peer/accept.rs
+++ b/crates/node/src/peer/accept.rs
@@ -213,7 +213,11 @@
     }
     while !rest.is_empty() {
         let data = rest.split_to(rest.len().min(CHUNK));
-        let chunk = Chunk { exchange, data };
+        let chunk = Chunk {
+            exchange,
+            data,
+            ..Chunk::default()
+        };
         if outgoing.send(Body::Chunk(chunk)).await.is_err() {
             return;
         }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -4,7 +4,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -42,6 +42,8 @@
         Retire(super::Retire),
         #[prost(message, tag = "15")]
         Retired(super::Retired),
+        #[prost(message, tag = "16")]
+        Grant(super::Grant),
     }
 }
 /// The first frame in each direction.
@@ -136,6 +138,12 @@
     pub exchange: u64,
     #[prost(bytes = "bytes", tag = "2")]
     pub data: ::prost::bytes::Bytes,
+    /// Nothing follows: the streamed body is whole.
+    #[prost(bool, tag = "3")]
+    pub last: bool,
+    /// Nothing follows: the streamed body broke off.
+    #[prost(bool, tag = "4")]
+    pub broken: bool,
 }
 /// The caller no longer waits for this exchange.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -250,6 +258,19 @@
     /// A call that was made for the request failed.
     #[prost(bool, tag = "12")]
     pub failed_below: bool,
+    /// The body follows in chunks, as many as the receiver grants; its length may not be known.
+    #[prost(bool, tag = "13")]
+    pub streamed: bool,
+    #[prost(bool, tag = "14")]
+    pub length_known: bool,
+}
+/// Grants more chunks of a streamed body.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Grant {
+    #[prost(uint64, tag = "1")]
+    pub exchange: u64,
+    #[prost(uint32, tag = "2")]
+    pub chunks: u32,
 }
 /// Asks what became of a request that must not run twice. If it never ran it never will.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
