A stopping node serves its upstream for a while; a node that is back asks its upstream who it is

Now the gate stays open for 1.6 s, and a process that is not the first one probes its upstream once.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -77,6 +77,8 @@
     UPSTREAM_GONE = 411 Warn "upstream gone" ["reason"];
     /// A life of the own upstream gets no new requests any more.
     UPSTREAM_RETIRED = 412 Info "upstream retired" ["upstream", "reason"];
+    /// The own upstream did not say who it is; its next beat will.
+    UPSTREAM_SILENT = 413 Info "upstream does not say who it is" ["address", "reason"];
     /// The limit of the own upstream changed by a quarter or more.
     LIMIT_CHANGED = 500 Info "concurrency limit changed" ["limit", "reason"];
     /// Requests are being shed.
--- a/crates/mesh/src/announcement.rs
+++ b/crates/mesh/src/announcement.rs
@@ -1,17 +1,20 @@
 //! The port on which the own upstream announces itself.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use futures::future::{Either, select};
-use http::StatusCode;
+use http::{Method, StatusCode};
 use monoio::time::{sleep, timeout};
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
-use sailtrack_net::http::{Handler, Request, Response};
+use sailtrack_net::http::{Handler, Pool, Request, Response};
 use sailtrack_net::task;
+use sailtrack_units::ServiceName;
 
+use crate::configuration::Current;
 use crate::dialect::{Announcement, Beat, Dialect, DialectError, Readiness};
 use crate::gate::Upstream;
 use crate::key::UpstreamKey;
@@ -27,6 +30,8 @@
 const RETIRED: &str = "retired";
 /// How long the store may take to say whether an upstream has left before.
 const LOOKUP_TIME: Duration = Duration::from_millis(800);
+/// How long an upstream may take to say who it is.
+const PROBE_TIME: Duration = Duration::from_secs(1);
 /// How often the word of other nodes is looked for while the store does not answer.
 const LOOK: Duration = Duration::from_millis(50);
 /// How long after its start a node waits for the word of others before it believes a beat.
@@ -39,6 +44,10 @@
     pub(crate) upstream: Rc<Upstream>,
     pub(crate) retired: Rc<Retired>,
     pub(crate) peers: Rc<Peers>,
+    /// The service of the own upstream,
+    pub(crate) service: ServiceName,
+    /// and where it is.
+    pub(crate) address: SocketAddr,
     pub(crate) started: Instant,
     /// Whether a beat of a new life is being looked into.
     pub(crate) looking: Cell<bool>,
@@ -144,6 +153,55 @@
         });
     }
 
+    /// Asks the own upstream who it is, so that a node that is back does not wait for a beat.
+    ///
+    /// An upstream announces itself every 1.5 s, and goes without work until then.
+    pub(crate) async fn ask_upstream(self: Rc<Self>, current: Rc<Current>) {
+        while current.get().is_none() {
+            sleep(LOOK).await;
+        }
+        let configuration = current.get();
+        let rules = configuration
+            .as_ref()
+            .and_then(|known| known.service(&self.service));
+        let Some(rules) = rules else {
+            return;
+        };
+        if !self.upstream.is_unknown() {
+            return;
+        }
+        let pool = Pool::new(self.address, None, 1);
+        let request = Request::new(Method::GET, rules.health_path.clone(), "");
+        let deadline = Instant::now() + PROBE_TIME;
+        match pool.exchange(request, deadline).await {
+            Ok(response) => self.take_health(&response),
+            Err(error) => emit(
+                &catalogue::UPSTREAM_SILENT,
+                &[("address", &self.address), ("reason", &error)],
+            ),
+        }
+    }
+
+    fn take_health(self: &Rc<Self>, response: &Response) {
+        let fields = self.dialect.fields();
+        let load = response.header(fields.load);
+        let load = load.and_then(|value| self.dialect.load(value));
+        let upstream = response.header(fields.upstream);
+        let (StatusCode::OK, Some(upstream), Some(load)) = (response.status, upstream, load) else {
+            // It leaves, or does not say enough; its beats decide.
+            return;
+        };
+        self.take_ready(Beat {
+            upstream: UpstreamKey::from(upstream),
+            service: self.service.clone(),
+            address: self.address,
+            readiness: Readiness::Ready,
+            sequence: 0,
+            slots: load.slots,
+            cold: Duration::ZERO,
+        });
+    }
+
     async fn has_left(&self, upstream: &UpstreamKey) -> bool {
         let row = self.store.row(Table::Retired, upstream.as_str());
         match timeout(LOOKUP_TIME, row).await {
--- a/crates/mesh/src/configuration/mod.rs
+++ b/crates/mesh/src/configuration/mod.rs
@@ -28,8 +28,10 @@
 }
 
 /// What is declared about one service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceRules {
+    /// Where its upstreams say whether they are healthy.
+    pub health_path: String,
     /// The most connections that one of its upstreams accepts.
     pub connections: usize,
 }
--- a/crates/mesh/src/dialect.rs
+++ b/crates/mesh/src/dialect.rs
@@ -29,6 +29,8 @@
     pub signature: &'static str,
     /// What an upstream says about its load.
     pub load: &'static str,
+    /// This life of an upstream, on the answer to the question whether it is healthy.
+    pub upstream: &'static str,
 }
 
 /// Whether an upstream takes requests, as it says itself.
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -19,7 +19,7 @@
 use monoio::time::{Instant as Deadline, timeout_at};
 use rand::Rng as _;
 use sailtrack_admission::{Admission, WindowPlace, Windows};
-use sailtrack_kernel::{Phase, Service};
+use sailtrack_kernel::Service;
 use sailtrack_net::task::{self, Held};
 use sailtrack_net::transparent::ResponseHead;
 use sailtrack_units::ServiceName;
@@ -48,7 +48,6 @@
 /// The only way to the own upstream.
 pub(crate) struct Gate {
     dialect: Rc<dyn Dialect>,
-    phase: Rc<Cell<Phase>>,
     service: ServiceName,
     upstream: Rc<Upstream>,
     admission: Rc<Admission>,
@@ -81,7 +80,6 @@
         let rules = crate::node::ADMISSION_RULES;
         let gate = Gate {
             dialect,
-            phase: Rc::new(Cell::new(Phase::Serving)),
             service,
             upstream,
             admission: Rc::new(Admission::new(rules, Instant::now())),
@@ -96,9 +94,8 @@
         Self { gate }
     }
 
-    /// Sets the life cycle of the node and the count of what it works on.
-    pub(crate) fn life(mut self, phase: Rc<Cell<Phase>>, in_flight: Rc<Cell<usize>>) -> Self {
-        self.gate.phase = phase;
+    /// Sets the count of what the node works on.
+    pub(crate) fn in_flight(mut self, in_flight: Rc<Cell<usize>>) -> Self {
         self.gate.in_flight = in_flight;
         self
     }
@@ -153,6 +150,9 @@
 
     async fn admit(self: &Rc<Self>, work: Work) -> Returned {
         let now = Instant::now();
+        if self.upstream.is_closed() {
+            return self.refuse(&work, Reason::Draining);
+        }
         let Some(_) = self.open_upstream(&work, now) else {
             return self.refuse(&work, Reason::NoUpstream);
         };
--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -30,6 +30,8 @@
     retired: Rc<Retired>,
     life: RefCell<Option<Life>>,
     unreachable_until: Cell<Option<Instant>>,
+    /// The node stops and lets nothing new in.
+    closed: Cell<bool>,
     changed: RefCell<Vec<Box<dyn Fn()>>>,
 }
 
@@ -44,6 +46,7 @@
             retired,
             life: RefCell::default(),
             unreachable_until: Cell::default(),
+            closed: Cell::new(false),
             changed: RefCell::default(),
         }
     }
@@ -56,7 +59,7 @@
     /// Returns the life of the upstream that may get requests now.
     pub(crate) fn ready(&self, now: Instant) -> Option<UpstreamKey> {
         let unreachable = self.unreachable_until.get();
-        if unreachable.is_some_and(|until| now < until) {
+        if self.closed.get() || unreachable.is_some_and(|until| now < until) {
             return None;
         }
         self.life.borrow().as_ref().map(|life| life.key.clone())
@@ -122,6 +125,23 @@
         self.tell();
     }
 
+    /// Lets nothing new in, since the node stops.
+    pub(crate) fn close(&self) {
+        if !self.closed.replace(true) {
+            self.tell();
+        }
+    }
+
+    /// Returns true if the node lets nothing new in, since it stops.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.closed.get()
+    }
+
+    /// Returns true if no life of the upstream is known that takes requests.
+    pub(crate) fn is_unknown(&self) -> bool {
+        self.life.borrow().is_none()
+    }
+
     /// Sends nothing new to this life from now on.
     pub(crate) fn retire(&self, upstream: &UpstreamKey, reason: &str) {
         self.retired.note(upstream.clone());
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -74,6 +74,10 @@
     let newer = install_network(table, settings)?;
     install_path(table, settings, surroundings, life, in_flight)?;
     start_store_tasks(table, surroundings)?;
+    if !settings.first_start {
+        let announcements = table.find::<Announcements>()?;
+        task::spawn("upstream probe", announcements.ask_upstream(table.find()?));
+    }
     start_peer_tasks(table, newer)?;
     start_ports(table, surroundings, life, sockets)
 }
@@ -192,7 +196,7 @@
         table.find()?,
     );
     let gate = gate
-        .life(life.watch(), Rc::clone(in_flight))
+        .in_flight(Rc::clone(in_flight))
         .admission(table.find()?, table.find()?)
         .memory(table.find()?, table.find()?)
         .reports(table.find()?, table.find()?);
@@ -240,6 +244,8 @@
         upstream: table.find()?,
         retired: table.find()?,
         peers: table.find()?,
+        service: identity.service.clone(),
+        address: settings.upstream,
         started: Instant::now(),
         looking: Cell::new(false),
     });
--- a/crates/mesh/src/node/stop.rs
+++ b/crates/mesh/src/node/stop.rs
@@ -11,12 +11,16 @@
 
 use crate::entry::Entry;
 use crate::error::Error;
+use crate::gate::Upstream;
 use crate::node::{LOOK, is_stop, start};
 use crate::settings::Settings;
 
 /// How long a leaving node goes on taking requests: whoever asks once a second whether it is
 /// ready has been told no twice by then.
 const LEAVING_TIME: Duration = Duration::from_millis(2300);
+/// How long it lets requests to its upstream in: the upstream can be reached through no other
+/// node, and goes without work until this one is back.
+const GATE_TIME: Duration = Duration::from_millis(1600);
 /// It ends once nothing has been in flight for this long.
 const QUIET_TIME: Duration = Duration::from_millis(200);
 /// After this share of the time for a stop no new requests of clients are taken: a client may go
@@ -52,10 +56,14 @@
     let longest = settings.stop_time.0.saturating_sub(RESERVE);
     let mut busy = began;
     let entry = table.find::<Entry>()?;
+    let upstream = table.find::<Upstream>()?;
     let taking = settings.stop_time.0.mul_f64(TAKING_SHARE);
     loop {
         sleep(LOOK).await;
         let now = Instant::now();
+        if now - began >= GATE_TIME {
+            upstream.close();
+        }
         if now - began >= taking {
             entry.close();
         }
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -56,6 +56,8 @@
 pub struct Settings {
     /// Who the node is.
     pub identity: Identity,
+    /// The whole mesh starts for the first time.
+    pub first_start: bool,
     /// Where it listens.
     pub ports: Ports,
     /// Where the upstream beside it is.
@@ -82,7 +84,10 @@
     }
 
     fn read(document: Document) -> Result<Self, Problems> {
-        let identity = read_identity(&document.section("node"));
+        let node = document.section("node");
+        let identity = read_identity(&node);
+        let first_start = node.or("first-start", false, "true or false");
+        drop(node);
         let ports = read_ports(&document.section("ports"));
         let upstream = document.section("upstream").required("address", ADDRESS);
         let store = document.section("store").required("address", ADDRESS);
@@ -97,6 +102,7 @@
         let whole = || {
             Some(Self {
                 identity: identity?,
+                first_start,
                 ports: ports?,
                 upstream: upstream?,
                 store: store?,
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -83,9 +83,12 @@
 
     fn state(&self) -> State {
         match self.phase.get() {
-            Phase::Draining | Phase::Stopped => State::Leaving,
-            Phase::Serving if self.upstream.ready(Instant::now()).is_some() => State::Serving,
-            Phase::Joining | Phase::Serving => State::Joining,
+            _ if self.upstream.is_closed() => State::Leaving,
+            Phase::Stopped => State::Leaving,
+            Phase::Serving | Phase::Draining if self.upstream.ready(Instant::now()).is_some() => {
+                State::Serving
+            }
+            Phase::Joining | Phase::Serving | Phase::Draining => State::Joining,
         }
     }
 }
