--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -31,6 +31,8 @@
 const UNCONFIGURED_RETURN: Duration = Duration::from_millis(500);
 /// When a client of a node that is about to end may come back; it finds another node at once.
 const CLOSED_RETURN: Duration = Duration::from_millis(100);
+/// When a client may come back for whose body there was no room.
+const ROOM_RETURN: Duration = Duration::from_millis(500);
 /// How long what a refused client still sends is read, so that it can read the refusal.
 const LINGER_TIME: Duration = Duration::from_millis(500);
 
@@ -128,12 +130,21 @@
             Ok(incoming) => incoming,
             Err(refusal) => return self.end(refusal).await,
         };
+        let Some(room) = self.entry.room.take(incoming.framing, limits.body_bytes) else {
+            let returned = Returned::refused(Reason::Overload).come_back(ROOM_RETURN);
+            self.log(&incoming, &returned);
+            self.write(refuse(Refusal::NotRun, Some(ROOM_RETURN), true))
+                .await;
+            self.linger().await;
+            return Next::Close;
+        };
         let body = match self.body(&incoming, limits.body_bytes).await {
             Ok(body) => body,
             Err(Some(refusal)) => return self.end(refusal).await,
             Err(None) => return Next::Close,
         };
         let returned = self.run(&incoming, body).await;
+        drop(room);
         match returned {
             Some(returned) => self.answer(&incoming, returned).await,
             None => Next::Close,
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod connection;
 mod request;
+mod room;
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -19,6 +20,7 @@
 use crate::dispatch::Dispatcher;
 use crate::events::Events;
 use crate::metrics::Metrics;
+pub(crate) use room::Room;
 
 /// The most client connections open at once: each has a descriptor, of which an instance has some
 /// thousand, and up to some 20 KiB of memory.
@@ -37,6 +39,7 @@
     pub(crate) events: Rc<Events>,
     pub(crate) metrics: Rc<Metrics>,
     pub(crate) in_flight: Rc<Cell<usize>>,
+    pub(crate) room: Room,
     /// Set once the rest of a planned stop is needed for what is in flight.
     pub(crate) closed: Cell<bool>,
 }
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -23,7 +23,7 @@
 use crate::contexts::Contexts;
 use crate::directory::{Directory, Member, Observer};
 use crate::dispatch::Dispatcher;
-use crate::entry::Entry;
+use crate::entry::{Entry, Room};
 use crate::error::Error;
 use crate::events::Events;
 use crate::gate::{Builder as GateBuilder, Gate, Records, Upstream};
@@ -47,6 +47,9 @@
 /// How long the store is given to bring a version that another node has already: asking the
 /// other node as well would move each configuration twice.
 const STORE_HEAD_START: Duration = Duration::from_millis(250);
+/// The bodies of requests may take up one part in so many of the memory. Each stands there up to
+/// twice, at the entry and on its way to another node; the rest is for answers and connections.
+const BODY_SHARE: usize = 6;
 /// The pause after the own row could not be written.
 const ROW_PAUSE: Duration = Duration::from_millis(500);
 /// The bits of a life that are drawn at random.
@@ -229,6 +232,7 @@
         events: table.find()?,
         metrics: table.find()?,
         in_flight: Rc::clone(in_flight),
+        room: Room::new(settings.memory.as_usize() / BODY_SHARE),
         closed: Cell::new(false),
     });
     table.install(Acceptor {
--- a/crates/mesh/src/peer/link.rs
+++ b/crates/mesh/src/peer/link.rs
@@ -80,6 +80,8 @@
     /// The life of the other node; zero while it is not connected.
     life: Cell<Incarnation>,
     state: Cell<State>,
+    /// The upstream beside the node, the last one that took requests.
+    upstream: RefCell<String>,
     slots: Cell<u32>,
     heard: Cell<Instant>,
     lost_since: Cell<Option<Instant>>,
@@ -151,6 +153,7 @@
             next_exchange: Cell::new(1),
             life: Cell::default(),
             state: Cell::new(State::Joining),
+            upstream: RefCell::default(),
             slots: Cell::new(0),
             heard: Cell::new(Instant::now()),
             lost_since: Cell::new(Some(Instant::now())),
@@ -398,6 +401,10 @@
     }
 
     fn take_presence(&self, presence: &Presence) {
+        if !presence.upstream.is_empty() && *self.upstream.borrow() != presence.upstream {
+            self.upstream.replace(presence.upstream.clone());
+            self.load.borrow_mut().renew();
+        }
         if let Some(member) = &presence.member {
             self.state.set(member.state());
             self.slots.set(member.slots);
--- a/crates/mesh/src/routing/load.rs
+++ b/crates/mesh/src/routing/load.rs
@@ -14,6 +14,13 @@
 const NEWEST_WEIGHT: f64 = 0.1;
 /// The time that is assumed for an answer before the first one, in seconds.
 const FIRST_TIME: f64 = 0.02;
+/// After this time without requests half of the failures count.
+const FAILING_HALF_LIFE: Duration = Duration::from_secs(1);
+/// The greatest share of failures that counts.
+const MOST_FAILING: f64 = 0.9;
+/// What an empty upstream costs beside the slots that are taken: one fifth of a full one, so that
+/// time decides between upstreams that are nearly empty.
+const EMPTY_COST: f64 = 0.2;
 /// This many failures in a row keep requests away from a node.
 const FAILURES_TO_EJECT: u32 = 5;
 /// For how long they do the first time; each further time doubles it.
@@ -29,8 +36,10 @@
     told: Option<(Pressure, Instant)>,
     /// How long an answer takes on average, in seconds.
     time: f64,
-    /// The share of requests that failed lately.
+    /// The share of requests that failed lately,
     failing: f64,
+    /// and when that was last seen.
+    failed_at: Option<Instant>,
     failures: u32,
     ejections: u32,
     ejected_until: Option<Instant>,
@@ -43,6 +52,7 @@
             told: None,
             time: FIRST_TIME,
             failing: 0.0,
+            failed_at: None,
             failures: 0,
             ejections: 0,
             ejected_until: None,
@@ -60,7 +70,9 @@
     pub(crate) fn note(&mut self, now: Instant, time: Duration, returned: &Returned) {
         self.told = Some((returned.pressure, now));
         let failed = is_failure(returned);
-        self.failing += (f64::from(u8::from(failed)) - self.failing) * NEWEST_WEIGHT;
+        let before = self.failing(now);
+        self.failing = before + (f64::from(u8::from(failed)) - before) * NEWEST_WEIGHT;
+        self.failed_at = Some(now);
         if returned.reason == Reason::UpstreamShed {
             // The next request may be let in; without any the service would be gone.
             return;
@@ -87,9 +99,27 @@
     /// Returns what one more request is expected to cost there; the least is the best.
     ///
     /// A node that fails a share of its requests looks slower by as many repeats.
-    pub(crate) fn cost(&self, slots: u32) -> f64 {
+    pub(crate) fn cost(&self, now: Instant, slots: u32) -> f64 {
         let share = f64::from(self.outstanding + 1) / f64::from(slots.max(1));
-        self.time * (0.2 + share) / (1.0 - self.failing.min(0.9)).powi(2)
+        let served = 1.0 - self.failing(now).min(MOST_FAILING);
+        self.time * (EMPTY_COST + share) / served.powi(2)
+    }
+
+    /// Forgets what was learned, as another upstream stands there now.
+    pub(crate) fn renew(&mut self) {
+        *self = Self {
+            outstanding: self.outstanding,
+            ..Self::default()
+        };
+    }
+
+    /// Returns the share of requests that failed lately; without new ones it fades, or a node
+    /// that failed once would get nothing by which it could show that it no longer does.
+    fn failing(&self, now: Instant) -> f64 {
+        let age = self
+            .failed_at
+            .map_or(Duration::ZERO, |seen| now.saturating_duration_since(seen));
+        self.failing * 0.5_f64.powf(age.as_secs_f64() / FAILING_HALF_LIFE.as_secs_f64())
     }
 
     /// Returns true if a request may be sent; a node that returns gets one at a time.
--- a/crates/mesh/src/routing/load/tests.rs
+++ b/crates/mesh/src/routing/load/tests.rs
@@ -47,7 +47,10 @@
     }
     assert!(load.is_available(now));
     let sound = PeerLoad::default();
-    assert!(load.cost(20) > sound.cost(20), "another node is preferred");
+    assert!(
+        load.cost(now, 20) > sound.cost(now, 20),
+        "another node is preferred"
+    );
 }
 
 #[test]
@@ -58,5 +61,20 @@
         slow.note(now, TIME * 5, &answer);
         quick.note(now, TIME, &answer);
     }
-    assert!(slow.cost(20) > quick.cost(20) * 2.0);
+    assert!(slow.cost(now, 20) > quick.cost(now, 20) * 2.0);
+}
+
+/// A node whose upstream had crashed got nothing from anybody after it was back.
+#[test]
+fn failures_fade() {
+    let (mut load, now) = (PeerLoad::default(), Instant::now());
+    for _ in 0..50 {
+        load.note(now, TIME, &failed(false));
+    }
+    let sound = PeerLoad::default();
+    assert!(load.cost(now, 20) > sound.cost(now, 20) * 10.0);
+    let later = now + Duration::from_secs(6);
+    assert!(load.cost(later, 20) < sound.cost(later, 20) * 1.1);
+    load.renew();
+    assert!(load.is_available(now), "another upstream did not fail");
 }
--- a/crates/mesh/src/routing/mod.rs
+++ b/crates/mesh/src/routing/mod.rs
@@ -136,7 +136,7 @@
             is_near: true,
             is_available: load.is_available(now),
             pressure: self.admission.pressure(now, Importance::Normal),
-            cost: load.cost(self.upstream.slots()),
+            cost: load.cost(now, self.upstream.slots()),
         })
     }
 }
@@ -145,7 +145,7 @@
     let slots = link.slots();
     let load = link.load.borrow();
     let pressure = load.pressure(now, slots);
-    let cost = load.cost(slots);
+    let cost = load.cost(now, slots);
     let is_available = load.is_available(now);
     drop(load);
     Candidate {
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -5,7 +5,7 @@
 
 use log::LevelFilter;
 use sailtrack_settings::{Document, Problems, Section};
-use sailtrack_units::{DomainName, NodeName, Period, Ratio, ServiceName};
+use sailtrack_units::{ByteSize, DomainName, NodeName, Period, Ratio, ServiceName};
 
 const SECTIONS: &str = "[node], [ports], [upstream], [store], [bounds], [log]";
 const NAME: &str = "a name of a-z, 0-9, '-', '_' and '.'";
@@ -14,6 +14,9 @@
 const RATIO: &str = "a number from 0 to 1";
 const LEVEL: &str = "error, warn, info or debug";
 
+/// The memory that a node is reckoned to have if nothing is set.
+const DEFAULT_MEMORY: ByteSize = ByteSize(256 << 20);
+
 /// Who the node is.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -64,6 +67,8 @@
     pub upstream: SocketAddr,
     /// Where the store is.
     pub store: SocketAddr,
+    /// The most memory that the process may hold.
+    pub memory: ByteSize,
     /// How long a planned stop may take.
     pub stop_time: Period,
     /// What may be sent once more.
@@ -92,6 +97,7 @@
         let upstream = document.section("upstream").required("address", ADDRESS);
         let store = document.section("store").required("address", ADDRESS);
         let bounds = document.section("bounds");
+        let memory = bounds.or("memory", DEFAULT_MEMORY, "a size such as 256MiB");
         let stop_time = bounds.required("stop-time", PERIOD);
         let retry = read_retry(&bounds);
         drop(bounds);
@@ -106,6 +112,7 @@
                 ports: ports?,
                 upstream: upstream?,
                 store: store?,
+                memory,
                 stop_time: stop_time?,
                 retry: retry?,
                 log_level,
