Rows of the dead are removed; new and quick upstreams get their part; one draw a window

memberships::newcomer (red: an upstream that joined got nothing in 10 s) had two causes: a fixed 20 ms was assumed of a node about which nothing was known, far more than the others took, and of two candidates the first won every tie. The mean of the others is assumed, times are forgotten after 2 s, the order is drawn. Requests that must not run twice use connections that were used within 1 s.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -63,6 +63,8 @@
     STORE_FAILED = 302 Warn "operation on the store failed" ["operation", "reason"];
     /// A row of the store that could not be read was ignored.
     ROW_REFUSED = 303 Error "row refused" ["table", "key", "reason"];
+    /// The row of a node that is gone for good was removed.
+    ROW_REMOVED = 304 Info "row removed" ["node"];
     /// A node was seen for the first time, or again.
     MEMBER_JOINED = 400 Info "member joined" ["node", "service", "domain"];
     /// A node does not answer and is suspected.
--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -13,7 +13,7 @@
 use sailtrack_wire::Member as MemberMessage;
 use serde::{Deserialize, Serialize};
 
-use crate::store::{Follower, Pace, Row};
+use crate::store::{Follower, Pace, Row, StoreVersion};
 
 /// How long changes of members are gathered. Nodes that start together write their rows within
 /// some 0.3 s. Later a new node connects to those that it finds, so others know it before they
@@ -70,6 +70,8 @@
 pub(crate) struct Directory {
     own: Member,
     members: RefCell<BTreeMap<NodeName, Rc<Member>>>,
+    /// The versions of the rows in the store.
+    rows: RefCell<BTreeMap<String, StoreVersion>>,
     observer: RefCell<Option<Rc<dyn Observer>>>,
     own_row_lost: RefCell<Option<Rc<dyn Fn()>>>,
 }
@@ -83,6 +85,7 @@
         Self {
             own,
             members: RefCell::default(),
+            rows: RefCell::default(),
             observer: RefCell::default(),
             own_row_lost: RefCell::default(),
         }
@@ -170,11 +173,19 @@
         }
     }
 
+    /// Returns the version of the row of a node, if it has one.
+    pub(crate) fn row_version(&self, name: &NodeName) -> Option<StoreVersion> {
+        self.rows.borrow().get(name.as_str()).copied()
+    }
+
     fn take(&self, row: &Row) {
         let Some(value) = &row.value else {
+            self.rows.borrow_mut().remove(&row.key);
             self.row_gone(&row.key);
             return;
         };
+        let key = row.key.clone();
+        self.rows.borrow_mut().insert(key, row.version);
         match serde_json::from_str::<Member>(value) {
             Ok(member) if member.name.as_str() == row.key => self.learn(member),
             Ok(_) => refuse(row, "the name differs from the key"),
@@ -189,6 +200,7 @@
     }
 
     fn reset(&self, rows: &[Row]) {
+        self.rows.borrow_mut().clear();
         for row in rows {
             self.take(row);
         }
--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -97,7 +97,8 @@
     upstream: &UpstreamKey,
     work: &Work,
 ) -> Result<UpstreamAnswer, ExchangeError> {
-    let mut connection = pool.take().await.map_err(ExchangeError::Connect)?;
+    let taken = pool.take(!work.idempotent).await;
+    let mut connection = taken.map_err(ExchangeError::Connect)?;
     let request = request_bytes(fields, upstream, work);
     let Connection { reader, writer, .. } = &mut connection;
     let early = {
--- a/crates/mesh/src/gate/pool.rs
+++ b/crates/mesh/src/gate/pool.rs
@@ -16,6 +16,9 @@
 /// The part of the time that an upstream states in which its connections are reused; a request
 /// on a connection that closes at that moment would be lost.
 const IDLE_SHARE: f64 = 0.7;
+/// How long ago a connection may have been used for a request that must not run twice: a new one
+/// costs an upstream a millisecond, a lost request cannot be mended.
+const FRESH_TIME: Duration = Duration::from_secs(1);
 /// The most unused connections that are kept.
 const MOST_IDLE: usize = 256;
 
@@ -48,10 +51,13 @@
     }
 
     /// Returns an unused connection, or a new one.
-    pub(super) async fn take(&self) -> Result<Connection, DialError> {
+    ///
+    /// An upstream may forget a connection sooner than it says, and what is sent on it then is
+    /// lost. A request that may run again is sent again; `only_fresh` is for the others.
+    pub(super) async fn take(&self, only_fresh: bool) -> Result<Connection, DialError> {
         let now = Instant::now();
         loop {
-            let idle = self.idle.borrow_mut().pop();
+            let idle = self.pop(now, only_fresh);
             let Some(mut connection) = idle else {
                 return self.connect().await;
             };
@@ -61,6 +67,14 @@
         }
     }
 
+    /// Takes the connection that was used last, if it is fresh enough.
+    fn pop(&self, now: Instant, only_fresh: bool) -> Option<Connection> {
+        let is_wanted = |connection: &mut Connection| {
+            !only_fresh || now.saturating_duration_since(connection.used) < FRESH_TIME
+        };
+        self.idle.borrow_mut().pop_if(is_wanted)
+    }
+
     /// Keeps a connection whose exchange ended well, if its last answer allows it.
     pub(super) fn give_back(&self, mut connection: Connection, head: &ResponseHead) {
         if !head.keeps_alive() || connection.reader.buffered() > 0 {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod announcement;
 mod body;
+mod cleanup;
 mod configuration;
 mod contexts;
 mod dialect;
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -19,6 +19,7 @@
 use sailtrack_units::{Incarnation, NodeName, Timestamp};
 
 use crate::announcement::{AnnouncementPort, Announcements};
+use crate::cleanup::remove_dead;
 use crate::configuration::{Current, Source, Splitter};
 use crate::contexts::Contexts;
 use crate::directory::{Directory, Member, Observer};
@@ -77,6 +78,13 @@
     let newer = install_network(table, settings)?;
     install_path(table, settings, surroundings, life, in_flight)?;
     start_store_tasks(table, surroundings)?;
+    let cleanup = remove_dead(
+        Rc::clone(&surroundings.store),
+        table.find()?,
+        table.find()?,
+        settings.forget_after.0,
+    );
+    task::spawn("cleanup", cleanup);
     if !settings.first_start {
         let announcements = table.find::<Announcements>()?;
         task::spawn("upstream probe", announcements.ask_upstream(table.find()?));
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -97,6 +97,14 @@
         remembered.take(wanted).count().await == wanted
     }
 
+    /// Returns the nodes that could not be reached for at least `time`.
+    pub(crate) fn lost_for(&self, time: Duration) -> Vec<NodeName> {
+        let now = Instant::now();
+        let links = self.links.borrow();
+        let lost = links.iter().filter(|(_, link)| link.lost_for(now) >= time);
+        lost.map(|(name, _)| name.clone()).collect()
+    }
+
     fn drop_link(&self, name: &NodeName) {
         if let Some(link) = self.links.borrow_mut().remove(name) {
             link.close();
--- a/crates/mesh/src/retry.rs
+++ b/crates/mesh/src/retry.rs
@@ -52,6 +52,8 @@
 pub(crate) struct Budget {
     bounds: RetryBounds,
     windows: RefCell<HashMap<ServiceName, Window>>,
+    /// What fractions are rounded up by, and since when.
+    draws: RefCell<HashMap<ServiceName, (Instant, f64)>>,
     is_told: Cell<bool>,
 }
 
@@ -64,6 +66,7 @@
         Self {
             bounds,
             windows: RefCell::default(),
+            draws: RefCell::default(),
             is_told: Cell::new(false),
         }
     }
@@ -88,8 +91,8 @@
         };
         let allowed = requests * self.bounds.ratio.0 * share + slack;
         let place = f64::from(work.rank.index()) / f64::from(Rank::HIGHEST.index());
-        let room = allowed * place.powi(RANK_POWER) - repeats;
-        if room <= 0.0 || !may_draw(room) {
+        let whole = (allowed * place.powi(RANK_POWER) + self.draw(&work.service, now)).floor();
+        if repeats + 1.0 > whole {
             return false;
         }
         self.with_slice(&work.service, now, |slice| slice.repeats += 1);
@@ -119,6 +122,24 @@
         (present.max(half).max(before), repeats)
     }
 
+    /// Returns what a fraction of a repeat is rounded up by, the same for a whole window.
+    ///
+    /// A node that sends a service ten requests in a window is allowed less than one repeat. All
+    /// of them together are allowed some, and only the draw gives them to anybody. Drawn for each
+    /// try instead, every node that tries often enough would get one.
+    fn draw(&self, service: &ServiceName, now: Instant) -> f64 {
+        let mut draws = self.draws.borrow_mut();
+        let length = self.bounds.window.0;
+        if let Some((drawn, draw)) = draws.get(service)
+            && now.saturating_duration_since(*drawn) < length
+        {
+            return *draw;
+        }
+        let draw = rand::rng().random();
+        draws.insert(service.clone(), (now, draw));
+        draw
+    }
+
     fn with_slice(&self, service: &ServiceName, now: Instant, change: impl FnOnce(&mut Slice)) {
         let mut windows = self.windows.borrow_mut();
         if !windows.contains_key(service) {
@@ -143,14 +164,6 @@
     }
 }
 
-/// Returns true if one more fits; into less than one with as much probability.
-///
-/// A node that sends a service ten requests in a window is allowed less than one repeat. All of
-/// them together are allowed some, and only the draw gives them to anybody.
-fn may_draw(room: f64) -> bool {
-    room >= 1.0 || rand::rng().random::<f64>() < room
-}
-
 impl Window {
     /// Returns the sum over the slices that began within `length` before the moment `ago`.
     fn sum(&self, now: Instant, ago: Duration, length: Duration, count: fn(&Slice) -> u32) -> f64 {
--- a/crates/mesh/src/routing/load.rs
+++ b/crates/mesh/src/routing/load.rs
@@ -12,8 +12,8 @@
 
 /// The weight of the newest answer in the averages.
 const NEWEST_WEIGHT: f64 = 0.1;
-/// The time that is assumed for an answer before the first one, in seconds.
-const FIRST_TIME: f64 = 0.02;
+/// After this time without an answer nothing is known about how long one takes.
+const TIME_MEMORY: Duration = Duration::from_secs(2);
 /// After this time without requests half of the failures count.
 const FAILING_HALF_LIFE: Duration = Duration::from_secs(1);
 /// The greatest share of failures that counts.
@@ -34,8 +34,10 @@
     /// Requests sent and not answered yet.
     pub(crate) outstanding: u32,
     told: Option<(Pressure, Instant)>,
-    /// How long an answer takes on average, in seconds.
+    /// How long an answer takes on average, in seconds,
     time: f64,
+    /// and when the last one came.
+    answered_at: Option<Instant>,
     /// The share of requests that failed lately,
     failing: f64,
     /// and when that was last seen.
@@ -50,7 +52,8 @@
         Self {
             outstanding: 0,
             told: None,
-            time: FIRST_TIME,
+            time: 0.0,
+            answered_at: None,
             failing: 0.0,
             failed_at: None,
             failures: 0,
@@ -82,7 +85,9 @@
             return;
         }
         if returned.outcome == Outcome::Done {
-            self.time += (time.as_secs_f64() - self.time) * NEWEST_WEIGHT;
+            let known = self.time(now).unwrap_or(time.as_secs_f64());
+            self.time = known + (time.as_secs_f64() - known) * NEWEST_WEIGHT;
+            self.answered_at = Some(now);
             self.failures = 0;
             self.ejections = 0;
             self.ejected_until = None;
@@ -96,13 +101,20 @@
         told.unwrap_or_default().greater(own)
     }
 
-    /// Returns what one more request is expected to cost there; the least is the best.
+    /// Returns how long an answer takes on average, in seconds, if that is known.
+    pub(crate) fn time(&self, now: Instant) -> Option<f64> {
+        let answered = self.answered_at?;
+        let age = now.saturating_duration_since(answered);
+        (age < TIME_MEMORY).then_some(self.time)
+    }
+
+    /// Returns how many times the time of an answer one more request is expected to cost.
     ///
     /// A node that fails a share of its requests looks slower by as many repeats.
-    pub(crate) fn cost(&self, now: Instant, slots: u32) -> f64 {
+    pub(crate) fn weight(&self, now: Instant, slots: u32) -> f64 {
         let share = f64::from(self.outstanding + 1) / f64::from(slots.max(1));
         let served = 1.0 - self.failing(now).min(MOST_FAILING);
-        self.time * (EMPTY_COST + share) / served.powi(2)
+        (EMPTY_COST + share) / served.powi(2)
     }
 
     /// Forgets what was learned, as another upstream stands there now.
--- a/crates/mesh/src/routing/mod.rs
+++ b/crates/mesh/src/routing/mod.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use rand::seq::IndexedRandom as _;
+use rand::seq::SliceRandom as _;
 use sailtrack_admission::{Admission, Pressure};
 use sailtrack_kernel::Service;
 use sailtrack_units::{DomainName, Importance, NodeName, ServiceName};
@@ -63,7 +63,10 @@
     /// It did not fail too often lately.
     is_available: bool,
     pressure: Pressure,
-    cost: f64,
+    /// How long an answer takes there, in seconds, if that is known.
+    time: Option<f64>,
+    /// How many times as long one more request is expected to take.
+    weight: f64,
 }
 
 impl Routing {
@@ -136,7 +139,8 @@
             is_near: true,
             is_available: load.is_available(now),
             pressure: self.admission.pressure(now, Importance::Normal),
-            cost: load.cost(now, self.upstream.slots()),
+            time: load.time(now),
+            weight: load.weight(now, self.upstream.slots()),
         })
     }
 }
@@ -145,7 +149,7 @@
     let slots = link.slots();
     let load = link.load.borrow();
     let pressure = load.pressure(now, slots);
-    let cost = load.cost(now, slots);
+    let (time, weight) = (load.time(now), load.weight(now, slots));
     let is_available = load.is_available(now);
     drop(load);
     Candidate {
@@ -153,22 +157,43 @@
         is_near,
         is_available,
         pressure,
-        cost,
+        time,
+        weight,
     }
 }
 
 /// Returns the better of two random candidates.
 fn pick(candidates: Vec<Candidate>) -> Option<Candidate> {
+    let usual = mean_time(&candidates);
+    // In any order, or the first one would win every draw.
     let mut two: Vec<usize> = (0..candidates.len()).collect();
-    if two.len() > 2 {
-        two = two.choose_multiple(&mut rand::rng(), 2).copied().collect();
-    }
+    two.shuffle(&mut rand::rng());
+    two.truncate(2);
+    let cost = |place: &usize| {
+        let candidate = &candidates[*place];
+        candidate.time.unwrap_or(usual) * candidate.weight
+    };
     let best = two
         .into_iter()
-        .min_by(|one, other| candidates[*one].cost.total_cmp(&candidates[*other].cost))?;
+        .min_by(|one, other| cost(one).total_cmp(&cost(other)))?;
     candidates.into_iter().nth(best)
 }
 
+/// Returns the time that is assumed of candidates about which nothing is known.
+///
+/// With a fixed one a new upstream would get nothing beside others that are quicker.
+#[allow(clippy::cast_precision_loss)]
+fn mean_time(candidates: &[Candidate]) -> f64 {
+    let known: Vec<f64> = candidates
+        .iter()
+        .filter_map(|candidate| candidate.time)
+        .collect();
+    if known.is_empty() {
+        return 1.0;
+    }
+    known.iter().sum::<f64>() / known.len() as f64
+}
+
 /// Where the load of a target is kept.
 enum Load {
     Local(Rc<std::cell::RefCell<PeerLoad>>),
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -17,6 +17,9 @@
 /// The memory that a node is reckoned to have if nothing is set.
 const DEFAULT_MEMORY: ByteSize = ByteSize(256 << 20);
 
+/// After how long a node is taken for gone for good: longer than a reboot takes.
+const DEFAULT_FORGET: Period = Period::from_millis(300_000);
+
 /// Who the node is.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -71,6 +74,8 @@
     pub memory: ByteSize,
     /// How long a planned stop may take.
     pub stop_time: Period,
+    /// After this time without a connection a node is taken for gone for good.
+    pub forget_after: Period,
     /// What may be sent once more.
     pub retry: RetryBounds,
     /// What is logged.
@@ -99,6 +104,7 @@
         let bounds = document.section("bounds");
         let memory = bounds.or("memory", DEFAULT_MEMORY, "a size such as 256MiB");
         let stop_time = bounds.required("stop-time", PERIOD);
+        let forget_after = bounds.or("forget-after", DEFAULT_FORGET, PERIOD);
         let retry = read_retry(&bounds);
         drop(bounds);
         let log = document.optional_section("log");
@@ -114,6 +120,7 @@
                 store: store?,
                 memory,
                 stop_time: stop_time?,
+                forget_after,
                 retry: retry?,
                 log_level,
             })
