--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -97,12 +97,12 @@
     PEER_CONNECTED = 700 Debug "peer connected" ["node"];
     /// A peer connection was lost.
     PEER_LOST = 701 Info "peer connection lost" ["node", "reason"];
-    /// A request was refused and has not run.
-    REQUEST_REFUSED = 800 Info "request refused" ["request", "at", "reason"];
-    /// A request is sent to another upstream.
-    REQUEST_REPEATED = 801 Info "request sent once more" ["request", "outcome", "reason"];
+    /// A request was refused and has not run. `calls` counts what ran and waited there.
+    REQUEST_REFUSED = 800 Info "request refused" ["request", "kind", "at", "reason", "calls"];
+    /// A request is sent to another upstream. `node` is the one that it did not end at.
+    REQUEST_REPEATED = 801 Info "request sent once more" ["request", "node", "outcome", "reason"];
     /// A request ends without an answer of an upstream.
-    REQUEST_FAILED = 802 Warn "request failed" ["request", "status", "reason"];
+    REQUEST_FAILED = 802 Warn "request failed" ["request", "kind", "status", "reason"];
     /// The answer of the own upstream to a request was lost or cannot be passed on.
     ANSWER_LOST = 803 Warn "answer lost" ["request", "reason"];
     /// Whether a request ran in the own upstream is not known.
--- a/crates/mesh/src/configuration/mod.rs
+++ b/crates/mesh/src/configuration/mod.rs
@@ -82,12 +82,6 @@
         self.hosts.values().map(HashMap::len).sum()
     }
 
-    /// Returns the services that some route leads to.
-    pub fn destinations(&self) -> impl Iterator<Item = &ServiceName> {
-        let routes = self.hosts.values().flat_map(HashMap::values);
-        routes.flat_map(|route| route.split.iter().map(|share| &share.service))
-    }
-
     /// Returns the route of a request: the longest prefix that begins its path.
     ///
     /// Each prefix ends with a slash, so only as many are looked up as the path has slashes.
--- a/crates/mesh/src/configuration/route.rs
+++ b/crates/mesh/src/configuration/route.rs
@@ -32,8 +32,6 @@
     pub importance: Importance,
     /// How long a request may be kept waiting.
     pub timeout: Duration,
-    /// The time within which an answer is worth most.
-    pub objective: Duration,
     /// The most upstreams to which one request may be sent.
     pub attempts: u32,
     /// The services that share its requests.
@@ -50,7 +48,6 @@
             repeat: Repeat::Never,
             importance: Importance::Normal,
             timeout: DEFAULT_TIMEOUT,
-            objective: DEFAULT_TIMEOUT,
             attempts: DEFAULT_ATTEMPTS,
             split: Vec::new(),
         })
@@ -89,13 +86,6 @@
         self
     }
 
-    /// Sets the time within which an answer is worth most.
-    #[must_use]
-    pub fn objective(mut self, objective: Duration) -> Self {
-        self.0.objective = objective;
-        self
-    }
-
     /// Sets the most upstreams to which one request may be sent.
     #[must_use]
     pub fn attempts(mut self, attempts: u32) -> Self {
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -76,9 +76,11 @@
             if !goes_on {
                 return conclude(tries.ran, Some(returned));
             }
-            self.events.note_retry(&work.attempt, &returned);
-            self.metrics.note_repeat(&work.service);
             let name = target.name(&self.routing.name);
+            self.events.note_retry(&work.attempt, name, &returned);
+            if returned.offered {
+                self.metrics.note_repeat(&work.service);
+            }
             tries.nodes.push(name.clone());
             work.repeated |= returned.offered;
             if returned.outcome == Outcome::NotRun {
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -19,6 +19,7 @@
 use crate::entry::Entry;
 use crate::entry::answer::{Asked, Refusal, conclude, refuse};
 use crate::entry::request::Incoming;
+use crate::events::Refusal as RefusalEvent;
 
 use crate::metrics::Place;
 use crate::work::Returned;
@@ -255,7 +256,13 @@
         match returned.outcome {
             Outcome::Done => {}
             Outcome::NotRun => {
-                events.note_refusal(Place::Entry, &incoming.attempt, returned.reason);
+                events.note_refusal(&RefusalEvent {
+                    attempt: &incoming.attempt,
+                    kind: &incoming.route.name,
+                    at: Place::Entry,
+                    reason: returned.reason,
+                    calls: self.entry.in_flight.get(),
+                });
             }
             Outcome::Unknown => {
                 let refusal = if returned.reason == Reason::Deadline {
@@ -263,7 +270,8 @@
                 } else {
                     Refusal::Lost
                 };
-                events.note_failure(&incoming.attempt, refusal.status(), returned.reason);
+                let kind = &incoming.route.name;
+                events.note_failure(&incoming.attempt, kind, refusal.status(), returned.reason);
             }
         }
     }
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -6,7 +6,7 @@
 
 use sailtrack_kernel::Service;
 use sailtrack_log::{Entry, Field, catalogue, emit};
-use sailtrack_units::KindName;
+use sailtrack_units::{KindName, NodeName};
 use sailtrack_wire::{Outcome, Reason};
 
 use crate::key::AttemptKey;
@@ -17,6 +17,16 @@
 /// time, so these are at most 0.05 % of a core.
 const EVENTS_PER_SECOND: u32 = 50;
 
+/// A request that was refused, and what decided it.
+pub(crate) struct Refusal<'a> {
+    pub(crate) attempt: &'a AttemptKey,
+    pub(crate) kind: &'a KindName,
+    pub(crate) at: Place,
+    pub(crate) reason: Reason,
+    /// The requests that ran and waited there.
+    pub(crate) calls: usize,
+}
+
 /// The events of the present second.
 #[derive(Debug)]
 struct Second {
@@ -49,11 +59,17 @@
 
 impl Events {
     /// Notes that a request was refused.
-    pub(crate) fn note_refusal(&self, at: Place, attempt: &AttemptKey, reason: Reason) {
-        let reason = reason.as_str_name();
+    pub(crate) fn note_refusal(&self, refusal: &Refusal<'_>) {
+        let reason = refusal.reason.as_str_name();
         self.write(
             &catalogue::REQUEST_REFUSED,
-            &[("request", attempt), ("at", &at), ("reason", &reason)],
+            &[
+                ("request", refusal.attempt),
+                ("kind", refusal.kind),
+                ("at", &refusal.at),
+                ("reason", &reason),
+                ("calls", &refusal.calls),
+            ],
         );
     }
 
@@ -66,13 +82,14 @@
     }
 
     /// Notes that a request is sent to another upstream.
-    pub(crate) fn note_retry(&self, attempt: &AttemptKey, returned: &Returned) {
+    pub(crate) fn note_retry(&self, attempt: &AttemptKey, node: &NodeName, returned: &Returned) {
         let reason = returned.reason.as_str_name();
         let outcome = returned.outcome.as_str_name();
         self.write(
             &catalogue::REQUEST_REPEATED,
             &[
                 ("request", attempt),
+                ("node", node),
                 ("outcome", &outcome),
                 ("reason", &reason),
             ],
@@ -80,12 +97,19 @@
     }
 
     /// Notes that a request ends without an answer of an upstream.
-    pub(crate) fn note_failure(&self, attempt: &AttemptKey, status: u16, reason: Reason) {
+    pub(crate) fn note_failure(
+        &self,
+        attempt: &AttemptKey,
+        kind: &KindName,
+        status: u16,
+        reason: Reason,
+    ) {
         let reason = reason.as_str_name();
         self.write(
             &catalogue::REQUEST_FAILED,
             &[
                 ("request", attempt),
+                ("kind", kind),
                 ("status", &status),
                 ("reason", &reason),
             ],
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -27,7 +27,7 @@
 
 use crate::contexts::Contexts;
 use crate::dialect::Dialect;
-use crate::events::Events;
+use crate::events::{Events, Refusal};
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::metrics::{Metrics, Place};
 use crate::work::{Returned, Work};
@@ -209,6 +209,11 @@
         returned.unwrap_or_else(|_| Returned::unknown(Reason::Cancelled))
     }
 
+    /// Takes in how many connections the own upstream accepts.
+    pub(crate) fn bound_connections(&self, connections: usize) {
+        self.pool.bound(connections);
+    }
+
     /// Returns what became of a request whose caller lost the answer.
     pub(crate) async fn recall(&self, attempt: &AttemptKey) -> Returned {
         match self.records.recall(attempt, Instant::now()) {
@@ -240,7 +245,13 @@
     }
 
     fn refuse(&self, work: &Work, reason: Reason) -> Returned {
-        self.events.note_refusal(Place::Gate, &work.attempt, reason);
+        self.events.note_refusal(&Refusal {
+            attempt: &work.attempt,
+            kind: &work.kind,
+            at: Place::Gate,
+            reason,
+            calls: self.admission.in_flight() + self.admission.waiting(),
+        });
         let spread = self.admission.return_spread(Instant::now());
         let after = SHORTEST_RETURN + spread.mul_f64(rand::rng().random());
         Returned {
--- a/crates/mesh/src/gate/pool.rs
+++ b/crates/mesh/src/gate/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to the own upstream.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -19,8 +19,10 @@
 /// How long ago a connection may have been used for a request that must not run twice: a new one
 /// costs an upstream a millisecond, a lost request cannot be mended.
 const FRESH_TIME: Duration = Duration::from_secs(1);
-/// The most unused connections that are kept.
+/// The most unused connections that are kept, whatever the upstream accepts.
 const MOST_IDLE: usize = 256;
+/// The part of the connections that an upstream accepts which may stand unused.
+const IDLE_PART: usize = 4;
 
 /// One connection to the upstream.
 pub(super) struct Connection {
@@ -40,6 +42,7 @@
 pub(super) struct Pool {
     target: SocketAddr,
     idle: RefCell<Vec<Connection>>,
+    most_idle: Cell<usize>,
 }
 
 impl Pool {
@@ -47,6 +50,7 @@
         Self {
             target,
             idle: RefCell::default(),
+            most_idle: Cell::new(MOST_IDLE),
         }
     }
 
@@ -85,11 +89,18 @@
             connection.idle_time = stated.mul_f64(IDLE_SHARE);
         }
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < MOST_IDLE {
+        if idle.len() < self.most_idle.get() {
             idle.push(connection);
         }
     }
 
+    /// Keeps fewer unused connections than an upstream accepts in all.
+    pub(super) fn bound(&self, connections: usize) {
+        let most = (connections / IDLE_PART).clamp(1, MOST_IDLE);
+        self.most_idle.set(most);
+        self.idle.borrow_mut().truncate(most);
+    }
+
     /// Closes all unused connections, as the upstream behind the address has changed.
     pub(super) fn clear(&self) {
         self.idle.borrow_mut().clear();
--- a/crates/mesh/src/gate/records.rs
+++ b/crates/mesh/src/gate/records.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use futures::channel::oneshot;
 use sailtrack_kernel::Service;
-use sailtrack_wire::Reason;
+use sailtrack_wire::{Outcome, Reason};
 
 use crate::key::AttemptKey;
 use crate::work::Returned;
@@ -107,6 +107,21 @@
         self.by_attempt.borrow().len()
     }
 
+    /// Forgets a request that has not run; returns its record.
+    fn forget(&self, attempt: &AttemptKey) -> Option<Record> {
+        self.by_attempt.borrow_mut().remove(attempt)
+    }
+
+    /// Notes the end of a request that ran or may have run; returns its record before that.
+    fn close(&self, attempt: &AttemptKey, returned: &Returned, now: Instant) -> Option<Record> {
+        let copy = returned.copy();
+        if copy.is_some() {
+            self.keep(attempt, returned, now);
+        }
+        let ended = Record::Ended(copy.map(Box::new));
+        self.by_attempt.borrow_mut().insert(attempt.clone(), ended)
+    }
+
     fn keep(&self, attempt: &AttemptKey, answer: &Returned, now: Instant) {
         let size = answer.head.len() + answer.body.whole().map_or(0, Bytes::len);
         self.answers
@@ -145,7 +160,7 @@
 
 /// The record of one request that is being brought to its end.
 ///
-/// Dropped before the request was sent, it is refused for good.
+/// Dropped before the request was sent, it is forgotten.
 pub(crate) struct Place {
     records: Rc<Records>,
     attempt: AttemptKey,
@@ -165,27 +180,22 @@
     }
 
     /// Notes what became of the request and tells all who wait for it.
+    ///
+    /// One that the upstream turned away is forgotten: its caller may try again, here too. If the
+    /// caller asks for it instead, it is refused for good.
     pub(crate) fn end(self, returned: &Returned, now: Instant) {
-        let mut records = self.records.by_attempt.borrow_mut();
-        let Some(record) = records.get_mut(&self.attempt) else {
-            return;
-        };
-        let did_not_run = returned.outcome == sailtrack_wire::Outcome::NotRun;
-        let ended = if did_not_run {
-            Record::Refused
+        let ended = if returned.outcome == Outcome::NotRun {
+            self.records.forget(&self.attempt)
         } else {
-            let copy = returned.copy();
-            if copy.is_some() {
-                self.records.keep(&self.attempt, returned, now);
-            }
-            Record::Ended(copy.map(Box::new))
+            self.records.close(&self.attempt, returned, now)
         };
-        if let Record::Running(waiting) = std::mem::replace(record, ended) {
-            for sender in waiting {
-                // Who asked may have left.
-                let unknown = || Returned::unknown(Reason::AnswerTooLarge);
-                let _ = sender.send(returned.copy().unwrap_or_else(unknown));
-            }
+        let Some(Record::Running(waiting)) = ended else {
+            return;
+        };
+        for sender in waiting {
+            let unknown = || Returned::unknown(Reason::AnswerTooLarge);
+            // Who asked may have left.
+            let _ = sender.send(returned.copy().unwrap_or_else(unknown));
         }
     }
 }
@@ -193,13 +203,12 @@
 impl Drop for Place {
     fn drop(&mut self) {
         let mut records = self.records.by_attempt.borrow_mut();
-        let Some(record) = records.get_mut(&self.attempt) else {
-            return;
-        };
-        match record {
-            Record::Waiting => *record = Record::Refused,
-            Record::Running(_) => *record = Record::Ended(None),
-            Record::Ended(_) | Record::Refused => {}
+        match records.get_mut(&self.attempt) {
+            Some(Record::Waiting) => {
+                records.remove(&self.attempt);
+            }
+            Some(record @ Record::Running(_)) => *record = Record::Ended(None),
+            Some(Record::Ended(_) | Record::Refused) | None => {}
         }
     }
 }
--- a/crates/mesh/src/gate/records/tests.rs
+++ b/crates/mesh/src/gate/records/tests.rs
@@ -103,6 +103,23 @@
     assert_eq!(recall(&records, &key, now).outcome, Outcome::Unknown);
 }
 
+/// The only upstream of a service turned it away once, and it was refused ever after.
+#[test]
+fn turned_away_may_try_again() {
+    let (records, key, now) = (
+        Rc::new(Records::default()),
+        AttemptKey::from("a"),
+        Instant::now(),
+    );
+    let place = records.begin(&key, now).expect("it is new");
+    drop(place);
+    let place = records.begin(&key, now).expect("it was not admitted");
+    assert!(place.start());
+    place.end(&Returned::turned_away(Reason::UpstreamShed), now);
+    let place = records.begin(&key, now).expect("it was turned away");
+    assert!(place.start());
+}
+
 #[test]
 fn turned_away_never_ran() {
     let (records, key, now) = (
@@ -114,4 +131,8 @@
     place.start();
     place.end(&Returned::turned_away(Reason::UpstreamShed), now);
     assert_eq!(recall(&records, &key, now).outcome, Outcome::NotRun);
+    assert!(
+        records.begin(&key, now).is_none(),
+        "a late copy must not run"
+    );
 }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -2,6 +2,7 @@
 
 mod start;
 mod stop;
+mod tasks;
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -4,23 +4,19 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use futures::StreamExt as _;
 use futures::channel::mpsc;
 use monoio::net::TcpListener;
-use monoio::time::{sleep, timeout};
 use rand::Rng as _;
 use sailtrack_admission::{Admission, Windows};
 use sailtrack_kernel::{Joining, Life, Missing, Table};
-use sailtrack_log::{catalogue, emit};
 use sailtrack_net::http::{Limits, Port, serve};
 use sailtrack_net::task;
 use sailtrack_units::{Incarnation, NodeName, Timestamp};
 
 use crate::announcement::{AnnouncementPort, Announcements};
-use crate::cleanup::remove_dead;
-use crate::configuration::{Current, Source, Splitter};
+use crate::configuration::{Current, Splitter};
 use crate::contexts::Contexts;
 use crate::directory::{Directory, Member, Observer};
 use crate::dispatch::Dispatcher;
@@ -29,8 +25,8 @@
 use crate::events::Events;
 use crate::gate::{Builder as GateBuilder, Gate, Records, Upstream};
 use crate::metrics::Metrics;
-use crate::news::{Listener, keep_telling};
-use crate::node::{ADMISSION_RULES, Surroundings};
+use crate::news::Listener;
+use crate::node::{ADMISSION_RULES, Surroundings, tasks};
 use crate::peer::{Acceptor, News, Peers};
 use crate::ready::ReadyPort;
 use crate::retired::Retired;
@@ -39,20 +35,13 @@
 use crate::scrape::MetricsPort;
 use crate::settings::Settings;
 use crate::status::Status;
-use crate::store::{Follower, Reach, Row, Store, Table as StoreTable, follow};
+use crate::store::Reach;
 
 /// How many nodes with a newer configuration wait to be asked.
 const NEWER_CAPACITY: usize = 4;
-/// How long a node may take to give its configuration.
-const FETCH_TIME: Duration = Duration::from_millis(700);
-/// How long the store is given to bring a version that another node has already: asking the
-/// other node as well would move each configuration twice.
-const STORE_HEAD_START: Duration = Duration::from_millis(250);
 /// The bodies of requests may take up one part in so many of the memory. Each stands there up to
 /// twice, at the entry and on its way to another node; the rest is for answers and connections.
 const BODY_SHARE: usize = 6;
-/// The pause after the own row could not be written.
-const ROW_PAUSE: Duration = Duration::from_millis(500);
 /// The bits of a life that are drawn at random.
 const LIFE_RANDOM_BITS: u32 = 12;
 
@@ -77,19 +66,8 @@
     install_state(table, settings, surroundings, life)?;
     let newer = install_network(table, settings)?;
     install_path(table, settings, surroundings, life, in_flight)?;
-    start_store_tasks(table, surroundings)?;
-    let cleanup = remove_dead(
-        Rc::clone(&surroundings.store),
-        table.find()?,
-        table.find()?,
-        settings.forget_after.0,
-    );
-    task::spawn("cleanup", cleanup);
-    if !settings.first_start {
-        let announcements = table.find::<Announcements>()?;
-        task::spawn("upstream probe", announcements.ask_upstream(table.find()?));
-    }
-    start_peer_tasks(table, newer)?;
+    tasks::follow_store(table, settings, surroundings)?;
+    tasks::meet_peers(table, newer)?;
     start_ports(table, surroundings, life, sockets)
 }
 
@@ -264,108 +242,6 @@
     Ok(())
 }
 
-/// Offers the rows of the configuration table to the configuration in force.
-struct ConfigurationRows(Rc<Current>);
-
-impl Follower for ConfigurationRows {
-    fn reset(&self, rows: &[Row]) {
-        self.change(rows);
-    }
-
-    fn change(&self, rows: &[Row]) {
-        for value in rows.iter().filter_map(|row| row.value.as_ref()) {
-            // What cannot be read is logged there, and the present version stays in force.
-            let _ = self.0.offer(value, Source::Store);
-        }
-    }
-}
-
-fn start_store_tasks(table: &Table, surroundings: &Surroundings) -> Result<(), Error> {
-    let reach = table.find::<Reach>()?;
-    let current = table.find::<Current>()?;
-    let directory = table.find::<Directory>()?;
-    let (lost, mut losses) = mpsc::channel(1);
-    let lost = RefCell::new(lost);
-    directory.when_own_row_lost(move || {
-        // A full channel holds the same news.
-        let _ = lost.borrow_mut().try_send(());
-    });
-    let store = Rc::clone(&surroundings.store);
-    let row_directory = Rc::clone(&directory);
-    task::spawn("own row", async move {
-        while losses.next().await.is_some() {
-            write_row(&*store, row_directory.own()).await;
-        }
-    });
-    let rows: Rc<dyn Follower> = Rc::new(ConfigurationRows(Rc::clone(&current)));
-    let store = &surroundings.store;
-    let configuration = follow(
-        Rc::clone(store),
-        StoreTable::Configuration,
-        Rc::clone(&reach),
-        rows,
-    );
-    task::spawn("configuration", configuration);
-    let members = follow(Rc::clone(store), StoreTable::Members, reach, directory);
-    task::spawn("members", members);
-    let status = table.find::<Status>()?;
-    let upstream = table.find::<Upstream>()?;
-    let metrics = table.find::<Metrics>()?;
-    let counted = Rc::clone(&current);
-    current.listen(move || {
-        metrics.bound(counted.get().map_or(0, |current| current.route_count()));
-    });
-    let told = Rc::clone(&status);
-    current.listen(move || told.publish());
-    upstream.listen(move || status.publish());
-    Ok(())
-}
-
-/// Writes the row by which other nodes find this one.
-async fn write_row(store: &dyn Store, own: &Member) {
-    let row = own.to_row();
-    while let Err(error) = store
-        .put(StoreTable::Members, own.name.as_str(), &row)
-        .await
-    {
-        emit(
-            &catalogue::STORE_FAILED,
-            &[("operation", &"write own row"), ("reason", &error)],
-        );
-        sleep(ROW_PAUSE.mul_f64(rand::rng().random_range(1.0..2.0))).await;
-    }
-}
-
-fn start_peer_tasks(table: &Table, newer: mpsc::Receiver<NodeName>) -> Result<(), Error> {
-    let status = table.find::<Status>()?;
-    let directory = table.find::<Directory>()?;
-    task::spawn("presence", keep_telling(status, directory));
-    let peers = table.find::<Peers>()?;
-    let current = table.find::<Current>()?;
-    task::spawn("configuration fetch", fetch(newer, peers, current));
-    Ok(())
-}
-
-/// Asks other nodes for a configuration that the store does not bring.
-async fn fetch(mut newer: mpsc::Receiver<NodeName>, peers: Rc<Peers>, current: Rc<Current>) {
-    while let Some(name) = newer.next().await {
-        let before = current.version();
-        if current.get().is_some() {
-            sleep(STORE_HEAD_START).await;
-        }
-        if current.version() > before {
-            continue;
-        }
-        let Some(link) = peers.get(&name) else {
-            continue;
-        };
-        if let Ok(Some(config)) = timeout(FETCH_TIME, link.fetch(before)).await {
-            // What cannot be read is logged there, and the present version stays in force.
-            let _ = current.offer(&config.text, Source::Peer);
-        }
-    }
-}
-
 fn start_ports(
     table: &Table,
     surroundings: &Surroundings,
--- /dev/null
+++ b/crates/mesh/src/node/tasks.rs
@@ -0,0 +1,167 @@
+//! The tasks that follow the store and other nodes.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::StreamExt as _;
+use futures::channel::mpsc;
+use monoio::time::{sleep, timeout};
+use rand::Rng as _;
+use sailtrack_kernel::Table;
+use sailtrack_log::{catalogue, emit};
+use sailtrack_net::task;
+use sailtrack_units::NodeName;
+
+use crate::announcement::Announcements;
+use crate::cleanup::remove_dead;
+use crate::configuration::{Current, Source};
+use crate::directory::{Directory, Member};
+use crate::error::Error;
+use crate::gate::{Gate, Upstream};
+use crate::metrics::Metrics;
+use crate::news::keep_telling;
+use crate::node::Surroundings;
+use crate::peer::Peers;
+use crate::settings::Settings;
+use crate::status::Status;
+use crate::store::{Follower, Reach, Row, Store, Table as StoreTable, follow};
+
+/// How long a node may take to give its configuration.
+const FETCH_TIME: Duration = Duration::from_millis(700);
+/// How long the store is given to bring a version that another node has already: asking the
+/// other node as well would move each configuration twice.
+const STORE_HEAD_START: Duration = Duration::from_millis(250);
+/// The pause after the own row could not be written.
+const ROW_PAUSE: Duration = Duration::from_millis(500);
+
+/// Offers the rows of the configuration table to the configuration in force.
+struct ConfigurationRows(Rc<Current>);
+
+impl Follower for ConfigurationRows {
+    fn reset(&self, rows: &[Row]) {
+        self.change(rows);
+    }
+
+    fn change(&self, rows: &[Row]) {
+        for value in rows.iter().filter_map(|row| row.value.as_ref()) {
+            // What cannot be read is logged there, and the present version stays in force.
+            let _ = self.0.offer(value, Source::Store);
+        }
+    }
+}
+
+/// Starts what follows the store.
+pub(super) fn follow_store(
+    table: &Table,
+    settings: &Settings,
+    surroundings: &Surroundings,
+) -> Result<(), Error> {
+    let reach = table.find::<Reach>()?;
+    let current = table.find::<Current>()?;
+    let directory = table.find::<Directory>()?;
+    let (lost, mut losses) = mpsc::channel(1);
+    let lost = RefCell::new(lost);
+    directory.when_own_row_lost(move || {
+        // A full channel holds the same news.
+        let _ = lost.borrow_mut().try_send(());
+    });
+    let store = Rc::clone(&surroundings.store);
+    let row_directory = Rc::clone(&directory);
+    task::spawn("own row", async move {
+        while losses.next().await.is_some() {
+            write_row(&*store, row_directory.own()).await;
+        }
+    });
+    let rows: Rc<dyn Follower> = Rc::new(ConfigurationRows(Rc::clone(&current)));
+    let store = &surroundings.store;
+    let configuration = follow(
+        Rc::clone(store),
+        StoreTable::Configuration,
+        Rc::clone(&reach),
+        rows,
+    );
+    task::spawn("configuration", configuration);
+    let members = follow(Rc::clone(store), StoreTable::Members, reach, directory);
+    task::spawn("members", members);
+    let cleanup = remove_dead(
+        Rc::clone(&surroundings.store),
+        table.find()?,
+        table.find()?,
+        settings.forget_after.0,
+    );
+    task::spawn("cleanup", cleanup);
+    if !settings.first_start {
+        let announcements = table.find::<Announcements>()?;
+        task::spawn("upstream probe", announcements.ask_upstream(table.find()?));
+    }
+    let gate = table.find::<Gate>()?;
+    let service = settings.identity.service.clone();
+    let bounded = Rc::clone(&current);
+    current.listen(move || {
+        let configuration = bounded.get();
+        let rules = configuration
+            .as_ref()
+            .and_then(|known| known.service(&service));
+        if let Some(rules) = rules {
+            gate.bound_connections(rules.connections);
+        }
+    });
+    let status = table.find::<Status>()?;
+    let upstream = table.find::<Upstream>()?;
+    let metrics = table.find::<Metrics>()?;
+    let counted = Rc::clone(&current);
+    current.listen(move || {
+        metrics.bound(counted.get().map_or(0, |current| current.route_count()));
+    });
+    let told = Rc::clone(&status);
+    current.listen(move || told.publish());
+    upstream.listen(move || status.publish());
+    Ok(())
+}
+
+/// Writes the row by which other nodes find this one.
+async fn write_row(store: &dyn Store, own: &Member) {
+    let row = own.to_row();
+    while let Err(error) = store
+        .put(StoreTable::Members, own.name.as_str(), &row)
+        .await
+    {
+        emit(
+            &catalogue::STORE_FAILED,
+            &[("operation", &"write own row"), ("reason", &error)],
+        );
+        sleep(ROW_PAUSE.mul_f64(rand::rng().random_range(1.0..2.0))).await;
+    }
+}
+
+/// Starts what tells other nodes and asks them.
+pub(super) fn meet_peers(table: &Table, newer: mpsc::Receiver<NodeName>) -> Result<(), Error> {
+    let status = table.find::<Status>()?;
+    let directory = table.find::<Directory>()?;
+    task::spawn("presence", keep_telling(status, directory));
+    let peers = table.find::<Peers>()?;
+    let current = table.find::<Current>()?;
+    task::spawn("configuration fetch", fetch(newer, peers, current));
+    Ok(())
+}
+
+/// Asks other nodes for a configuration that the store does not bring.
+async fn fetch(mut newer: mpsc::Receiver<NodeName>, peers: Rc<Peers>, current: Rc<Current>) {
+    while let Some(name) = newer.next().await {
+        let before = current.version();
+        if current.get().is_some() {
+            sleep(STORE_HEAD_START).await;
+        }
+        if current.version() > before {
+            continue;
+        }
+        let Some(link) = peers.get(&name) else {
+            continue;
+        };
+        if let Ok(Some(config)) = timeout(FETCH_TIME, link.fetch(before)).await {
+            // What cannot be read is logged there, and the present version stays in force.
+            let _ = current.offer(&config.text, Source::Peer);
+        }
+    }
+}
--- a/crates/mesh/src/peer/link.rs
+++ b/crates/mesh/src/peer/link.rs
@@ -6,10 +6,9 @@
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use futures::SinkExt as _;
 use futures::channel::{mpsc, oneshot};
-use futures::future::{Either, LocalBoxFuture, select};
-use futures::{FutureExt as _, SinkExt as _, StreamExt as _};
+use futures::future::{Either, select};
 use monoio::io::Splitable as _;
 use monoio::time::{sleep, timeout};
 use rand::Rng as _;
@@ -22,12 +21,13 @@
     Retire, State,
 };
 
-use crate::body::{Body as AnswerBody, Broken, Source, Stream};
+use crate::body::{Body as AnswerBody, Stream};
 use crate::directory::Member;
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::peer::News;
 use crate::peer::convert::{CHUNK, returned_from_wire, work_to_wire};
 use crate::peer::parts::Parts;
+use crate::peer::source::LinkSource;
 use crate::routing::PeerLoad;
 use crate::work::{Returned, Work};
 
@@ -89,54 +89,6 @@
     own: Weak<Self>,
 }
 
-/// A body that another node sends as it is asked for.
-struct LinkSource {
-    link: Weak<Link>,
-    exchange: u64,
-    chunks: mpsc::UnboundedReceiver<Chunk>,
-    ended: bool,
-}
-
-impl Source for LinkSource {
-    fn next(&mut self) -> LocalBoxFuture<'_, Result<Option<Bytes>, Broken>> {
-        async {
-            let Some(chunk) = self.chunks.next().await else {
-                return Err(Broken);
-            };
-            self.ended = chunk.last || chunk.broken;
-            if chunk.broken {
-                return Err(Broken);
-            }
-            if chunk.last {
-                return Ok(None);
-            }
-            if let Some(link) = self.link.upgrade() {
-                let exchange = self.exchange;
-                // A full channel ends the connection's other users too; the body then breaks off.
-                link.send(Body::Grant(Grant {
-                    exchange,
-                    chunks: 1,
-                }));
-            }
-            Ok(Some(chunk.data))
-        }
-        .boxed_local()
-    }
-}
-
-impl Drop for LinkSource {
-    fn drop(&mut self) {
-        let Some(link) = self.link.upgrade() else {
-            return;
-        };
-        let exchange = self.exchange;
-        link.streams.borrow_mut().remove(&exchange);
-        if !self.ended {
-            link.send(Body::Cancel(Cancel { exchange }));
-        }
-    }
-}
-
 impl Link {
     pub(crate) fn new(member: Rc<Member>, source: IpAddr, news: Rc<dyn News>) -> Rc<Self> {
         Rc::new_cyclic(|own| Self {
@@ -288,6 +240,23 @@
         receiver.await.ok()
     }
 
+    /// Lets the other node send one more chunk of a streamed body.
+    pub(super) fn grant(&self, exchange: u64) {
+        // Through a full channel nothing goes, and the body breaks off at its reader's timeout.
+        self.send(Body::Grant(Grant {
+            exchange,
+            chunks: 1,
+        }));
+    }
+
+    /// Forgets a streamed body; one that has not ended is cancelled.
+    pub(super) fn end_stream(&self, exchange: u64, ended: bool) {
+        self.streams.borrow_mut().remove(&exchange);
+        if !ended {
+            self.send(Body::Cancel(Cancel { exchange }));
+        }
+    }
+
     fn next(&self) -> u64 {
         let exchange = self.next_exchange.get();
         self.next_exchange.set(exchange + 1);
@@ -446,12 +415,7 @@
         let length = reply.length_known.then_some(reply.body_length);
         let (sender, chunks) = mpsc::unbounded();
         self.streams.borrow_mut().insert(exchange, sender);
-        let source = LinkSource {
-            link: Weak::clone(&self.own),
-            exchange,
-            chunks,
-            ended: false,
-        };
+        let source = LinkSource::new(Weak::clone(&self.own), exchange, chunks);
         let body = AnswerBody::Stream(Stream::new(length, Box::new(source)));
         self.give(exchange, returned_from_wire(reply, body));
     }
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod convert;
 mod link;
 mod parts;
+mod source;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
