--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -37,8 +37,6 @@
 const SPREAD_UNIT: Duration = Duration::from_secs(1);
 /// The greatest spread of returns.
 const LONGEST_SPREAD: Duration = Duration::from_secs(15);
-/// A call for a request in progress waits this many times longer than a new one.
-const BEGUN_PATIENCE: u32 = 2;
 /// The shortest time of a call that is reckoned with, in seconds.
 const SHORTEST_OWN_TIME: f64 = 0.001;
 /// The most calls that may wait.
@@ -224,7 +222,7 @@
             return Err(Reason::Deadline);
         }
         let longest = if begun {
-            self.rules.queue_time.0 * BEGUN_PATIENCE
+            self.rules.begun_queue_time.0
         } else {
             self.rules.queue_time.0
         };
--- a/crates/admission/src/rules.rs
+++ b/crates/admission/src/rules.rs
@@ -42,6 +42,8 @@
     pub fixed_limit: u32,
     /// The longest time that a call waits for admission.
     pub queue_time: Period,
+    /// The same for a call that belongs to a request in progress, of which work would be lost.
+    pub begun_queue_time: Period,
     /// How long a new upstream is ramped up.
     pub warm_up: Period,
 }
--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -13,8 +13,19 @@
 use crate::key::UpstreamKey;
 use crate::retired::Retired;
 
-/// How long nothing is sent to an upstream after it refused a connection.
-const UNREACHABLE_PAUSE: Duration = Duration::from_millis(300);
+/// How long nothing is sent to an upstream after it refused a connection, unless it says before
+/// that it is there: it does so every 1.5 s.
+const UNREACHABLE_PAUSE: Duration = Duration::from_secs(3);
+
+/// The share of its slots that an upstream gets filled. Some slow down when they are nearly full.
+const FILLED_SHARE: f64 = 0.92;
+
+/// Returns how many requests an upstream with this many slots gets at once.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn limit(slots: u32) -> u32 {
+    let filled = f64::from(slots) * FILLED_SHARE;
+    (filled as u32).max(1)
+}
 
 /// This life of the own upstream.
 #[derive(Debug, Clone)]
@@ -103,9 +114,11 @@
             return;
         }
         life.sequence = beat.sequence;
+        self.unreachable_until.set(None);
         if life.slots != beat.slots {
             life.slots = beat.slots;
-            self.admission.declare_limit(Limit::Fixed(beat.slots));
+            self.admission
+                .declare_limit(Limit::Fixed(limit(beat.slots)));
         }
     }
 
@@ -115,7 +128,8 @@
             &[("service", &beat.service), ("slots", &beat.slots)],
         );
         self.admission.reset(Instant::now(), Some(beat.slots));
-        self.admission.declare_limit(Limit::Fixed(beat.slots));
+        self.admission
+            .declare_limit(Limit::Fixed(limit(beat.slots)));
         self.unreachable_until.set(None);
         *self.life.borrow_mut() = Some(Life {
             key: beat.upstream.clone(),
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -25,11 +25,13 @@
 const LOOK: Duration = Duration::from_millis(10);
 
 /// Who may enter an upstream. A request waits no longer than one of middle length runs; beyond
-/// that another upstream serves it sooner.
+/// that another upstream serves it sooner. A call of a request in progress waits longer: refusing
+/// it loses the calls that were made before it.
 pub(crate) const ADMISSION_RULES: Rules = Rules {
     policy: Policy::Adaptive,
     fixed_limit: 100,
     queue_time: Period::from_millis(100),
+    begun_queue_time: Period::from_millis(400),
     warm_up: Period::from_millis(2000),
 };
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -14,6 +14,9 @@
 const ADDRESS: &str = "an IP number with a port, such as 127.0.0.1:7100";
 const PERIOD: &str = "a period such as 250ms, 5s or 10m";
 
+/// A call for a request in progress waits this many times longer than a new one.
+const BEGUN_PATIENCE: u32 = 2;
+
 /// Who the node is.
 #[derive(Debug, Clone)]
 pub(crate) struct Identity {
@@ -163,11 +166,13 @@
 }
 
 fn read_rules(section: &Section<'_>) -> Rules {
+    let queue_time = section.or("queue-time", Period::from_millis(100), PERIOD);
     Rules {
         admission: admission::Rules {
             policy: section.or("mode", Policy::Adaptive, "forward, fixed or adaptive"),
             fixed_limit: section.ranged("fixed-limit", 100, 1..=100_000),
-            queue_time: section.or("queue-time", Period::from_millis(100), PERIOD),
+            queue_time,
+            begun_queue_time: Period(queue_time.0 * BEGUN_PATIENCE),
             warm_up: section.or("warm-up", Period::from_millis(2000), PERIOD),
         },
         retry_ratio: section.or("retry-ratio", Ratio(0.1), "from 0 to 1"),
