--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -18,7 +18,7 @@
 use futures::channel::oneshot;
 use monoio::time::{Instant as Deadline, timeout_at};
 use rand::Rng as _;
-use sailtrack_admission::{Admission, WindowPlace, Windows};
+use sailtrack_admission::{Admission, Permit, WindowPlace, Windows};
 use sailtrack_kernel::Service;
 use sailtrack_net::task::{self, Held};
 use sailtrack_net::transparent::ResponseHead;
@@ -29,10 +29,11 @@
 use crate::dialect::Dialect;
 use crate::events::{Events, Refusal};
 use crate::key::{AttemptKey, UpstreamKey};
-use crate::metrics::{Metrics, Place};
+use crate::metrics::{Metrics, Place as EndPlace};
 use crate::work::{Returned, Work};
 use exchange::{ExchangeError, UpstreamAnswer, exchange};
 use pool::Pool;
+use records::Place;
 pub(crate) use records::{Recalled, Records};
 pub(crate) use upstream::Upstream;
 
@@ -64,6 +65,25 @@
     const NAME: &'static str = "gate";
 }
 
+/// What a request holds while it is in the own upstream.
+struct Entered {
+    upstream: UpstreamKey,
+    /// Its slot; given back when it is dropped.
+    #[allow(dead_code, reason = "it is held, not read")]
+    permit: Permit,
+    /// Its place in the window of its kind, if a client made it.
+    window: Option<WindowPlace>,
+}
+
+impl Entered {
+    /// Notes the pressure that the request met further down.
+    fn note(&self, returned: &Returned) {
+        if let Some(window) = &self.window {
+            window.note(Instant::now(), returned.path_pressure);
+        }
+    }
+}
+
 /// Builds a gate from the services that it uses.
 pub(crate) struct Builder {
     gate: Gate,
@@ -140,7 +160,7 @@
         let pressure = self.admission.pressure(Instant::now(), importance);
         self.events.note_gate(&kind, &returned);
         self.metrics
-            .note_end(Place::Gate, &kind, returned.outcome, returned.reason);
+            .note_end(EndPlace::Gate, &kind, returned.outcome, returned.reason);
         Returned {
             pressure,
             path_pressure: returned.path_pressure.greater(pressure),
@@ -180,14 +200,27 @@
         let Some(upstream) = self.open_upstream(&work, Instant::now()) else {
             return self.refuse(&work, Reason::Draining);
         };
-        let Some(place) = place else {
-            let mut returned = self.send(&work, &upstream, work.deadline).await;
-            if let Some(window) = &window {
-                window.note(Instant::now(), returned.path_pressure);
-            }
-            returned.body.hold((permit, window));
-            return returned;
+        let entered = Entered {
+            upstream,
+            permit,
+            window,
         };
+        match place {
+            None => self.run_repeatable(&work, entered).await,
+            Some(place) => self.run_once(work, entered, place).await,
+        }
+    }
+
+    /// Runs a request that may run again, for as long as somebody waits for it.
+    async fn run_repeatable(&self, work: &Work, entered: Entered) -> Returned {
+        let mut returned = self.send(work, &entered.upstream, work.deadline).await;
+        entered.note(&returned);
+        returned.body.hold(entered);
+        returned
+    }
+
+    /// Runs a request that must not run twice to its end, whoever still waits for it.
+    async fn run_once(self: &Rc<Self>, work: Work, entered: Entered, place: Place) -> Returned {
         if !place.start() {
             return self.refuse(&work, Reason::TicketClosed);
         }
@@ -196,12 +229,10 @@
         let held = Held::new(&self.in_flight);
         task::spawn("execution", async move {
             let patience = work.deadline + ANSWER_GRACE;
-            let mut returned = gate.send(&work, &upstream, patience).await;
+            let mut returned = gate.send(&work, &entered.upstream, patience).await;
             place.end(&returned, Instant::now());
-            if let Some(window) = &window {
-                window.note(Instant::now(), returned.path_pressure);
-            }
-            returned.body.hold((permit, window, held));
+            entered.note(&returned);
+            returned.body.hold((entered, held));
             // The caller may have left; the record has the answer.
             let _ = sender.send(returned);
         });
@@ -248,7 +279,7 @@
         self.events.note_refusal(&Refusal {
             attempt: &work.attempt,
             kind: &work.kind,
-            at: Place::Gate,
+            at: EndPlace::Gate,
             reason,
             calls: self.admission.in_flight() + self.admission.waiting(),
         });
--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -57,24 +57,11 @@
     settings: &Settings,
     surroundings: &Surroundings,
 ) -> Result<(), Error> {
-    let reach = table.find::<Reach>()?;
-    let current = table.find::<Current>()?;
-    let directory = table.find::<Directory>()?;
-    let (lost, mut losses) = mpsc::channel(1);
-    let lost = RefCell::new(lost);
-    directory.when_own_row_lost(move || {
-        // A full channel holds the same news.
-        let _ = lost.borrow_mut().try_send(());
-    });
-    let store = Rc::clone(&surroundings.store);
-    let row_directory = Rc::clone(&directory);
-    task::spawn("own row", async move {
-        while losses.next().await.is_some() {
-            write_row(&*store, row_directory.own()).await;
-        }
-    });
-    let rows: Rc<dyn Follower> = Rc::new(ConfigurationRows(Rc::clone(&current)));
+    listen(table, settings)?;
+    keep_own_row(table, surroundings)?;
     let store = &surroundings.store;
+    let reach = table.find::<Reach>()?;
+    let rows: Rc<dyn Follower> = Rc::new(ConfigurationRows(table.find()?));
     let configuration = follow(
         Rc::clone(store),
         StoreTable::Configuration,
@@ -82,10 +69,11 @@
         rows,
     );
     task::spawn("configuration", configuration);
+    let directory = table.find::<Directory>()?;
     let members = follow(Rc::clone(store), StoreTable::Members, reach, directory);
     task::spawn("members", members);
     let cleanup = remove_dead(
-        Rc::clone(&surroundings.store),
+        Rc::clone(store),
         table.find()?,
         table.find()?,
         settings.forget_after.0,
@@ -95,6 +83,12 @@
         let announcements = table.find::<Announcements>()?;
         task::spawn("upstream probe", announcements.ask_upstream(table.find()?));
     }
+    Ok(())
+}
+
+/// Tells the parts of the node when the configuration or the own upstream changes.
+fn listen(table: &Table, settings: &Settings) -> Result<(), Error> {
+    let current = table.find::<Current>()?;
     let gate = table.find::<Gate>()?;
     let service = settings.identity.service.clone();
     let bounded = Rc::clone(&current);
@@ -107,16 +101,33 @@
             gate.bound_connections(rules.connections);
         }
     });
-    let status = table.find::<Status>()?;
-    let upstream = table.find::<Upstream>()?;
     let metrics = table.find::<Metrics>()?;
     let counted = Rc::clone(&current);
     current.listen(move || {
         metrics.bound(counted.get().map_or(0, |current| current.route_count()));
     });
+    let status = table.find::<Status>()?;
     let told = Rc::clone(&status);
     current.listen(move || told.publish());
-    upstream.listen(move || status.publish());
+    table.find::<Upstream>()?.listen(move || status.publish());
+    Ok(())
+}
+
+/// Writes the own row whenever it is missing.
+fn keep_own_row(table: &Table, surroundings: &Surroundings) -> Result<(), Error> {
+    let directory = table.find::<Directory>()?;
+    let (lost, mut losses) = mpsc::channel(1);
+    let lost = RefCell::new(lost);
+    directory.when_own_row_lost(move || {
+        // A full channel holds the same news.
+        let _ = lost.borrow_mut().try_send(());
+    });
+    let store = Rc::clone(&surroundings.store);
+    task::spawn("own row", async move {
+        while losses.next().await.is_some() {
+            write_row(&*store, directory.own()).await;
+        }
+    });
     Ok(())
 }
 
