One identity, one error, one accept loop; what the mesh told twice is told once

Twins made one: Identity with its reader (node and mesh settings, now in settings), the error with which a program ends (node, mesh, platform, now in kernel), the bounded accept loop (node, mesh entry, mesh peers, now net::accept), Member to and from the wire side by side. Simpler: the retry budget sees by itself whether calls can be told, in place of a setter that was only ever called with true; a hand-written Default equal to the derived one; one mapping from what became of a request to its refusal instead of two; three ways of closing with a refusal are one; no copy of the request before its first attempt. The tests tell the budget by a call, their assertions stand. Two things show outside: the node's peer port logs event 120 when it is full, as the other ports do, and a failed signal handler is called that, not SIGTERM.

--- a/crates/mesh/src/error.rs
+++ b/crates/kernel/src/error.rs
@@ -1,13 +1,14 @@
-//! Why a mesh node ends with a failure.
+//! Why a program of the product ends with a failure.
 
 use std::io;
 use std::net::SocketAddr;
 
 use displaydoc::Display;
-use sailtrack_kernel::Missing;
 use sailtrack_settings::Problems;
 
-/// Why a mesh node ends with a failure.
+use crate::table::Missing;
+
+/// Why a program of the product ends with a failure.
 #[derive(Debug, Display)]
 pub enum Error {
     /// the settings are not sound:
--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -9,8 +9,8 @@
 use displaydoc::Display;
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
-use sailtrack_units::{DomainName, NodeName, ServiceName};
-use sailtrack_wire::Member as MemberMessage;
+use sailtrack_units::{DomainName, Incarnation, NodeName, ServiceName};
+use sailtrack_wire::{Member as MemberMessage, State};
 use serde::{Deserialize, Serialize};
 
 use crate::store::{Follower, Pace, Row, StoreVersion};
@@ -51,6 +51,20 @@
         })
     }
 
+    /// Returns what is said about it in this state.
+    pub(crate) fn to_wire(&self, life: Incarnation, state: State, slots: u32) -> MemberMessage {
+        MemberMessage {
+            node: self.name.to_string(),
+            incarnation: life.0,
+            revision: 0,
+            service: self.service.to_string(),
+            domain: self.domain.to_string(),
+            address: self.address.to_string(),
+            state: state.into(),
+            slots,
+        }
+    }
+
     /// Returns the text of its row in the store.
     pub(crate) fn to_row(&self) -> String {
         serde_json::to_string(self).unwrap_or_default()
@@ -150,12 +164,10 @@
             self.note_own_row_lost();
             return;
         }
-        let known = self
-            .members
-            .borrow()
-            .values()
-            .find(|m| m.name.as_str() == name)
-            .cloned();
+        let members = self.members.borrow();
+        let known = members.values().find(|member| member.name.as_str() == name);
+        let known = known.cloned();
+        drop(members);
         let Some(member) = known else {
             return;
         };
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -57,18 +57,10 @@
 }
 
 impl Dispatcher {
-    /// Notes whether a request that came in here could be told to be a call of the own upstream.
-    pub(crate) fn note_origin(&self, work: &Work) {
-        if work.begun {
-            self.budget.note_told(true);
-        }
-    }
-
     /// Brings a request to its final answer; dropping the future cancels it.
-    pub(crate) async fn dispatch(&self, work: &Work, route: &Route) -> Returned {
+    pub(crate) async fn dispatch(&self, mut work: Work, route: &Route) -> Returned {
         let mut tries = Tries::default();
         let mut last = None;
-        let mut work = work.clone();
         self.budget.note_request(&work, Instant::now());
         while let Some(target) = self.choose(&work, &mut tries) {
             let returned = self.attempt(&work, &target).await;
--- a/crates/mesh/src/entry/answer.rs
+++ b/crates/mesh/src/entry/answer.rs
@@ -34,6 +34,16 @@
 }
 
 impl Refusal {
+    /// Returns why a request ends without an answer of an upstream, if it does.
+    pub(super) fn of(returned: &Returned) -> Option<Self> {
+        match (returned.outcome, returned.reason) {
+            (Outcome::Done, _) => None,
+            (Outcome::NotRun, _) => Some(Self::NotRun),
+            (Outcome::Unknown, Reason::Deadline) => Some(Self::Late),
+            (Outcome::Unknown, _) => Some(Self::Lost),
+        }
+    }
+
     /// Returns the HTTP status for it.
     pub(super) fn status(self) -> u16 {
         match self {
@@ -114,17 +124,12 @@
 
 /// Returns what is written about what became of a request.
 pub(super) fn conclude(returned: Returned, asked: Asked) -> Written {
-    let close = asked.close;
-    let refusal = match (returned.outcome, returned.reason) {
-        (Outcome::Done, _) => return pass_on(returned, asked),
-        (Outcome::NotRun, _) => {
-            let after = returned.retry_after.min(asked.time_left / RETURN_SHARE);
-            return Written::whole(refuse(Refusal::NotRun, Some(after), close), close);
-        }
-        (Outcome::Unknown, Reason::Deadline) => Refusal::Late,
-        (Outcome::Unknown, _) => Refusal::Lost,
+    let Some(refusal) = Refusal::of(&returned) else {
+        return pass_on(returned, asked);
     };
-    Written::whole(refuse(refusal, None, close), close)
+    let after = returned.retry_after.min(asked.time_left / RETURN_SHARE);
+    let after = (refusal == Refusal::NotRun).then_some(after);
+    Written::whole(refuse(refusal, after, asked.close), asked.close)
 }
 
 fn pass_on(returned: Returned, asked: Asked) -> Written {
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -12,7 +12,7 @@
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::task::Held;
 use sailtrack_net::transparent::{BodyError, HeadError, MessageError, Reader};
-use sailtrack_wire::{Outcome, Reason};
+use sailtrack_wire::Reason;
 
 use crate::body::Stream;
 use crate::configuration::ClientLimits;
@@ -20,8 +20,7 @@
 use crate::entry::answer::{Asked, Refusal, conclude, refuse};
 use crate::entry::request::Incoming;
 use crate::events::Refusal as RefusalEvent;
-
-use crate::metrics::Place;
+use crate::metrics::Stage;
 use crate::work::Returned;
 
 /// How long a client may take to accept an answer.
@@ -53,14 +52,14 @@
 }
 
 /// One client connection.
-struct Connection<'a> {
-    entry: &'a Rc<Entry>,
+struct Connection {
+    entry: Rc<Entry>,
     reader: Reader,
     writer: OwnedWriteHalf<TcpStream>,
 }
 
 /// Serves a connection until it ends.
-pub(super) async fn serve(entry: &Rc<Entry>, stream: TcpStream) {
+pub(super) async fn serve(entry: Rc<Entry>, stream: TcpStream) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -71,7 +70,7 @@
         writer,
     };
     while connection.wait_for_bytes().await {
-        let held = Held::new(&entry.in_flight);
+        let held = Held::new(&connection.entry.in_flight);
         let next = connection.exchange().await;
         drop(held);
         if next == Next::Close {
@@ -80,7 +79,7 @@
     }
 }
 
-impl Connection<'_> {
+impl Connection {
     fn limits(&self) -> ClientLimits {
         let configuration = self.entry.current.get();
         configuration.map_or(FIRST_LIMITS, |configuration| configuration.limits)
@@ -124,7 +123,9 @@
         };
         let came = Instant::now();
         let Some(configuration) = self.entry.current.get() else {
-            return self.unconfigured().await;
+            return self
+                .close_with(Refusal::NotRun, Some(UNCONFIGURED_RETURN))
+                .await;
         };
         let fields = self.entry.dialect.fields();
         let incoming = match Incoming::read(&head, fields, &configuration, came) {
@@ -134,10 +135,7 @@
         let Some(room) = self.entry.room.take(incoming.framing, limits.body_bytes) else {
             let returned = Returned::refused(Reason::Overload).come_back(ROOM_RETURN);
             self.log(&incoming, &returned);
-            self.write(refuse(Refusal::NotRun, Some(ROOM_RETURN), true))
-                .await;
-            self.linger().await;
-            return Next::Close;
+            return self.close_with(Refusal::NotRun, Some(ROOM_RETURN)).await;
         };
         let body = match self.body(&incoming, limits.body_bytes).await {
             Ok(body) => body,
@@ -173,18 +171,17 @@
 
     /// Brings a request to its end; returns nothing if the client leaves before.
     async fn run(&mut self, incoming: &Incoming, body: Bytes) -> Option<Returned> {
-        let entry = self.entry;
+        let entry = Rc::clone(&self.entry);
         let Some(service) = entry.splitter.next(&incoming.route) else {
             return Some(Returned::refused(Reason::NoUpstream));
         };
         let fields = entry.dialect.fields();
         let (work, parent) = incoming.work(fields, &entry.service, service, &entry.contexts, body);
-        entry.dispatcher.note_origin(&work);
         if entry.closed.get() && !work.begun {
             return Some(Returned::refused(Reason::Draining).come_back(CLOSED_RETURN));
         }
         let deadline = Deadline::from_std(incoming.deadline);
-        let dispatch = entry.dispatcher.dispatch(&work, &incoming.route);
+        let dispatch = entry.dispatcher.dispatch(work, &incoming.route);
         let dispatch = std::pin::pin!(timeout_at(deadline, dispatch));
         let leaving = std::pin::pin!(wait_for_end(&mut self.reader));
         let returned = match select(dispatch, leaving).await {
@@ -253,36 +250,20 @@
 
     fn log(&self, incoming: &Incoming, returned: &Returned) {
         let events = &self.entry.events;
-        match returned.outcome {
-            Outcome::Done => {}
-            Outcome::NotRun => {
-                events.note_refusal(&RefusalEvent {
-                    attempt: &incoming.attempt,
-                    kind: &incoming.route.name,
-                    at: Place::Entry,
-                    reason: returned.reason,
-                    calls: self.entry.in_flight.get(),
-                });
-            }
-            Outcome::Unknown => {
-                let refusal = if returned.reason == Reason::Deadline {
-                    Refusal::Late
-                } else {
-                    Refusal::Lost
-                };
-                let kind = &incoming.route.name;
-                events.note_failure(&incoming.attempt, kind, refusal.status(), returned.reason);
-            }
+        let (attempt, kind) = (&incoming.attempt, &incoming.route.name);
+        match Refusal::of(returned) {
+            None => {}
+            Some(Refusal::NotRun) => events.note_refusal(&RefusalEvent {
+                attempt,
+                kind,
+                at: Stage::Entry,
+                reason: returned.reason,
+                calls: self.entry.in_flight.get(),
+            }),
+            Some(other) => events.note_failure(attempt, kind, other.status(), returned.reason),
         }
     }
 
-    async fn unconfigured(&mut self) -> Next {
-        let bytes = refuse(Refusal::NotRun, Some(UNCONFIGURED_RETURN), true);
-        self.write(bytes).await;
-        self.linger().await;
-        Next::Close
-    }
-
     /// Refuses what the client sent and ends the connection.
     async fn end(&mut self, refusal: Refusal) -> Next {
         if refusal != Refusal::NoRoute {
@@ -291,7 +272,12 @@
                 &[("port", &"entry"), ("reason", &refusal)],
             );
         }
-        self.write(refuse(refusal, None, true)).await;
+        self.close_with(refusal, None).await
+    }
+
+    /// Answers with a refusal and ends the connection.
+    async fn close_with(&mut self, refusal: Refusal, retry_after: Option<Duration>) -> Next {
+        self.write(refuse(refusal, retry_after, true)).await;
         self.linger().await;
         Next::Close
     }
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -10,8 +10,7 @@
 
 use monoio::net::TcpListener;
 use sailtrack_kernel::{Phase, Service};
-use sailtrack_log::{catalogue, emit};
-use sailtrack_net::task::{self, Held};
+use sailtrack_net::accept::{Bounds, accept};
 use sailtrack_units::ServiceName;
 
 use crate::configuration::{Current, Splitter};
@@ -56,25 +55,12 @@
 
     /// Accepts connections for as long as the task lives.
     pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let open = Rc::new(Cell::new(0));
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                continue;
-            };
-            if open.get() >= MOST_CONNECTIONS {
-                let reason = "too many connections";
-                emit(
-                    &catalogue::INPUT_REFUSED,
-                    &[("port", &"entry"), ("reason", &reason)],
-                );
-                continue;
-            }
-            let held = Held::new(&open);
-            let entry = Rc::clone(&self);
-            task::spawn("client connection", async move {
-                connection::serve(&entry, stream).await;
-                drop(held);
-            });
-        }
+        let bounds = Bounds {
+            port: "entry",
+            task: "client connection",
+            connections: MOST_CONNECTIONS,
+        };
+        let serve = |stream| connection::serve(Rc::clone(&self), stream);
+        accept(listener, bounds, serve).await;
     }
 }
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -10,7 +10,7 @@
 use sailtrack_wire::{Outcome, Reason};
 
 use crate::key::AttemptKey;
-use crate::metrics::Place;
+use crate::metrics::Stage;
 use crate::work::Returned;
 
 /// The most events about single requests in one second; a line costs some 10 us of processor
@@ -21,7 +21,7 @@
 pub(crate) struct Refusal<'a> {
     pub(crate) attempt: &'a AttemptKey,
     pub(crate) kind: &'a KindName,
-    pub(crate) at: Place,
+    pub(crate) at: Stage,
     pub(crate) reason: Reason,
     /// The requests that ran and waited there.
     pub(crate) calls: usize,
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -29,7 +29,7 @@
 use crate::dialect::Dialect;
 use crate::events::{Events, Refusal};
 use crate::key::{AttemptKey, UpstreamKey};
-use crate::metrics::{Metrics, Place as EndPlace};
+use crate::metrics::{Metrics, Stage};
 use crate::work::{Returned, Work};
 use exchange::{ExchangeError, UpstreamAnswer, exchange};
 use pool::Pool;
@@ -160,7 +160,7 @@
         let pressure = self.admission.pressure(Instant::now(), importance);
         self.events.note_gate(&kind, &returned);
         self.metrics
-            .note_end(EndPlace::Gate, &kind, returned.outcome, returned.reason);
+            .note_end(Stage::Gate, &kind, returned.outcome, returned.reason);
         Returned {
             pressure,
             path_pressure: returned.path_pressure.greater(pressure),
@@ -279,7 +279,7 @@
         self.events.note_refusal(&Refusal {
             attempt: &work.attempt,
             kind: &work.kind,
-            at: EndPlace::Gate,
+            at: Stage::Gate,
             reason,
             calls: self.admission.in_flight() + self.admission.waiting(),
         });
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -14,7 +14,6 @@
 mod directory;
 mod dispatch;
 mod entry;
-mod error;
 mod events;
 mod gate;
 mod key;
@@ -32,14 +31,14 @@
 mod store;
 mod work;
 
+use sailtrack_kernel::Error;
 use sailtrack_log::Destination;
 
 pub use configuration::{ClientLimits, Configuration, Route, RouteBuilder, ServiceRules, Share};
 pub use dialect::{Announcement, Beat, Dialect, DialectError, FieldNames, Load, Readiness};
-pub use error::Error;
 pub use key::{AttemptKey, UpstreamKey};
 pub use node::Surroundings;
-pub use settings::{Identity, Ports, RetryBounds, Settings};
+pub use settings::{Ports, RetryBounds, Settings};
 pub use store::{Operation, Row, Rows, Store, StoreError, StoreVersion, Table};
 
 /// Runs a node until it is stopped.
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -24,9 +24,9 @@
 /// The most different kinds that are counted apart; a configuration may have some hundred routes.
 const MOST_KINDS: usize = 600;
 
-/// Where requests end.
+/// The part of the node at which a request ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub(crate) enum Place {
+pub(crate) enum Stage {
     /// entry
     Entry,
     /// gate
@@ -121,9 +121,9 @@
     }
 
     /// Notes how a request ended.
-    pub(crate) fn note_end(&self, place: Place, kind: &KindName, outcome: Outcome, reason: Reason) {
+    pub(crate) fn note_end(&self, stage: Stage, kind: &KindName, outcome: Outcome, reason: Reason) {
         let labels = EndLabels {
-            place: place.to_string(),
+            place: stage.to_string(),
             kind: kind.to_string(),
             outcome: outcome.as_str_name(),
             reason: reason.as_str_name(),
@@ -133,7 +133,7 @@
 
     /// Notes how a request of a client ended after `time`.
     pub(crate) fn note_answer(&self, kind: &KindName, returned: &Returned, time: Duration) {
-        self.note_end(Place::Entry, kind, returned.outcome, returned.reason);
+        self.note_end(Stage::Entry, kind, returned.outcome, returned.reason);
         let labels = KindLabels {
             kind: kind.to_string(),
         };
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -10,14 +10,13 @@
 
 use monoio::time::sleep;
 use sailtrack_admission::{Policy, Rules};
-use sailtrack_kernel::{Joining, Life, Table};
+use sailtrack_kernel::{Error, Joining, Life, Table};
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::terminate::{Signal, Signals};
 use sailtrack_units::Period;
 
 use crate::configuration::Current;
 use crate::dialect::Dialect;
-use crate::error::Error;
 use crate::settings::Settings;
 use crate::store::Store;
 
--- a/crates/mesh/src/node/stop.rs
+++ b/crates/mesh/src/node/stop.rs
@@ -5,12 +5,11 @@
 use std::time::{Duration, Instant};
 
 use monoio::time::sleep;
-use sailtrack_kernel::{Draining, Life, Table};
+use sailtrack_kernel::{Draining, Error, Life, Table};
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::terminate::Signals;
 
 use crate::entry::Entry;
-use crate::error::Error;
 use crate::gate::Upstream;
 use crate::node::{LOOK, is_stop, start};
 use crate::settings::Settings;
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -1,6 +1,6 @@
 //! Serves the connections of other nodes, one task for each connection and each request.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,6 +14,7 @@
 use monoio::time::timeout;
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
+use sailtrack_net::accept::{Bounds, accept};
 use sailtrack_net::frames::{ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, write_frames};
 use sailtrack_net::task;
 use sailtrack_units::Incarnation;
@@ -64,25 +65,16 @@
 impl Acceptor {
     /// Accepts connections for as long as the task lives.
     pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let open = Rc::new(Cell::new(0));
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                continue;
-            };
-            if open.get() >= MOST_CONNECTIONS {
-                refuse(&"too many connections");
-                continue;
-            }
-            let held = task::Held::new(&open);
-            let acceptor = Rc::clone(&self);
-            task::spawn("peer connection", async move {
-                acceptor.serve(stream).await;
-                drop(held);
-            });
-        }
+        let bounds = Bounds {
+            port: "peer",
+            task: "peer connection",
+            connections: MOST_CONNECTIONS,
+        };
+        let serve = |stream| Rc::clone(&self).serve(stream);
+        accept(listener, bounds, serve).await;
     }
 
-    async fn serve(self: &Rc<Self>, stream: TcpStream) {
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
         if stream.set_nodelay(true).is_err() {
             return;
         }
--- a/crates/mesh/src/retry.rs
+++ b/crates/mesh/src/retry.rs
@@ -54,6 +54,7 @@
     windows: RefCell<HashMap<ServiceName, Window>>,
     /// What fractions are rounded up by, and since when.
     draws: RefCell<HashMap<ServiceName, (Instant, f64)>>,
+    /// Whether calls of upstreams can be told from requests of clients.
     is_told: Cell<bool>,
 }
 
@@ -72,7 +73,12 @@
     }
 
     /// Notes a request to a service; one that is made for a repeat counts as a repeat itself.
+    ///
+    /// The first call that could be told from a request of a client shows that calls can be.
     pub(crate) fn note_request(&self, work: &Work, now: Instant) {
+        if work.begun {
+            self.is_told.set(true);
+        }
         self.with_slice(&work.service, now, |slice| {
             slice.requests += 1;
             slice.repeats += u32::from(work.repeated);
@@ -99,11 +105,6 @@
         true
     }
 
-    /// Notes whether calls of upstreams can be told from requests of clients.
-    pub(crate) fn note_told(&self, is_told: bool) {
-        self.is_told.set(is_told);
-    }
-
     /// Returns the requests that the ratio is taken of, and the repeats of the present window.
     ///
     /// The requests are counted in the present window, the one before it or the one half a window
--- a/crates/mesh/src/retry/tests.rs
+++ b/crates/mesh/src/retry/tests.rs
@@ -45,12 +45,21 @@
     }
 }
 
+/// Lets the budget see one call that can be told from a request of a client.
+fn tell(budget: &Budget, now: Instant) {
+    let call = Work {
+        begun: true,
+        ..work(Rank::HIGHEST, false)
+    };
+    budget.note_request(&call, now);
+}
+
 #[test]
 fn within_the_ratio() {
     let budget = Budget::new(BOUNDS);
     let now = Instant::now();
     note(&budget, 1000, false, now);
-    budget.note_told(true);
+    tell(&budget, now);
     let taken = drain(&budget, Rank::HIGHEST, now);
     assert!((150..=200).contains(&taken), "{taken} of 200 allowed");
 }
@@ -87,7 +96,7 @@
 fn calls_of_repeats_count() {
     let budget = Budget::new(BOUNDS);
     let now = Instant::now();
-    budget.note_told(true);
+    tell(&budget, now);
     note(&budget, 800, false, now);
     note(&budget, 200, true, now);
     assert_eq!(drain(&budget, Rank::HIGHEST, now), 0);
@@ -97,7 +106,7 @@
 fn important_ones_first() {
     let budget = Budget::new(BOUNDS);
     let now = Instant::now();
-    budget.note_told(true);
+    tell(&budget, now);
     note(&budget, 1000, false, now);
     let normal = drain(&budget, Rank::from_index(130), now);
     let critical = drain(&budget, Rank::HIGHEST, now);
@@ -109,7 +118,7 @@
 fn windows_pass() {
     let budget = Budget::new(BOUNDS);
     let now = Instant::now();
-    budget.note_told(true);
+    tell(&budget, now);
     note(&budget, 1000, false, now);
     let first = drain(&budget, Rank::HIGHEST, now);
     let later = now + Duration::from_secs(11);
--- a/crates/mesh/src/routing/load.rs
+++ b/crates/mesh/src/routing/load.rs
@@ -29,7 +29,7 @@
 const MOST_DOUBLINGS: u32 = 4;
 
 /// What a node has learned about one other node.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct PeerLoad {
     /// Requests sent and not answered yet.
     pub(crate) outstanding: u32,
@@ -47,22 +47,6 @@
     ejected_until: Option<Instant>,
 }
 
-impl Default for PeerLoad {
-    fn default() -> Self {
-        Self {
-            outstanding: 0,
-            told: None,
-            time: 0.0,
-            answered_at: None,
-            failing: 0.0,
-            failed_at: None,
-            failures: 0,
-            ejections: 0,
-            ejected_until: None,
-        }
-    }
-}
-
 impl PeerLoad {
     /// Notes how full the node says that it is.
     pub(crate) fn note_told(&mut self, now: Instant, percent: u32) {
--- a/crates/mesh/src/routing/mod.rs
+++ b/crates/mesh/src/routing/mod.rs
@@ -2,6 +2,7 @@
 
 mod load;
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -48,7 +49,7 @@
     pub(crate) upstream: Rc<Upstream>,
     pub(crate) admission: Rc<Admission>,
     /// What is known about the own upstream.
-    pub(crate) local: Rc<std::cell::RefCell<PeerLoad>>,
+    pub(crate) local: Rc<RefCell<PeerLoad>>,
 }
 
 impl Service for Routing {
@@ -196,7 +197,7 @@
 
 /// Where the load of a target is kept.
 enum Load {
-    Local(Rc<std::cell::RefCell<PeerLoad>>),
+    Local(Rc<RefCell<PeerLoad>>),
     Remote(Rc<Link>),
 }
 
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -4,11 +4,10 @@
 use std::path::Path;
 
 use log::LevelFilter;
-use sailtrack_settings::{Document, Problems, Section};
-use sailtrack_units::{ByteSize, DomainName, NodeName, Period, Ratio, ServiceName};
+use sailtrack_settings::{Document, Identity, Problems, Section};
+use sailtrack_units::{ByteSize, Period, Ratio};
 
 const SECTIONS: &str = "[node], [ports], [upstream], [store], [bounds], [log]";
-const NAME: &str = "a name of a-z, 0-9, '-', '_' and '.'";
 const ADDRESS: &str = "an IP number with a port, such as 127.0.0.1:7100";
 const PERIOD: &str = "a period such as 250ms, 2.5s or 10m";
 const RATIO: &str = "a number from 0 to 1";
@@ -20,17 +19,6 @@
 /// After how long a node is taken for gone for good: longer than a reboot takes.
 const DEFAULT_FORGET: Period = Period::from_millis(300_000);
 
-/// Who the node is.
-#[derive(Debug, Clone)]
-pub struct Identity {
-    /// Its name, unique in the mesh.
-    pub name: NodeName,
-    /// The service of the upstream beside it.
-    pub service: ServiceName,
-    /// The failure domain that it stands in.
-    pub domain: DomainName,
-}
-
 /// The addresses on which the node listens.
 #[derive(Debug, Clone, Copy)]
 pub struct Ports {
@@ -95,7 +83,7 @@
 
     fn read(document: Document) -> Result<Self, Problems> {
         let node = document.section("node");
-        let identity = read_identity(&node);
+        let identity = Identity::read(&node);
         let first_start = node.or("first-start", false, "true or false");
         drop(node);
         let ports = read_ports(&document.section("ports"));
@@ -129,17 +117,6 @@
     }
 }
 
-fn read_identity(section: &Section<'_>) -> Option<Identity> {
-    let name = section.required("name", NAME);
-    let service = section.required("service", NAME);
-    let domain = section.required("domain", NAME);
-    Some(Identity {
-        name: name?,
-        service: service?,
-        domain: domain?,
-    })
-}
-
 fn read_ports(section: &Section<'_>) -> Option<Ports> {
     let entry = section.required("entry", ADDRESS);
     let ready = section.required("ready", ADDRESS);
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -11,7 +11,7 @@
 use sailtrack_wire::{Body, Member as MemberMessage, Presence, State};
 
 use crate::configuration::Current;
-use crate::directory::{Directory, Member};
+use crate::directory::Directory;
 use crate::gate::Upstream;
 use crate::retired::Retired;
 
@@ -34,12 +34,8 @@
 impl Status {
     /// Returns what a connection begins with.
     pub(crate) fn member(&self) -> MemberMessage {
-        to_wire(
-            self.directory.own(),
-            self.life,
-            self.state(),
-            self.upstream.slots(),
-        )
+        let own = self.directory.own();
+        own.to_wire(self.life, self.state(), self.upstream.slots())
     }
 
     /// Returns what this node says at present.
@@ -64,7 +60,7 @@
             retired: retired.iter().map(ToString::to_string).collect(),
             known: known
                 .iter()
-                .map(|member| to_wire(member, Incarnation(0), State::Joining, 0))
+                .map(|member| member.to_wire(Incarnation(0), State::Joining, 0))
                 .collect(),
             ..self.presence()
         }
@@ -92,16 +88,3 @@
         }
     }
 }
-
-fn to_wire(member: &Member, life: Incarnation, state: State, slots: u32) -> MemberMessage {
-    MemberMessage {
-        node: member.name.to_string(),
-        incarnation: life.0,
-        revision: 0,
-        service: member.service.to_string(),
-        domain: member.domain.to_string(),
-        address: member.address.to_string(),
-        state: state.into(),
-        slots,
-    }
-}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,6 +3,7 @@
 //! The HTTP decoder of the library is only met through the bounds in [`http`],
 //! which refuse what it would crash or grow on.
 
+pub mod accept;
 pub mod dial;
 pub mod frames;
 pub mod http;
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -18,10 +18,10 @@
 use crate::peer::Peers;
 use crate::retry::{Budget, Ratios};
 use crate::routing::{NoTarget, Routing, Target};
-use crate::settings::Identity;
 use crate::ticket::Tickets;
 use crate::unknown::Unknowns;
 use sailtrack_admission::Policy;
+use sailtrack_settings::Identity;
 
 /// How often a call that did not run is brought elsewhere.
 const MAX_REDIRECTS: u32 = 2;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,7 +12,6 @@
 mod context;
 mod dispatch;
 mod entrance;
-mod error;
 mod execute;
 mod header;
 mod membership;
@@ -30,7 +29,7 @@
 mod unknown;
 mod upstream;
 
-pub use error::Error;
+pub use sailtrack_kernel::Error;
 
 /// Reads the command line and settings and runs the node until it is stopped.
 pub fn run() -> Result<(), Error> {
--- a/crates/node/src/node/duty.rs
+++ b/crates/node/src/node/duty.rs
@@ -20,10 +20,11 @@
 use crate::operator::{settled_key, unknown_key};
 use crate::peer::Peers;
 use crate::platform::{Backoff, Expect, Platform, Row};
-use crate::settings::{Identity, Seeds};
+use crate::settings::Seeds;
 use crate::unknown::{Unknown, Unknowns};
 use crate::upstream::Upstream;
 use sailtrack_admission::Admission;
+use sailtrack_settings::Identity;
 
 /// Where the nodes' rows stand in the platform's table.
 const NODES: &str = "nodes/";
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use monoio::time::sleep;
-use sailtrack_kernel::{Draining, Joining, Life, Serving, Table};
+use sailtrack_kernel::{Draining, Error, Joining, Life, Serving, Table};
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::task;
 use sailtrack_net::terminate::Terminate;
@@ -17,7 +17,6 @@
 use sailtrack_wire::State;
 
 use crate::configuration::Configuration;
-use crate::error::Error;
 use crate::execute::Executor;
 use crate::membership::{Gossip, Membership};
 use crate::platform::Platform;
--- a/crates/node/src/operator/mod.rs
+++ b/crates/node/src/operator/mod.rs
@@ -27,13 +27,13 @@
 use crate::peer::Peers;
 use crate::platform::Platform;
 use crate::routing::Routing;
-use crate::settings::Identity;
 use crate::ticket::Tickets;
 use crate::unknown::Unknowns;
 use crate::upstream::Upstream;
 pub(crate) use query::unknown_key;
 use reply::Refusal;
 use sailtrack_admission::Admission;
+use sailtrack_settings::Identity;
 pub(crate) use settle::{settled_key, verdict_of};
 
 /// Answers operators.
--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -3,8 +3,8 @@
 use std::path::PathBuf;
 
 use clap::ArgMatches;
+use sailtrack_kernel::Error;
 
-use crate::error::Error;
 use crate::settings::Settings;
 
 /// What the command line asks for, with the settings read and checked.
--- a/crates/node/src/peer/accept.rs
+++ b/crates/node/src/peer/accept.rs
@@ -15,6 +15,7 @@
 use monoio::time::timeout;
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
+use sailtrack_net::accept::{Bounds, accept};
 use sailtrack_net::task;
 use sailtrack_wire::{Body, Call as CallMessage, Chunk, Config, Fetch, Handover, Reason};
 
@@ -54,24 +55,16 @@
 impl Acceptor {
     /// Accepts connections for as long as the task lives.
     pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let open = Rc::new(std::cell::Cell::new(0));
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                continue;
-            };
-            if open.get() >= MAX_CONNECTIONS {
-                continue;
-            }
-            let held = task::Held::new(&open);
-            let acceptor = Rc::clone(&self);
-            task::spawn("peer connection", async move {
-                acceptor.serve(stream).await;
-                drop(held);
-            });
-        }
+        let bounds = Bounds {
+            port: "peer",
+            task: "peer connection",
+            connections: MAX_CONNECTIONS,
+        };
+        let serve = |stream| Rc::clone(&self).serve(stream);
+        accept(listener, bounds, serve).await;
     }
 
-    async fn serve(self: &Rc<Self>, stream: TcpStream) {
+    async fn serve(self: Rc<Self>, stream: TcpStream) {
         if stream.set_nodelay(true).is_err() {
             return;
         }
--- a/crates/node/src/port/local.rs
+++ b/crates/node/src/port/local.rs
@@ -23,10 +23,10 @@
 use crate::port::incoming::{Builder, Traits};
 use crate::port::reply;
 use crate::retry::Budget;
-use crate::settings::Identity;
 use crate::upstream::{Announcement, Upstream};
 use sailtrack_admission::Admission;
 use sailtrack_admission::Policy;
+use sailtrack_settings::Identity;
 
 /// Where the upstream announces itself.
 const ANNOUNCE: &str = "/.sailtrack/announce";
--- a/crates/node/src/routing/mod.rs
+++ b/crates/node/src/routing/mod.rs
@@ -19,12 +19,12 @@
 use crate::call::{Answer, Call};
 use crate::configuration::Configuration;
 use crate::membership::{Membership, Peer};
-use crate::settings::Identity;
 use crate::upstream::Upstream;
 pub(crate) use downstream::Downstream;
 use peer_load::PeerLoad;
 use sailtrack_admission::Policy;
 use sailtrack_admission::{Admission, Pressure};
+use sailtrack_settings::Identity;
 
 /// The most members of one service that a node sends calls to.
 const SUBSET: usize = 8;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,36 +1,20 @@
 //! The settings of a node.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
 
 use log::LevelFilter;
 use sailtrack_admission::{self as admission, Policy};
-use sailtrack_settings::{Document, Problems, Section};
-use sailtrack_units::{ByteSize, DomainName, NodeName, Period, Ratio, ServiceName};
+use sailtrack_settings::{Document, Identity, Problems, Section};
+use sailtrack_units::{ByteSize, Period, Ratio};
 
 const SECTIONS: &str = "[node], [ports], [platform], [policy], [membership], [log]";
-const NAME: &str = "a name of a-z, 0-9, '-', '_' and '.'";
 const ADDRESS: &str = "an IP number with a port, such as 127.0.0.1:7100";
 const PERIOD: &str = "a period such as 250ms, 5s or 10m";
 
 /// A call for a request in progress waits this many times longer than a new one.
 const BEGUN_PATIENCE: u32 = 2;
 
-/// Who the node is.
-#[derive(Debug, Clone)]
-pub(crate) struct Identity {
-    pub(crate) name: NodeName,
-    pub(crate) service: ServiceName,
-    pub(crate) domain: DomainName,
-}
-
-impl fmt::Display for Identity {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} ({} in {})", self.name, self.service, self.domain)
-    }
-}
-
 /// The addresses on which the node listens.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Ports {
@@ -101,7 +85,7 @@
     /// Reads the settings in the file at `path`.
     pub(crate) fn load(path: &Path) -> Result<Self, Problems> {
         let document = Document::load(path)?;
-        let identity = read_identity(&document.section("node"));
+        let identity = Identity::read(&document.section("node"));
         let ports = read_ports(&document.section("ports"));
         let platform = read_platform(&document.section("platform"));
         let rules = read_rules(&document.optional_section("policy"));
@@ -128,17 +112,6 @@
     }
 }
 
-fn read_identity(section: &Section<'_>) -> Option<Identity> {
-    let name = section.required("name", NAME);
-    let service = section.required("service", NAME);
-    let domain = section.required("domain", NAME);
-    Some(Identity {
-        name: name?,
-        service: service?,
-        domain: domain?,
-    })
-}
-
 fn read_ports(section: &Section<'_>) -> Option<Ports> {
     let client = section.required("client", ADDRESS);
     let local = section.required("local", ADDRESS);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,10 +5,12 @@
 //! reading reports all of them.
 
 mod document;
+mod identity;
 mod line;
 mod problem;
 mod section;
 
 pub use document::Document;
+pub use identity::Identity;
 pub use problem::{Fault, Problem, Problems};
 pub use section::Section;
