--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -12,7 +12,7 @@
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::task::Held;
 use sailtrack_net::transparent::{BodyError, HeadError, MessageError, Reader};
-use sailtrack_wire::Reason;
+use sailtrack_wire::{Outcome, Reason};
 
 use crate::body::Stream;
 use crate::configuration::ClientLimits;
@@ -71,7 +71,8 @@
     };
     while connection.wait_for_bytes().await {
         let held = Held::new(&connection.entry.in_flight);
-        let next = connection.exchange().await;
+        // Boxed, so that a connection without a request does not hold the memory for one.
+        let next = Box::pin(connection.exchange()).await;
         drop(held);
         if next == Next::Close {
             return;
@@ -181,7 +182,8 @@
             return Some(Returned::refused(Reason::Draining).come_back(CLOSED_RETURN));
         }
         let deadline = Deadline::from_std(incoming.deadline);
-        let dispatch = entry.dispatcher.dispatch(work, &incoming.route);
+        // Boxed, since each future around it would keep room for it once more.
+        let dispatch = Box::pin(entry.dispatcher.dispatch(work, &incoming.route));
         let dispatch = std::pin::pin!(timeout_at(deadline, dispatch));
         let leaving = std::pin::pin!(wait_for_end(&mut self.reader));
         let returned = match select(dispatch, leaving).await {
@@ -201,11 +203,12 @@
         let kind = &incoming.route.name;
         self.entry.metrics.note_answer(kind, &returned, time);
         let is_leaving = self.entry.phase.get() > Phase::Serving;
+        let was_refused = returned.outcome == Outcome::NotRun;
         let asked = Asked {
             is_head: &incoming.head.method[..] == b"HEAD",
             is_1_1: incoming.head.is_1_1,
             time_left: incoming.deadline.saturating_duration_since(Instant::now()),
-            close: is_leaving || !incoming.head.keeps_alive(),
+            close: is_leaving || !incoming.head.keeps_alive() || self.entry.wants_room(was_refused),
         };
         let written = conclude(returned, asked);
         let is_whole = match written.stream {
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -24,6 +24,12 @@
 /// The most client connections open at once: each has a descriptor, of which an instance has some
 /// thousand, and up to some 20 KiB of memory.
 const MOST_CONNECTIONS: usize = 1500;
+/// From this many on the answer to a request that was refused ends its connection: its client
+/// comes back on a new one, and the old ones stood unused until the node took no more. With a
+/// retry storm of 60 refusals a second that was reached in 13 s.
+const CROWDED: usize = MOST_CONNECTIONS / 2;
+/// From this many on every answer does.
+const FULL: usize = MOST_CONNECTIONS * 3 / 4;
 
 /// Where requests come in.
 pub(crate) struct Entry {
@@ -41,6 +47,8 @@
     pub(crate) room: Room,
     /// Set once the rest of a planned stop is needed for what is in flight.
     pub(crate) closed: Cell<bool>,
+    /// The connections of clients that are open.
+    pub(crate) connections: Rc<Cell<usize>>,
 }
 
 impl Service for Entry {
@@ -61,6 +69,13 @@
             connections: MOST_CONNECTIONS,
         };
         let serve = |stream| connection::serve(Rc::clone(&self), stream);
-        accept(listener, bounds, serve).await;
+        let open = Rc::clone(&self.connections);
+        accept(listener, bounds, open, serve).await;
+    }
+
+    /// Returns true if a connection is to end with its answer, to make room for others.
+    fn wants_room(&self, was_refused: bool) -> bool {
+        let open = self.connections.get();
+        open >= FULL || (was_refused && open >= CROWDED)
     }
 }
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -73,12 +73,14 @@
     pub(crate) serving: usize,
     /// The version of the configuration in force.
     pub(crate) version: u64,
+    /// The connections of clients that are open.
+    pub(crate) connections: usize,
 }
 
 type Count<L> = Family<L, Counter<u64, AtomicU64>>;
 
 /// The gauges, each with the value that it shows.
-type Gauges = [(Gauge, fn(&Snapshot) -> u64); 8];
+type Gauges = [(Gauge, fn(&Snapshot) -> u64); 9];
 
 /// What the node counts.
 pub(crate) struct Metrics {
@@ -210,5 +212,10 @@
             "Version of the configuration in force",
             |now| now.version,
         ),
+        gauge(
+            "connections",
+            "Connections of clients that are open",
+            |now| now.connections as u64,
+        ),
     ]
 }
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -219,6 +219,7 @@
         in_flight: Rc::clone(in_flight),
         room: Room::new(settings.memory.as_usize() / BODY_SHARE),
         closed: Cell::new(false),
+        connections: Rc::default(),
     });
     table.install(Acceptor {
         gate: table.find::<Gate>()?,
@@ -263,6 +264,7 @@
             directory: table.find()?,
             peers: table.find()?,
             current: table.find()?,
+            entry: table.find()?,
         });
         task::spawn("metrics port", serve(port, metrics));
     }
--- a/crates/mesh/src/scrape.rs
+++ b/crates/mesh/src/scrape.rs
@@ -9,6 +9,7 @@
 use crate::configuration::Current;
 use crate::contexts::Contexts;
 use crate::directory::Directory;
+use crate::entry::Entry;
 use crate::gate::{Records, Upstream};
 use crate::metrics::{Metrics, Snapshot};
 use crate::peer::Peers;
@@ -26,6 +27,7 @@
     pub(crate) directory: Rc<Directory>,
     pub(crate) peers: Rc<Peers>,
     pub(crate) current: Rc<Current>,
+    pub(crate) entry: Rc<Entry>,
 }
 
 impl Handler for MetricsPort {
@@ -42,6 +44,7 @@
             links: self.peers.open_count(),
             serving: self.peers.serving_count(),
             version: self.current.version().0,
+            connections: self.entry.connections.get(),
         };
         Response::text(StatusCode::OK, self.metrics.text(&snapshot))
     }
--- a/crates/net/src/accept.rs
+++ b/crates/net/src/accept.rs
@@ -1,14 +1,22 @@
 //! Accepts connections, a bounded number at once, each in a task of its own.
 
 use std::cell::Cell;
+use std::fmt::Display;
 use std::future::Future;
 use std::rc::Rc;
+use std::time::Duration;
 
+use futures::FutureExt as _;
 use monoio::net::{TcpListener, TcpStream};
+use monoio::time::sleep;
 use sailtrack_log::{catalogue, emit};
 
 use crate::task::{self, Held};
 
+/// The pause after a failed accept: without descriptors it fails again at once, and a node that
+/// only tries again serves nothing else.
+const FAILED_PAUSE: Duration = Duration::from_millis(50);
+
 /// What is accepted on one port.
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds {
@@ -20,29 +28,37 @@
     pub connections: usize,
 }
 
-/// Serves the connections of a listener for as long as the task lives.
-pub async fn accept<F>(listener: TcpListener, bounds: Bounds, serve: impl Fn(TcpStream) -> F)
-where
+/// Serves the connections of a listener for as long as the task lives; `open` counts them.
+pub async fn accept<F>(
+    listener: TcpListener,
+    bounds: Bounds,
+    open: Rc<Cell<usize>>,
+    serve: impl Fn(TcpStream) -> F,
+) where
     F: Future<Output = ()> + 'static,
 {
-    let open = Rc::new(Cell::new(0));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                refuse(bounds.port, &error);
+                sleep(FAILED_PAUSE).await;
+                continue;
+            }
         };
         if open.get() >= bounds.connections {
-            let reason = "too many connections";
-            emit(
-                &catalogue::INPUT_REFUSED,
-                &[("port", &bounds.port), ("reason", &reason)],
-            );
+            refuse(bounds.port, &"too many connections");
             continue;
         }
         let held = Held::new(&open);
-        let served = serve(stream);
-        task::spawn(bounds.task, async move {
-            served.await;
-            drop(held);
-        });
+        // Combined, not awaited in a block: that would keep the state of the connection twice.
+        task::spawn(bounds.task, serve(stream).map(move |()| drop(held)));
     }
 }
+
+fn refuse(port: &'static str, reason: &dyn Display) {
+    emit(
+        &catalogue::INPUT_REFUSED,
+        &[("port", &port), ("reason", reason)],
+    );
+}
--- a/crates/net/src/dial.rs
+++ b/crates/net/src/dial.rs
@@ -6,7 +6,16 @@
 
 use displaydoc::Display;
 use monoio::net::TcpStream;
-use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
+
+/// A connection that is idle for this long is asked whether it is still there,
+const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+/// again after this time,
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// and closed if this many questions stay without an answer. A connection may fall silent without
+/// an end while new ones work; one that waits 29 s for news of the store is to be found before
+/// three seconds, the time after which the platform counts on it again.
+const KEEPALIVE_TRIES: u32 = 2;
 
 /// Why a connection could not be opened.
 #[derive(Debug, Display)]
@@ -47,6 +56,7 @@
     )?;
     socket.set_nonblocking(true)?;
     socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_keepalive(&keepalive())?;
     if let Some(source) = source {
         socket.bind(&SocketAddr::new(source, 0).into())?;
     }
@@ -63,6 +73,13 @@
     }
 }
 
+fn keepalive() -> TcpKeepalive {
+    TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_TRIES)
+}
+
 fn start(socket: &Socket, target: SocketAddr) -> io::Result<()> {
     const IN_PROGRESS: i32 = 115;
     match socket.connect(&target.into()) {
--- a/crates/net/src/task.rs
+++ b/crates/net/src/task.rs
@@ -23,12 +23,14 @@
 where
     F: Future<Output = ()> + 'static,
 {
-    monoio::spawn(async move {
-        if AssertUnwindSafe(task).catch_unwind().await.is_err() {
+    // Combined, not awaited in a block: that would keep the state of the task twice.
+    let guarded = AssertUnwindSafe(task).catch_unwind().map(move |result| {
+        if result.is_err() {
             PANICS.set(PANICS.get() + 1);
             emit(&catalogue::TASK_PANICKED, &[("task", &name)]);
         }
     });
+    monoio::spawn(guarded);
 }
 
 /// Counts one piece of work for as long as it lives.
--- a/crates/net/src/transparent/reader.rs
+++ b/crates/net/src/transparent/reader.rs
@@ -13,8 +13,11 @@
 use crate::transparent::framing::Framing;
 use crate::transparent::head::HeadError;
 
-/// The bytes asked for in one read; most messages fit into one.
-const READ_SIZE: usize = 8 * 1024;
+/// The bytes asked for in the first read of a message; most heads fit into it. A connection that
+/// waits holds this much: with 8 KiB a node with a thousand idle clients held 8 MiB for nothing.
+const FIRST_READ: usize = 1024;
+/// The most bytes asked for in one read.
+const MOST_READ: usize = 16 * 1024;
 /// How every answer begins.
 const ANSWER_START: &[u8] = b"HTTP/1.";
 /// The end of a head.
@@ -139,6 +142,8 @@
     }
 
     async fn head(&mut self, limit: usize, start: &[u8]) -> Result<Bytes, MessageError> {
+        self.space.truncate(FIRST_READ);
+        self.space.shrink_to(FIRST_READ);
         let mut searched = 0;
         loop {
             while start.is_empty() && self.buffer.starts_with(b"\r\n") {
@@ -242,10 +247,16 @@
     kept: &mut Vec<u8>,
 ) -> io::Result<usize> {
     let mut space = std::mem::take(kept);
-    space.resize(READ_SIZE, 0);
-    let (result, space) = stream.read(space).await;
+    if space.is_empty() {
+        space.resize(FIRST_READ, 0);
+    }
+    let (result, mut space) = stream.read(space).await;
     let count = result?;
     buffer.extend_from_slice(&space[..count]);
+    if count == space.len() && count < MOST_READ {
+        // More has come than was asked for.
+        space.resize(count * 4, 0);
+    }
     *kept = space;
     Ok(count)
 }
--- a/crates/node/src/peer/accept.rs
+++ b/crates/node/src/peer/accept.rs
@@ -61,7 +61,7 @@
             connections: MAX_CONNECTIONS,
         };
         let serve = |stream| Rc::clone(&self).serve(stream);
-        accept(listener, bounds, serve).await;
+        accept(listener, bounds, Rc::default(), serve).await;
     }
 
     async fn serve(self: Rc<Self>, stream: TcpStream) {
