--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Brings a request to an answer: chooses upstreams and tries again within bounds.
 
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -42,6 +43,30 @@
     const NAME: &'static str = "dispatcher";
 }
 
+/// Which way a request went, for the log; it is known also when the time ran out on the way.
+#[derive(Debug, Default)]
+pub(crate) struct Trail {
+    node: RefCell<Option<NodeName>>,
+    tries: Cell<u32>,
+}
+
+impl Trail {
+    /// Returns the node that had it last.
+    pub(crate) fn node(&self) -> Option<NodeName> {
+        self.node.borrow().clone()
+    }
+
+    /// Returns how often it was brought to a node.
+    pub(crate) fn tries(&self) -> u32 {
+        self.tries.get()
+    }
+
+    fn note(&self, node: &NodeName) {
+        self.node.replace(Some(node.clone()));
+        self.tries.set(self.tries.get() + 1);
+    }
+}
+
 /// What has been tried for one request.
 #[derive(Default)]
 struct Tries {
@@ -58,11 +83,12 @@
 
 impl Dispatcher {
     /// Brings a request to its final answer; dropping the future cancels it.
-    pub(crate) async fn dispatch(&self, mut work: Work, route: &Route) -> Returned {
+    pub(crate) async fn dispatch(&self, mut work: Work, route: &Route, trail: &Trail) -> Returned {
         let mut tries = Tries::default();
         let mut last = None;
         self.budget.note_request(&work, Instant::now());
         while let Some(target) = self.choose(&work, &mut tries) {
+            trail.note(target.name(&self.routing.name));
             let returned = self.attempt(&work, &target).await;
             let goes_on = self.goes_on(&work, route, &returned, &mut tries);
             if !goes_on {
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -16,11 +16,11 @@
 
 use crate::body::Stream;
 use crate::configuration::ClientLimits;
+use crate::dispatch::Trail;
 use crate::entry::Entry;
 use crate::entry::answer::{Asked, Refusal, conclude, refuse};
 use crate::entry::request::Incoming;
-use crate::events::Refusal as RefusalEvent;
-use crate::metrics::Stage;
+use crate::events::End;
 use crate::work::Returned;
 
 /// How long a client may take to accept an answer.
@@ -135,7 +135,7 @@
         };
         let Some(room) = self.entry.room.take(incoming.framing, limits.body_bytes) else {
             let returned = Returned::refused(Reason::Overload).come_back(ROOM_RETURN);
-            self.log(&incoming, &returned);
+            self.log(&incoming, &returned, &Trail::default());
             return self.close_with(Refusal::NotRun, Some(ROOM_RETURN)).await;
         };
         let body = match self.body(&incoming, limits.body_bytes).await {
@@ -143,10 +143,11 @@
             Err(Some(refusal)) => return self.end(refusal).await,
             Err(None) => return Next::Close,
         };
-        let returned = self.run(&incoming, body).await;
+        let trail = Trail::default();
+        let returned = self.run(&incoming, body, &trail).await;
         drop(room);
         match returned {
-            Some(returned) => self.answer(&incoming, returned).await,
+            Some(returned) => self.answer(&incoming, returned, &trail).await,
             None => Next::Close,
         }
     }
@@ -171,7 +172,7 @@
     }
 
     /// Brings a request to its end; returns nothing if the client leaves before.
-    async fn run(&mut self, incoming: &Incoming, body: Bytes) -> Option<Returned> {
+    async fn run(&mut self, incoming: &Incoming, body: Bytes, trail: &Trail) -> Option<Returned> {
         let entry = Rc::clone(&self.entry);
         let Some(service) = entry.splitter.next(&incoming.route) else {
             return Some(Returned::refused(Reason::NoUpstream));
@@ -183,7 +184,7 @@
         }
         let deadline = Deadline::from_std(incoming.deadline);
         // Boxed, since each future around it would keep room for it once more.
-        let dispatch = Box::pin(entry.dispatcher.dispatch(work, &incoming.route));
+        let dispatch = Box::pin(entry.dispatcher.dispatch(work, &incoming.route, trail));
         let dispatch = std::pin::pin!(timeout_at(deadline, dispatch));
         let leaving = std::pin::pin!(wait_for_end(&mut self.reader));
         let returned = match select(dispatch, leaving).await {
@@ -197,8 +198,8 @@
         Some(returned)
     }
 
-    async fn answer(&mut self, incoming: &Incoming, returned: Returned) -> Next {
-        self.log(incoming, &returned);
+    async fn answer(&mut self, incoming: &Incoming, returned: Returned, trail: &Trail) -> Next {
+        self.log(incoming, &returned, trail);
         let time = incoming.came.elapsed();
         let kind = &incoming.route.name;
         self.entry.metrics.note_answer(kind, &returned, time);
@@ -251,19 +252,26 @@
         }
     }
 
-    fn log(&self, incoming: &Incoming, returned: &Returned) {
+    fn log(&self, incoming: &Incoming, returned: &Returned, trail: &Trail) {
+        let refusal = Refusal::of(returned);
+        let end = End {
+            attempt: &incoming.attempt,
+            kind: &incoming.route.name,
+            status: refusal.map_or(returned.status, Refusal::status),
+            trail,
+            reason: returned.reason,
+            pressure: returned.met_pressure(),
+            failed_below: returned.failed_below,
+            version: self.entry.current.version(),
+            after: incoming.came.elapsed(),
+            calls: self.entry.in_flight.get(),
+        };
         let events = &self.entry.events;
-        let (attempt, kind) = (&incoming.attempt, &incoming.route.name);
-        match Refusal::of(returned) {
-            None => {}
-            Some(Refusal::NotRun) => events.note_refusal(&RefusalEvent {
-                attempt,
-                kind,
-                at: Stage::Entry,
-                reason: returned.reason,
-                calls: self.entry.in_flight.get(),
-            }),
-            Some(other) => events.note_failure(attempt, kind, other.status(), returned.reason),
+        match refusal {
+            None if returned.is_success() => {}
+            None => events.note_bad_answer(&end),
+            Some(Refusal::NotRun) => events.note_refused_end(&end),
+            Some(_) => events.note_failure(&end),
         }
     }
 
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -1,54 +1,68 @@
 //! Log events about single requests, bounded in number.
 
+mod sampler;
+#[cfg(test)]
+mod tests;
+
 use std::cell::RefCell;
 use std::fmt::Display;
 use std::time::{Duration, Instant};
 
+use sailtrack_admission::Pressure;
 use sailtrack_kernel::Service;
 use sailtrack_log::{Entry, Field, catalogue, emit};
-use sailtrack_units::{KindName, NodeName};
-use sailtrack_wire::{Outcome, Reason};
+use sailtrack_units::{ConfigVersion, KindName, NodeName};
+use sailtrack_wire::Reason;
 
+use crate::dispatch::Trail;
 use crate::key::AttemptKey;
 use crate::metrics::Stage;
 use crate::work::Returned;
+use sampler::{Sampler, Verdict};
 
-/// The most events about single requests in one second; a line costs some 10 us of processor
-/// time, so these are at most 0.05 % of a core.
-const EVENTS_PER_SECOND: u32 = 50;
-
-/// A request that was refused, and what decided it.
+/// A request that was refused at the gate, and what decided it.
 pub(crate) struct Refusal<'a> {
     pub(crate) attempt: &'a AttemptKey,
     pub(crate) kind: &'a KindName,
-    pub(crate) at: Stage,
     pub(crate) reason: Reason,
     /// The requests that ran and waited there.
     pub(crate) calls: usize,
 }
 
-/// The events of the present second.
-#[derive(Debug)]
-struct Second {
-    began: Instant,
-    written: u32,
-    left_out: u32,
+/// The end of a request at the entry, and what decided it.
+pub(crate) struct End<'a> {
+    pub(crate) attempt: &'a AttemptKey,
+    pub(crate) kind: &'a KindName,
+    /// The status that the client gets.
+    pub(crate) status: u16,
+    pub(crate) trail: &'a Trail,
+    pub(crate) reason: Reason,
+    /// How full the path was that it took.
+    pub(crate) pressure: Pressure,
+    /// Whether a call made for it failed.
+    pub(crate) failed_below: bool,
+    /// The configuration by which it was brought there.
+    pub(crate) version: ConfigVersion,
+    pub(crate) after: Duration,
+    /// The requests that the node works on.
+    pub(crate) calls: usize,
 }
 
 /// Writes log events about single requests, and leaves out what is too many.
+///
+/// Refusals come in floods and would crowd out what is seldom, so each has a bound of its own.
 #[derive(Debug)]
 pub(crate) struct Events {
-    second: RefCell<Second>,
+    refusals: RefCell<Sampler>,
+    failures: RefCell<Sampler>,
 }
 
 impl Default for Events {
     fn default() -> Self {
+        let now = Instant::now();
         Self {
-            second: RefCell::new(Second {
-                began: Instant::now(),
-                written: 0,
-                left_out: 0,
-            }),
+            refusals: RefCell::new(Sampler::new("refusals", now)),
+            failures: RefCell::new(Sampler::new("failures", now)),
         }
     }
 }
@@ -58,15 +72,17 @@
 }
 
 impl Events {
-    /// Notes that a request was refused.
+    /// Notes that a request was refused at the gate.
     pub(crate) fn note_refusal(&self, refusal: &Refusal<'_>) {
         let reason = refusal.reason.as_str_name();
-        self.write(
+        write(
+            &self.refusals,
+            refusal.attempt,
             &catalogue::REQUEST_REFUSED,
             &[
                 ("request", refusal.attempt),
                 ("kind", refusal.kind),
-                ("at", &refusal.at),
+                ("at", &Stage::Gate),
                 ("reason", &reason),
                 ("calls", &refusal.calls),
             ],
@@ -75,7 +91,9 @@
 
     /// Notes that the answer of the own upstream to a request was lost or cannot be passed on.
     pub(crate) fn note_loss(&self, attempt: &AttemptKey, reason: &dyn Display) {
-        self.write(
+        write(
+            &self.failures,
+            attempt,
             &catalogue::ANSWER_LOST,
             &[("request", attempt), ("reason", reason)],
         );
@@ -85,7 +103,9 @@
     pub(crate) fn note_retry(&self, attempt: &AttemptKey, node: &NodeName, returned: &Returned) {
         let reason = returned.reason.as_str_name();
         let outcome = returned.outcome.as_str_name();
-        self.write(
+        write(
+            &self.refusals,
+            attempt,
             &catalogue::REQUEST_REPEATED,
             &[
                 ("request", attempt),
@@ -96,62 +116,85 @@
         );
     }
 
+    /// Notes that a request is refused at the entry.
+    pub(crate) fn note_refused_end(&self, end: &End<'_>) {
+        let reason = end.reason.as_str_name();
+        let first: [Field<'_>; 5] = [
+            ("request", end.attempt),
+            ("kind", end.kind),
+            ("at", &Stage::Entry),
+            ("reason", &reason),
+            ("calls", &end.calls),
+        ];
+        end.write(&self.refusals, &catalogue::REQUEST_REFUSED, &first);
+    }
+
     /// Notes that a request ends without an answer of an upstream.
-    pub(crate) fn note_failure(
-        &self,
-        attempt: &AttemptKey,
-        kind: &KindName,
-        status: u16,
-        reason: Reason,
-    ) {
+    pub(crate) fn note_failure(&self, end: &End<'_>) {
+        let reason = end.reason.as_str_name();
+        let first: [Field<'_>; 4] = [
+            ("request", end.attempt),
+            ("kind", end.kind),
+            ("status", &end.status),
+            ("reason", &reason),
+        ];
+        end.write(&self.failures, &catalogue::REQUEST_FAILED, &first);
+    }
+
+    /// Notes that an upstream answered with a failure of its own.
+    pub(crate) fn note_bad_answer(&self, end: &End<'_>) {
+        let first: [Field<'_>; 4] = [
+            ("request", end.attempt),
+            ("kind", end.kind),
+            ("status", &end.status),
+            ("below", &end.failed_below),
+        ];
+        end.write(&self.failures, &catalogue::REQUEST_ANSWERED_BADLY, &first);
+    }
+
+    /// Notes that it is not known whether a request ran in the own upstream.
+    pub(crate) fn note_unknown(&self, attempt: &AttemptKey, kind: &KindName, reason: Reason) {
         let reason = reason.as_str_name();
-        self.write(
-            &catalogue::REQUEST_FAILED,
-            &[
-                ("request", attempt),
-                ("kind", kind),
-                ("status", &status),
-                ("reason", &reason),
-            ],
+        write(
+            &self.failures,
+            attempt,
+            &catalogue::OUTCOME_NOT_KNOWN,
+            &[("request", attempt), ("kind", kind), ("reason", &reason)],
         );
     }
+}
 
-    /// Notes what became of a request at the gate.
-    pub(crate) fn note_gate(&self, kind: &KindName, returned: &Returned) {
-        if returned.outcome == Outcome::Unknown {
-            let reason = returned.reason.as_str_name();
-            self.write(
-                &catalogue::OUTCOME_NOT_KNOWN,
-                &[("kind", kind), ("reason", &reason)],
-            );
-        }
+impl End<'_> {
+    /// Writes an event with its own fields and those that every end has.
+    fn write(&self, sampler: &RefCell<Sampler>, entry: &Entry, first: &[Field<'_>]) {
+        let node = self.trail.node();
+        let node = node.as_ref().map_or("none", NodeName::as_str);
+        let after_ms = self.after.as_millis();
+        let rest: [Field<'_>; 5] = [
+            ("node", &node),
+            ("tries", &self.trail.tries()),
+            ("pressure", &self.pressure.percent()),
+            ("version", &self.version),
+            ("after_ms", &after_ms),
+        ];
+        write(sampler, self.attempt, entry, &[first, &rest].concat());
     }
+}
 
-    fn write(&self, entry: &Entry, fields: &[Field<'_>]) {
-        if self.may_write(Instant::now()) {
-            emit(entry, fields);
-        }
+fn write(sampler: &RefCell<Sampler>, attempt: &AttemptKey, entry: &Entry, fields: &[Field<'_>]) {
+    let verdict = sampler.borrow_mut().judge(attempt, Instant::now());
+    let Verdict { is_kept, summary } = verdict;
+    if let Some(summary) = summary {
+        emit(
+            &catalogue::EVENTS_LEFT_OUT,
+            &[
+                ("count", &summary.left_out),
+                ("about", &summary.about),
+                ("kept", &summary.kept_percent),
+            ],
+        );
     }
-
-    fn may_write(&self, now: Instant) -> bool {
-        let mut second = self.second.borrow_mut();
-        if now.saturating_duration_since(second.began) >= Duration::from_secs(1) {
-            if second.left_out > 0 {
-                let left_out = second.left_out;
-                emit(&catalogue::EVENTS_LEFT_OUT, &[("count", &left_out)]);
-            }
-            *second = Second {
-                began: now,
-                written: 0,
-                left_out: 0,
-            };
-        }
-        let fits = second.written < EVENTS_PER_SECOND;
-        if fits {
-            second.written += 1;
-        } else {
-            second.left_out += 1;
-        }
-        fits
+    if is_kept {
+        emit(entry, fields);
     }
 }
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -23,7 +23,7 @@
 use sailtrack_net::task::{self, Held};
 use sailtrack_net::transparent::ResponseHead;
 use sailtrack_units::ServiceName;
-use sailtrack_wire::Reason;
+use sailtrack_wire::{Outcome, Reason};
 
 use crate::contexts::Contexts;
 use crate::dialect::Dialect;
@@ -153,12 +153,14 @@
     /// Dropping the future stops a request that may run again, and one that was not sent yet.
     pub(crate) async fn run(self: &Rc<Self>, work: Work) -> Returned {
         let held = Held::new(&self.in_flight);
-        let kind = work.kind.clone();
+        let (attempt, kind) = (work.attempt.clone(), work.kind.clone());
         let importance = work.rank.importance();
         let mut returned = self.admit(work).await;
         returned.body.hold(held);
         let pressure = self.admission.pressure(Instant::now(), importance);
-        self.events.note_gate(&kind, &returned);
+        if returned.outcome == Outcome::Unknown {
+            self.events.note_unknown(&attempt, &kind, returned.reason);
+        }
         self.metrics
             .note_end(Stage::Gate, &kind, returned.outcome, returned.reason);
         Returned {
@@ -279,7 +281,6 @@
         self.events.note_refusal(&Refusal {
             attempt: &work.attempt,
             kind: &work.kind,
-            at: Stage::Gate,
             reason,
             calls: self.admission.in_flight() + self.admission.waiting(),
         });
