sailtrack explain: from the id of a failed request to its cause, out of logs

The way stood in OPERATIONS.md as a search by hand over the logs of several nodes. `sailtrack explain ID [FILE...]` reads logs (files named after their nodes, or standard input with the node's name before each object), prints the trail in the order of time with what changed on the nodes around it and what was left out, and the cause in one sentence, as text or JSON. A failed call is followed to the one furthest down. Event 800 of a gate says in `bound` whether the queue or the window of the kind was full.

Test: crates/cli/tests/explain.rs, ten cases.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use clap::builder::NonEmptyStringValueParser;
 use clap::{Arg, ArgAction, Command, value_parser};
 use sailtrack_units::{ConfigVersion, OperatorName, Period};
 
@@ -16,6 +17,7 @@
         .subcommand(apply())
         .subcommand(run())
         .subcommand(report())
+        .subcommand(explain())
 }
 
 fn check() -> Command {
@@ -84,6 +86,26 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Explains from logs of nodes how a request ended and why")
+        .arg(
+            Arg::new("request")
+                .value_name("ID")
+                .help("The id of the request's attempt")
+                .required(true)
+                .value_parser(NonEmptyStringValueParser::new()),
+        )
+        .arg(
+            Arg::new("logs")
+                .value_name("FILE")
+                .help("The logs, each named after its node [default: standard input]")
+                .num_args(0..)
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(output(&["text", "json"]))
+}
+
 fn file(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .value_name("FILE")
--- /dev/null
+++ b/crates/cli/src/explain/cause.rs
@@ -0,0 +1,162 @@
+//! Why a request ended as it did, in one sentence.
+
+use displaydoc::Display;
+use serde::Serialize;
+
+use crate::explain::line::{
+    ANSWER_LOST, ANSWERED_BADLY, FAILED, GONE, Line, PEER_LOST, REFUSED, RETIRED, STARTED, STOPPING,
+};
+use crate::explain::trail::Trail;
+
+/// Why a request ended as it did.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Serialize)]
+#[serde(rename_all = "snake_case", tag = "name")]
+pub(super) enum Cause {
+    /// nothing tells how {request} ended: its upstream answered it well, or its lines were left out
+    Untold { request: String },
+    /// it has not run: {node} was full, with {calls} requests in its upstream and its queue
+    Full { node: String, calls: String },
+    /// it has not run: the services that its kind calls were full, at {pressure} % of what they take, so {node} let no more of the kind in
+    FullBelow { node: String, pressure: String },
+    /// it has not run: no upstream of its service took requests{detail}
+    NoUpstream { detail: String },
+    /// it has not run: upstreams turned it away themselves, {tries} in all, the last one beside {node}
+    TurnedAway { node: String, tries: String },
+    /// it has not run: {node} was stopping
+    Stopping { node: String },
+    /// it has not run: {reason}
+    NotRun { reason: String },
+    /// the time was over, {after} after it came in; {node} had it then{detail}
+    Late {
+        node: String,
+        after: String,
+        detail: String,
+    },
+    /// the answer of the upstream beside {node} was lost or could not be passed on: {reason}; whether it ran is known only there
+    AnswerLost { node: String, reason: String },
+    /// the connection to {node} was lost while it had the request{detail}; whether it ran is not known
+    ConnectionLost { node: String, detail: String },
+    /// the upstream beside {node} answered with {status} of its own
+    UpstreamFailed { node: String, status: String },
+    /// the upstream beside {node} answered with {status} since a call of its own failed: {call}: {cause}
+    CallFailed {
+        node: String,
+        status: String,
+        call: String,
+        cause: Box<Cause>,
+    },
+}
+
+impl Cause {
+    /// Finds the cause of a request's end.
+    pub(super) fn of(trail: &Trail, request: &str) -> Self {
+        match trail.end(request) {
+            None => Self::Untold {
+                request: request.to_owned(),
+            },
+            Some(end) => Self::of_end(trail, end, request),
+        }
+    }
+
+    fn of_end(trail: &Trail, end: &Line, request: &str) -> Self {
+        match end.event {
+            REFUSED => Self::of_refusal(trail, end),
+            FAILED if end.field("status") == "504" => Self::Late {
+                node: end.field("node").to_owned(),
+                after: format!("{} ms", end.field("after_ms")),
+                detail: detail(trail, end.field("node")),
+            },
+            FAILED => Self::of_loss(trail, end),
+            ANSWERED_BADLY => Self::of_bad_answer(trail, end, request),
+            _ => Self::Untold {
+                request: request.to_owned(),
+            },
+        }
+    }
+
+    fn of_refusal(trail: &Trail, end: &Line) -> Self {
+        let node = end.field("node").to_owned();
+        match end.field("reason") {
+            "REASON_OVERLOAD" => Self::of_overload(trail, end),
+            "REASON_NO_UPSTREAM" => Self::NoUpstream {
+                detail: detail(trail, &node),
+            },
+            "REASON_UPSTREAM_SHED" => Self::TurnedAway {
+                node,
+                tries: end.field("tries").to_owned(),
+            },
+            "REASON_DRAINING" if node == "none" => Self::Stopping {
+                node: end.node.clone(),
+            },
+            "REASON_DRAINING" => Self::Stopping { node },
+            reason => Self::NotRun {
+                reason: reason.to_owned(),
+            },
+        }
+    }
+
+    /// A gate refuses for its own queue, or because the kind meets too much pressure further down.
+    fn of_overload(trail: &Trail, end: &Line) -> Self {
+        let node = end.field("node").to_owned();
+        let at_gate = trail.lines.iter().rev().find(|line| {
+            line.event == REFUSED
+                && line.field("at") == "gate"
+                && line.field("request") == end.field("request")
+        });
+        match at_gate {
+            Some(gate) if gate.field("bound") == "window" => Self::FullBelow {
+                node,
+                pressure: end.field("pressure").to_owned(),
+            },
+            Some(gate) => Self::Full {
+                node,
+                calls: gate.field("calls").to_owned(),
+            },
+            None => Self::Full {
+                node,
+                calls: "an unknown number of".to_owned(),
+            },
+        }
+    }
+
+    fn of_loss(trail: &Trail, end: &Line) -> Self {
+        let node = end.field("node").to_owned();
+        match trail.event(ANSWER_LOST, end.field("request")) {
+            Some(loss) => Self::AnswerLost {
+                node: loss.node.clone(),
+                reason: loss.field("reason").to_owned(),
+            },
+            None => Self::ConnectionLost {
+                detail: detail(trail, &node),
+                node,
+            },
+        }
+    }
+
+    fn of_bad_answer(trail: &Trail, end: &Line, request: &str) -> Self {
+        let node = end.field("node").to_owned();
+        let status = end.field("status").to_owned();
+        let call = trail.deepest_failure(request);
+        match call {
+            Some(call) if call.field("request") != end.field("request") => Self::CallFailed {
+                node,
+                status,
+                call: call.field("request").to_owned(),
+                cause: Box::new(Self::of_end(trail, call, call.field("request"))),
+            },
+            _ => Self::UpstreamFailed { node, status },
+        }
+    }
+}
+
+/// Returns what happened to a node around the request.
+fn detail(trail: &Trail, node: &str) -> String {
+    let numbers = [STARTED, STOPPING, GONE, RETIRED, PEER_LOST];
+    match trail.state_of(node, &numbers) {
+        Some(line) => format!(
+            ", and {} said at {}: {}",
+            line.node, line.time, line.message
+        ),
+        None => String::new(),
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod cli;
 mod error;
 mod exit;
+mod explain;
 mod export;
 mod node;
 mod options;
@@ -35,6 +36,7 @@
         Action::Check(check) => Ok(check::run(&check)),
         Action::Apply(apply) => sailtrack_net::runtime::run(apply::run(apply))?,
         Action::Ask(ask) => sailtrack_net::runtime::run(ask::run(ask))?,
+        Action::Explain(explain) => explain::run(&explain),
         Action::Report(report) => sailtrack_net::runtime::run(burn::run(report))?,
     }
 }
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -67,6 +67,15 @@
     pub(crate) to: Option<PathBuf>,
 }
 
+/// What `explain` is asked for.
+#[derive(Debug)]
+pub(crate) struct Explain {
+    pub(crate) request: String,
+    /// Standard input if there are none.
+    pub(crate) logs: Vec<PathBuf>,
+    pub(crate) format: Format,
+}
+
 /// What is to be done.
 #[derive(Debug)]
 pub(crate) enum Action {
@@ -74,6 +83,7 @@
     Apply(Apply),
     Ask(Ask),
     Report(Report),
+    Explain(Explain),
 }
 
 /// The whole of the command line.
@@ -88,6 +98,7 @@
         let action = match matches.subcommand() {
             Some(("check", matches)) => Action::Check(check(matches)),
             Some(("apply", matches)) => Action::Apply(apply(matches)),
+            Some(("explain", matches)) => Action::Explain(explain(matches)),
             Some(("report", matches)) => Action::Report(report(matches)?),
             Some((_, matches)) => Action::Ask(ask(matches)),
             None => return Err(Error::Refused("a subcommand is needed".to_owned())),
@@ -155,6 +166,15 @@
     })
 }
 
+fn explain(matches: &ArgMatches) -> Explain {
+    let logs = matches.get_many::<PathBuf>("logs");
+    Explain {
+        request: one(matches, "request"),
+        logs: logs.into_iter().flatten().cloned().collect(),
+        format: format(matches),
+    }
+}
+
 fn format(matches: &ArgMatches) -> Format {
     match one::<String>(matches, "output").as_str() {
         "json" => Format::Json,
--- /dev/null
+++ b/crates/cli/tests/explain.rs
@@ -0,0 +1,208 @@
+//! From the id of a failed request to its cause, out of logs.
+
+use std::io::Write as _;
+use std::process::{Output, Stdio};
+
+use serde_json::{Value, json};
+
+/// Runs `sailtrack explain` for a request on logs from standard input.
+#[allow(
+    clippy::disallowed_types,
+    reason = "the test starts the program that it tests"
+)]
+fn explain(arguments: &[&str], logs: &str) -> Output {
+    let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_sailtrack"))
+        .arg("explain")
+        .args(arguments)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let mut input = child.stdin.take().expect("it is a pipe");
+    // It may have ended before it read everything.
+    let _ = input.write_all(logs.as_bytes());
+    drop(input);
+    child.wait_with_output().expect("it ends")
+}
+
+/// Returns a line as a log collector hands it on, at a time in milliseconds.
+fn line(node: &str, millis: u32, event: u32, message: &str, fields: &Value) -> String {
+    let mut kvs = fields.clone();
+    kvs["event"] = json!(event);
+    let time = format!(
+        "2026-12-02T09:00:{:02}.{:03}Z",
+        millis / 1000,
+        millis % 1000
+    );
+    let object = json!({"timestamp": time, "level": "INFO", "message": message, "kvs": kvs});
+    format!("{node} {object}\n")
+}
+
+fn end(event: u32, fields: &Value) -> String {
+    let mut all = json!({"request": "a1", "kind": "lookup", "node": "pay-1", "tries": "1",
+                         "pressure": "120", "version": "7", "after_ms": "41"});
+    for (name, value) in fields.as_object().expect("an object") {
+        all[name] = value.clone();
+    }
+    line("desk-1", 5000, event, "end", &all)
+}
+
+fn refused(reason: &str, fields: &Value) -> String {
+    let mut all = fields.clone();
+    all["at"] = json!("entry");
+    all["reason"] = json!(reason);
+    end(800, &all)
+}
+
+/// Returns the last line of the output, which tells the cause.
+fn cause(logs: &str) -> String {
+    let output = explain(&["a1"], logs);
+    let text = String::from_utf8(output.stdout).expect("it is text");
+    let last = text.lines().last().unwrap_or_default();
+    last.strip_prefix("cause: ").unwrap_or_default().to_owned()
+}
+
+fn assert_cause(logs: &str, parts: &[&str]) {
+    let cause = cause(logs);
+    for part in parts {
+        assert!(cause.contains(part), "{cause:?} lacks {part:?}");
+    }
+}
+
+#[test]
+fn refused_full() {
+    let gate = json!({"request": "a1", "at": "gate", "bound": "queue", "calls": "57"});
+    let logs = line("pay-1", 4990, 800, "request refused", &gate)
+        + &refused("REASON_OVERLOAD", &json!({"pressure": "285"}));
+    assert_cause(&logs, &["it has not run", "pay-1 was full", "57 requests"]);
+}
+
+#[test]
+fn refused_for_below() {
+    let gate = json!({"request": "a1", "at": "gate", "bound": "window", "calls": "9"});
+    let logs = line("pay-1", 4990, 800, "request refused", &gate)
+        + &refused("REASON_OVERLOAD", &json!({"pressure": "200"}));
+    assert_cause(&logs, &["the services that its kind calls", "200 %"]);
+}
+
+#[test]
+fn nobody_there() {
+    let left = json!({"upstream": "i-1", "reason": "leaving"});
+    let logs = line("pay-1", 4100, 412, "upstream retired", &left)
+        + &refused("REASON_NO_UPSTREAM", &json!({"node": "pay-1"}));
+    assert_cause(
+        &logs,
+        &[
+            "no upstream of its service",
+            "pay-1 said",
+            "upstream retired",
+        ],
+    );
+}
+
+#[test]
+fn too_late() {
+    let logs = line(
+        "pay-1",
+        4200,
+        100,
+        "process started",
+        &json!({"process": "pay-1"}),
+    ) + &end(802, &json!({"status": "504", "reason": "REASON_DEADLINE"}));
+    assert_cause(
+        &logs,
+        &[
+            "the time was over, 41 ms",
+            "pay-1 had it",
+            "process started",
+        ],
+    );
+}
+
+#[test]
+fn answer_spoiled() {
+    let spoiled = json!({"request": "a1", "reason": "a success without the upstream's signature"});
+    let logs = line("pay-1", 4990, 803, "answer lost", &spoiled)
+        + &end(
+            802,
+            &json!({"status": "502", "reason": "REASON_CONNECTION"}),
+        );
+    assert_cause(&logs, &["beside pay-1", "signature"]);
+}
+
+#[test]
+fn connection_lost() {
+    let lost = json!({"node": "pay-1", "reason": "reset"});
+    let logs = line("desk-1", 4990, 701, "peer connection lost", &lost)
+        + &end(
+            802,
+            &json!({"status": "502", "reason": "REASON_CONNECTION"}),
+        );
+    assert_cause(
+        &logs,
+        &["the connection to pay-1 was lost", "peer connection lost"],
+    );
+}
+
+/// The failure is looked for at the call furthest down.
+#[test]
+fn call_failed() {
+    let call = json!({"request": "a1.b.c", "kind": "read", "at": "entry", "node": "none",
+                      "reason": "REASON_NO_UPSTREAM", "tries": "0"});
+    let between = json!({"request": "a1.b", "kind": "map", "status": "500", "below": "true",
+                         "node": "reg-1"});
+    let other = json!({"request": "a12.b.c.d", "at": "entry", "reason": "REASON_OVERLOAD"});
+    let logs = end(805, &json!({"status": "500", "below": "true"}))
+        + &line("reg-1", 4900, 800, "request refused", &call)
+        + &line(
+            "bank-1",
+            4950,
+            805,
+            "request answered with a failure",
+            &between,
+        )
+        + &line("reg-1", 4960, 800, "request refused", &other);
+    assert_cause(
+        &logs,
+        &[
+            "pay-1 answered with 500",
+            "call of its own",
+            "a1.b.c",
+            "no upstream",
+        ],
+    );
+}
+
+#[test]
+fn failed_itself() {
+    let logs = end(805, &json!({"status": "500", "below": "false"}));
+    assert_cause(&logs, &["beside pay-1 answered with 500 of its own"]);
+}
+
+#[test]
+fn nothing_known() {
+    let noise = "no log line\n{\"a\": 1}\n{broken\n\u{fffd}\n";
+    let output = explain(&["a1"], noise);
+    assert_eq!(output.status.code(), Some(4), "unknown");
+    assert_cause(noise, &["nothing tells how a1 ended"]);
+}
+
+#[test]
+fn files_name_nodes() {
+    let folder = env!("CARGO_TARGET_TMPDIR");
+    let file = format!("{folder}/desk-9.log");
+    let text = refused("REASON_UPSTREAM_SHED", &json!({"tries": "5"}));
+    let text = text.trim_start_matches("desk-1 ");
+    std::fs::write(&file, text).expect("it can be written");
+    let output = explain(&["a1", &file, "--output", "json"], "");
+    let value: Value = serde_json::from_slice(&output.stdout).expect("it is JSON");
+    assert_eq!(value["cause"]["name"], "turned_away");
+    assert_eq!(value["cause"]["tries"], "5");
+    assert_eq!(value["lines"][0]["node"], "desk-9");
+    let missing = format!("{folder}/missing.log");
+    let output = explain(&["a1", &missing], "");
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text.contains("missing.log"), "{text}");
+}
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -5,9 +5,10 @@
 mod tests;
 
 use std::cell::RefCell;
-use std::fmt::Display;
+use std::fmt;
 use std::time::{Duration, Instant};
 
+use displaydoc::Display;
 use sailtrack_admission::Pressure;
 use sailtrack_kernel::Service;
 use sailtrack_log::{Entry, Field, catalogue, emit};
@@ -20,11 +21,24 @@
 use crate::work::Returned;
 use sampler::{Sampler, Verdict};
 
+/// What was full where a request was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) enum Bound {
+    /// nothing
+    Nothing,
+    /// queue
+    Queue,
+    /// window
+    Window,
+}
+
 /// A request that was refused at the gate, and what decided it.
 pub(crate) struct Refusal<'a> {
     pub(crate) attempt: &'a AttemptKey,
     pub(crate) kind: &'a KindName,
     pub(crate) reason: Reason,
+    /// The queue before the upstream, or the window of its kind.
+    pub(crate) bound: Bound,
     /// The requests that ran and waited there.
     pub(crate) calls: usize,
 }
@@ -84,13 +98,14 @@
                 ("kind", refusal.kind),
                 ("at", &Stage::Gate),
                 ("reason", &reason),
+                ("bound", &refusal.bound),
                 ("calls", &refusal.calls),
             ],
         );
     }
 
     /// Notes that the answer of the own upstream to a request was lost or cannot be passed on.
-    pub(crate) fn note_loss(&self, attempt: &AttemptKey, reason: &dyn Display) {
+    pub(crate) fn note_loss(&self, attempt: &AttemptKey, reason: &dyn fmt::Display) {
         write(
             &self.failures,
             attempt,
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -27,7 +27,7 @@
 
 use crate::contexts::Contexts;
 use crate::dialect::Dialect;
-use crate::events::{Events, Refusal};
+use crate::events::{Bound, Events, Refusal};
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::metrics::{Metrics, Stage};
 use crate::work::{Returned, Work};
@@ -188,7 +188,7 @@
         };
         let window = match self.window(&work, now) {
             Ok(window) => window,
-            Err(reason) => return self.refuse(&work, reason),
+            Err(reason) => return self.refuse_at(&work, reason, Bound::Window),
         };
         let entered = self
             .admission
@@ -196,7 +196,7 @@
             .await;
         let permit = match entered {
             Ok(permit) => permit,
-            Err(reason) => return self.refuse(&work, reason),
+            Err(reason) => return self.refuse_at(&work, reason, Bound::Queue),
         };
         // It may have left while the request waited.
         let Some(upstream) = self.open_upstream(&work, Instant::now()) else {
@@ -278,10 +278,15 @@
     }
 
     fn refuse(&self, work: &Work, reason: Reason) -> Returned {
+        self.refuse_at(work, reason, Bound::Nothing)
+    }
+
+    fn refuse_at(&self, work: &Work, reason: Reason, bound: Bound) -> Returned {
         self.events.note_refusal(&Refusal {
             attempt: &work.attempt,
             kind: &work.kind,
             reason,
+            bound,
             calls: self.admission.in_flight() + self.admission.waiting(),
         });
         let spread = self.admission.return_spread(Instant::now());
