--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -36,8 +36,12 @@
     AnswerLost { node: String, reason: String },
     /// the connection to {node} was lost while it had the request{detail}; whether it ran is not known
     ConnectionLost { node: String, detail: String },
+    /// {node} had the request and its answer was lost, there or on the way back; whether it ran is not known, and nothing tells where
+    LostSomewhere { node: String },
     /// the upstream beside {node} answered with {status} of its own
     UpstreamFailed { node: String, status: String },
+    /// the upstream beside {node} answered with {status} since a call of its own failed, about which nothing was written
+    CallUntold { node: String, status: String },
     /// the upstream beside {node} answered with {status} since a call of its own failed: {call}: {cause}
     CallFailed {
         node: String,
@@ -126,9 +130,9 @@
                 node: loss.node.clone(),
                 reason: loss.field("reason").to_owned(),
             },
-            None => Self::ConnectionLost {
-                detail: detail(trail, &node),
-                node,
+            None => match detail(trail, &node) {
+                detail if detail.is_empty() => Self::LostSomewhere { node },
+                detail => Self::ConnectionLost { node, detail },
             },
         }
     }
@@ -136,15 +140,15 @@
     fn of_bad_answer(trail: &Trail, end: &Line, request: &str) -> Self {
         let node = end.field("node").to_owned();
         let status = end.field("status").to_owned();
-        let call = trail.deepest_failure(request);
-        match call {
-            Some(call) if call.field("request") != end.field("request") => Self::CallFailed {
+        match trail.deepest_failure(request) {
+            Some(call) => Self::CallFailed {
                 node,
                 status,
                 call: call.field("request").to_owned(),
                 cause: Box::new(Self::of_end(trail, call, call.field("request"))),
             },
-            _ => Self::UpstreamFailed { node, status },
+            None if end.field("below") == "true" => Self::CallUntold { node, status },
+            None => Self::UpstreamFailed { node, status },
         }
     }
 }
--- a/crates/cli/src/explain/mod.rs
+++ b/crates/cli/src/explain/mod.rs
@@ -4,6 +4,7 @@
 mod line;
 mod trail;
 
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{BufReader, stdin};
 use std::path::Path;
@@ -69,18 +70,24 @@
     for line in &trail.lines {
         print_line(line);
     }
-    print_part("around it", &trail.around);
-    print_part("left out around it", &trail.gaps);
+    if !trail.around.is_empty() {
+        println!("around it:");
+        for line in &trail.around {
+            print_line(line);
+        }
+    }
+    print_gaps(&trail.gaps);
     println!("cause: {cause}");
 }
 
-fn print_part(title: &str, lines: &[Line]) {
-    if lines.is_empty() {
-        return;
+/// Says for each node how much it left out; what is missing above may be among it.
+fn print_gaps(gaps: &[Line]) {
+    let mut left_out = BTreeMap::<&str, u64>::new();
+    for line in gaps {
+        *left_out.entry(&line.node).or_default() += line.field("count").parse().unwrap_or(0);
     }
-    println!("{title}:");
-    for line in lines {
-        print_line(line);
+    for (node, count) in left_out {
+        println!("{node} left out {count} lines around it");
     }
 }
 
--- a/crates/cli/src/explain/trail.rs
+++ b/crates/cli/src/explain/trail.rs
@@ -80,10 +80,10 @@
         ends.rev().find(|line| line.field("request") == request)
     }
 
-    /// Returns the end of the call furthest down that failed.
+    /// Returns the end of the call furthest down that was made for a request and failed.
     pub(super) fn deepest_failure(&self, request: &str) -> Option<&Line> {
         let ends = self.lines.iter().filter(|line| line.is_end());
-        let calls = ends.filter(|line| line.field("request") != request);
+        let calls = ends.filter(|line| line.is_about(request) && line.field("request") != request);
         calls.max_by_key(|line| line.field("request").matches('.').count())
     }
 
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -174,6 +174,38 @@
     );
 }
 
+/// Calls that fail beside each other are not taken for calls of each other.
+#[test]
+fn calls_side_by_side() {
+    let calls = ["a1.b", "a1.c"].map(|call| {
+        let fields = json!({"request": call, "status": "500", "below": "true", "node": "reg-1"});
+        line(
+            "bank-1",
+            4900,
+            805,
+            "request answered with a failure",
+            &fields,
+        )
+    });
+    let logs = calls.concat() + &end(805, &json!({"status": "500", "below": "true"}));
+    assert_cause(
+        &logs,
+        &[
+            "a call of its own failed: a1.",
+            "reg-1 answered with 500 since a call of its own failed, about which nothing",
+        ],
+    );
+}
+
+#[test]
+fn lost_without_trace() {
+    let logs = end(
+        802,
+        &json!({"status": "502", "reason": "REASON_CONNECTION"}),
+    );
+    assert_cause(&logs, &["pay-1 had the request", "nothing tells where"]);
+}
+
 #[test]
 fn failed_itself() {
     let logs = end(805, &json!({"status": "500", "below": "false"}));
