Windows begin small beside an upstream that has just come

Ruled out: upstreams that are not known; every one was announced within 0.2 s of the start.

Change: windows begin with an eighth of the slots for 3 s after a new life of the upstream; a round with room makes them 2.3 times as large. Test windows_ramp_up.

--- a/crates/admission/src/tests.rs
+++ b/crates/admission/src/tests.rs
@@ -193,6 +193,23 @@
     assert!((4..=6).contains(&entered), "{entered}");
 }
 
+#[test]
+fn windows_ramp_up() {
+    let windows = Rc::new(Windows::default());
+    let mut now = Instant::now();
+    let held = windows.enter(&kind(), now);
+    windows.ramp_up(now, 32);
+    drop(held);
+    assert_eq!(
+        meet(&windows, &mut now, 1, 0.5),
+        4,
+        "an eighth of the slots"
+    );
+    let next = meet(&windows, &mut now, 1, 0.5);
+    assert!((7..=8).contains(&next), "{next} after a round with room");
+    assert_eq!(meet(&windows, &mut now, 40, 0.5), 8);
+}
+
 #[test]
 fn small_window_paces() {
     let windows = Rc::new(Windows::default());
--- a/crates/admission/src/window.rs
+++ b/crates/admission/src/window.rs
@@ -6,7 +6,7 @@
 //! that can complete. Pressure is told for each importance, so the kinds that
 //! matter less give way first.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -34,6 +34,12 @@
 const OPEN_FACTOR: f64 = 4.0;
 /// The requests that are allowed for beyond that.
 const OPEN_MARGIN: f64 = 8.0;
+/// The share of the slots that a window begins with beside an upstream that has just come, and
+/// the least. Every round in which the path has room makes it 2.3 times as large.
+const START_SHARE: f64 = 0.125;
+const SMALLEST_START: f64 = 4.0;
+/// How long windows begin so.
+const START_TIME: Duration = Duration::from_secs(3);
 /// The weight of the newest request in the average of their times.
 const NEWEST_WEIGHT: f64 = 0.1;
 
@@ -76,9 +82,9 @@
 }
 
 impl Window {
-    fn open(now: Instant) -> Self {
+    fn open(now: Instant, size: Option<f64>) -> Self {
         Self {
-            size: None,
+            size,
             in_progress: 0,
             entered: None,
             time: 0.0,
@@ -149,6 +155,14 @@
 #[derive(Default)]
 pub struct Windows {
     windows: RefCell<HashMap<KindName, Window>>,
+    start: Cell<Option<Start>>,
+}
+
+/// How windows begin for a while.
+#[derive(Debug, Clone, Copy)]
+struct Start {
+    size: f64,
+    until: Instant,
 }
 
 impl Service for Windows {
@@ -156,12 +170,30 @@
 }
 
 impl Windows {
+    /// Lets the windows begin small, as the upstream has just come.
+    ///
+    /// After all nodes were away at once their clients come back at once; with open windows far
+    /// more was begun than the services further down could finish.
+    pub fn ramp_up(&self, now: Instant, slots: u32) {
+        let size = (f64::from(slots) * START_SHARE).max(SMALLEST_START);
+        self.start.set(Some(Start {
+            size,
+            until: now + START_TIME,
+        }));
+        for window in self.windows.borrow_mut().values_mut() {
+            let present = window.size.unwrap_or(size);
+            window.size = Some(present.min(size));
+        }
+    }
+
     /// Takes a place for a request, or nothing if as many are in progress as may be.
     pub fn enter(self: &Rc<Self>, kind: &KindName, now: Instant) -> Option<Place> {
+        let start = self.start.get().filter(|start| now < start.until);
+        let size = start.map(|start| start.size);
         let mut windows = self.windows.borrow_mut();
         let window = windows
             .entry(kind.clone())
-            .or_insert_with(|| Window::open(now));
+            .or_insert_with(|| Window::open(now, size));
         if window.is_full(now) {
             return None;
         }
--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -49,6 +49,7 @@
     /// The node stops and lets nothing new in.
     closed: Cell<bool>,
     changed: RefCell<Vec<Box<dyn Fn()>>>,
+    begun: RefCell<Vec<Box<dyn Fn()>>>,
 }
 
 impl Service for Upstream {
@@ -64,9 +65,15 @@
             unreachable_until: Cell::default(),
             closed: Cell::new(false),
             changed: RefCell::default(),
+            begun: RefCell::default(),
         }
     }
 
+    /// Calls `begun` whenever a new life of the upstream takes requests.
+    pub(crate) fn listen_to_new(&self, begun: impl Fn() + 'static) {
+        self.begun.borrow_mut().push(Box::new(begun));
+    }
+
     /// Calls `changed` whenever the upstream starts or ceases to take requests.
     pub(crate) fn listen(&self, changed: impl Fn() + 'static) {
         self.changed.borrow_mut().push(Box::new(changed));
@@ -141,6 +148,9 @@
             slots: beat.slots,
             sequence: beat.sequence,
         });
+        for begun in self.begun.borrow().iter() {
+            begun();
+        }
         self.tell();
     }
 
--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -2,12 +2,13 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::StreamExt as _;
 use futures::channel::mpsc;
 use monoio::time::{sleep, timeout};
 use rand::Rng as _;
+use sailtrack_admission::Windows;
 use sailtrack_kernel::{Error, Table};
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::task;
@@ -105,6 +106,11 @@
     current.listen(move || {
         metrics.bound(counted.get().map_or(0, |current| current.route_count()));
     });
+    let windows = table.find::<Windows>()?;
+    let upstream = table.find::<Upstream>()?;
+    table.find::<Upstream>()?.listen_to_new(move || {
+        windows.ramp_up(Instant::now(), upstream.slots());
+    });
     let status = table.find::<Status>()?;
     let told = Rc::clone(&status);
     current.listen(move || told.publish());
