--- a/crates/mesh/src/peer/link.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -1,5 +1,8 @@
 //! The connection to one other node, opened anew whenever it is lost.
 
+mod connection;
+mod replies;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::IpAddr;
@@ -8,41 +11,22 @@
 
 use futures::SinkExt as _;
 use futures::channel::{mpsc, oneshot};
-use futures::future::{Either, select};
-use monoio::io::Splitable as _;
 use monoio::time::{sleep, timeout};
-use rand::Rng as _;
-use sailtrack_log::{catalogue, emit};
-use sailtrack_net::dial::{DialError, dial, give_up_after};
-use sailtrack_net::frames::{ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, write_frames};
 use sailtrack_units::{ConfigVersion, Incarnation};
 use sailtrack_wire::{
-    Body, Cancel, Chunk, Config, Fetch, Grant, Hello, Outcome, Presence, Reason, Recall, Reply,
-    Retire, State,
+    Body, Cancel, Chunk, Config, Fetch, Grant, Presence, Reason, Recall, Reply, Retire, State,
 };
 
-use crate::body::{Body as AnswerBody, Stream};
 use crate::directory::Member;
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::peer::News;
-use crate::peer::convert::{CHUNK, returned_from_wire, work_to_wire};
+use crate::peer::convert::{CHUNK, work_to_wire};
 use crate::peer::parts::Parts;
-use crate::peer::source::LinkSource;
 use crate::routing::PeerLoad;
 use crate::work::{Returned, Work};
 
-/// How long opening a connection may take: some round trips between regions.
-const CONNECT_TIME: Duration = Duration::from_millis(700);
-/// The first pause before a lost connection is opened anew.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// The longest pause; a node is to be found within a second or so after a partition ends.
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
-/// Data that is not acknowledged for this long ends a connection.
-const UNACKNOWLEDGED_TIME: Duration = Duration::from_millis(2500);
-/// A node from which nothing came for this many of its intervals gets no new requests,
+/// A node from which nothing came for this many of its intervals gets no new requests.
 const SILENT_INTERVALS: u32 = 3;
-/// and after this many its connection is closed.
-const DEAD_INTERVALS: u32 = 8;
 /// How long a lost request is asked for before its fate is taken for unknown.
 const RECALL_TIME: Duration = Duration::from_millis(2500);
 /// How often a connection that is being opened is looked at.
@@ -113,21 +97,6 @@
         })
     }
 
-    /// Keeps the connection open for as long as the link is wanted.
-    pub(crate) async fn keep(self: Rc<Self>) {
-        let mut pause = FIRST_PAUSE;
-        while !self.closed.get() {
-            let result = self.connect_and_run().await;
-            let was_open = self.life.get() != Incarnation::default();
-            self.end(was_open, &result);
-            if was_open {
-                pause = FIRST_PAUSE;
-            }
-            sleep(pause.mul_f64(rand::rng().random_range(0.5..1.0))).await;
-            pause = (pause * 2).min(LONGEST_PAUSE);
-        }
-    }
-
     /// Ends the link for good.
     pub(crate) fn close(&self) {
         self.closed.set(true);
@@ -305,52 +274,6 @@
         true
     }
 
-    async fn connect_and_run(&self) -> Result<(), ConnectionError> {
-        let dialed = dial(self.member.address, Some(self.source), CONNECT_TIME)
-            .await
-            .map_err(ConnectionError::Dial)?;
-        give_up_after(&dialed.probe, UNACKNOWLEDGED_TIME).map_err(ConnectionError::Io)?;
-        drop(dialed.probe);
-        let (read, write) = dialed.stream.into_split();
-        let (mut outgoing, frames) = mpsc::channel(OUTGOING_CAPACITY);
-        // The channel is new and empty, so the first message has room.
-        let _ = outgoing.try_send(hello(self.news.hello()));
-        let reading = std::pin::pin!(self.read(FrameReader::new(read), outgoing));
-        let writing = std::pin::pin!(write_frames(write, frames));
-        match select(reading, writing).await {
-            Either::Left((result, _)) | Either::Right((result, _)) => result,
-        }
-    }
-
-    async fn read(
-        &self,
-        mut reader: FrameReader,
-        outgoing: mpsc::Sender<Body>,
-    ) -> Result<(), ConnectionError> {
-        let greeting = timeout(CONNECT_TIME, reader.hello()).await;
-        let hello = greeting.map_err(|_| ConnectionError::Dial(DialError::Timeout))??;
-        *self.outgoing.borrow_mut() = Some(outgoing);
-        self.open(&hello);
-        loop {
-            let patience = self.news.interval() * DEAD_INTERVALS;
-            let message = timeout(patience, reader.next()).await;
-            let message = message.map_err(|_| ConnectionError::Dial(DialError::Timeout))??;
-            self.heard.set(Instant::now());
-            self.take(message);
-        }
-    }
-
-    fn open(&self, hello: &Hello) {
-        let member = hello.member.clone().unwrap_or_default();
-        // A life is never zero, which stands for no connection.
-        self.life.set(Incarnation(member.incarnation.max(1)));
-        self.state.set(member.state());
-        self.slots.set(member.slots);
-        self.heard.set(Instant::now());
-        self.lost_since.set(None);
-        emit(&catalogue::PEER_CONNECTED, &[("node", &self.member.name)]);
-    }
-
     fn take(&self, message: Body) {
         match message {
             Body::Reply(reply) => self.take_reply(reply),
@@ -388,75 +311,6 @@
         self.news.take(&self.member.name, presence);
     }
 
-    /// Takes the first part of a reply; one that nobody waits for is dropped.
-    fn take_reply(&self, mut reply: Reply) {
-        let exchange = reply.exchange;
-        if !self.pending.borrow().contains_key(&exchange) {
-            return;
-        }
-        if reply.streamed {
-            self.take_stream(reply);
-            return;
-        }
-        let first = std::mem::take(&mut reply.body);
-        let length = reply.body_length;
-        if first.len() as u64 == length {
-            self.give(
-                exchange,
-                returned_from_wire(reply, AnswerBody::Whole(first)),
-            );
-            return;
-        }
-        match Parts::new(reply, &first, length) {
-            Some(parts) => {
-                self.replies.borrow_mut().insert(exchange, parts);
-            }
-            None => self.give(exchange, Returned::unknown(Reason::AnswerTooLarge)),
-        }
-    }
-
-    fn take_stream(&self, reply: Reply) {
-        let exchange = reply.exchange;
-        let length = reply.length_known.then_some(reply.body_length);
-        let (sender, chunks) = mpsc::unbounded();
-        self.streams.borrow_mut().insert(exchange, sender);
-        let source = LinkSource::new(Weak::clone(&self.own), exchange, chunks);
-        let body = AnswerBody::Stream(Stream::new(length, Box::new(source)));
-        self.give(exchange, returned_from_wire(reply, body));
-    }
-
-    fn take_chunk(&self, chunk: Chunk) {
-        let exchange = chunk.exchange;
-        if let Some(stream) = self.streams.borrow().get(&exchange) {
-            // Who reads the body may have stopped.
-            let _ = stream.unbounded_send(chunk);
-            return;
-        }
-        let Some(mut parts) = self.replies.borrow_mut().remove(&exchange) else {
-            return;
-        };
-        if !parts.add(&chunk.data) {
-            self.give(exchange, Returned::unknown(Reason::AnswerTooLarge));
-        } else if parts.is_whole() {
-            let (reply, body) = parts.finish();
-            self.give(exchange, returned_from_wire(reply, AnswerBody::Whole(body)));
-        } else {
-            self.replies.borrow_mut().insert(exchange, parts);
-        }
-    }
-
-    fn give(&self, exchange: u64, returned: Returned) {
-        let waiting = self.pending.borrow_mut().remove(&exchange);
-        if let Some(Pending::Reply(sender)) = waiting {
-            let did_not_run = returned.outcome == Outcome::NotRun;
-            if did_not_run && returned.reason == Reason::Draining {
-                self.state.set(State::Leaving);
-            }
-            // The caller may have left.
-            let _ = sender.send(returned);
-        }
-    }
-
     fn disconnect(&self) {
         self.life.set(Incarnation::default());
         self.state.set(State::Joining);
@@ -466,19 +320,6 @@
         self.streams.borrow_mut().clear();
         self.fetching.borrow_mut().clear();
     }
-
-    fn end(&self, was_open: bool, result: &Result<(), ConnectionError>) {
-        self.disconnect();
-        if self.lost_since.get().is_none() {
-            self.lost_since.set(Some(Instant::now()));
-        }
-        if let (true, Err(error)) = (was_open, result) {
-            emit(
-                &catalogue::PEER_LOST,
-                &[("node", &self.member.name), ("reason", error)],
-            );
-        }
-    }
 }
 
 /// Cancels a request whose caller stops waiting before the answer has come.
