A near upstream that fails part of its requests gives way to a sound one further away

Routing asked another failure domain only when the near upstream was full.

Ruled out: the retry budget.

Change: a far upstream is preferred if the near one fails a tenth more of its requests lately.

--- a/crates/mesh/src/retry.rs
+++ b/crates/mesh/src/retry.rs
@@ -27,9 +27,17 @@
 /// last one is called four times makes some 13 at the bottom.
 const SLACK_SHARE: f64 = 0.08;
 /// The power of a request's place in the order of shedding that is the part of the budget which it
-/// may use: normal requests up to 2/5 of it, critical ones from there on. Within an importance the
-/// same requests come first at every service, so that those which get repeats complete.
-const RANK_POWER: i32 = 3;
+/// may use while far more repeats are wanted than are allowed: normal requests up to 1/8 of it,
+/// critical ones from 2/5 on. Within an importance the same requests come first at every service,
+/// so that those which get repeats complete.
+const RANK_POWER: f64 = 3.0;
+/// The wanted repeats, as a share of those allowed, up to which rank does not matter, and by how
+/// much more it matters fully. Where one upstream of three lost some answers, calls of normal
+/// requests went without repeats while a fifth of the budget was used.
+const SCARCE_FROM: f64 = 0.5;
+const SCARCE_SPAN: f64 = 0.5;
+/// Over how long the wanted repeats are counted: within it a flood is seen.
+const DEMAND_TIME: Duration = Duration::from_secs(1);
 /// The window is counted in this many slices.
 const SLICES: u32 = 20;
 
@@ -39,6 +47,8 @@
     began: Instant,
     requests: u32,
     repeats: u32,
+    /// Repeats that were asked for, granted or not.
+    wanted: u32,
 }
 
 /// The slices of the present window for one service.
@@ -47,6 +57,17 @@
     slices: VecDeque<Slice>,
 }
 
+/// What the decision about a repeat depends on.
+#[derive(Debug, Clone, Copy, Default)]
+struct Sums {
+    /// The requests that the ratio is taken of.
+    requests: f64,
+    /// The repeats of the present window.
+    repeats: f64,
+    /// The repeats that would be asked for in a window if it went on as lately.
+    wanted: f64,
+}
+
 /// What this node may send once more.
 #[derive(Debug)]
 pub(crate) struct Budget {
@@ -87,7 +108,12 @@
 
     /// Takes the right to send a request once more; `nodes` share the budget.
     pub(crate) fn take(&self, work: &Work, now: Instant, nodes: usize) -> bool {
-        let (requests, repeats) = self.sums(&work.service, now);
+        self.with_slice(&work.service, now, |slice| slice.wanted += 1);
+        let Sums {
+            requests,
+            repeats,
+            wanted,
+        } = self.sums(&work.service, now);
         #[allow(clippy::cast_precision_loss)]
         let slack = self.bounds.slack * SLACK_SHARE / nodes.max(1) as f64;
         let share = if self.is_told.get() {
@@ -97,7 +123,8 @@
         };
         let allowed = requests * self.bounds.ratio.0 * share + slack;
         let place = f64::from(work.rank.index()) / f64::from(Rank::HIGHEST.index());
-        let whole = (allowed * place.powi(RANK_POWER) + self.draw(&work.service, now)).floor();
+        let part = place.powf(RANK_POWER * scarcity(wanted, allowed));
+        let whole = (allowed * part + self.draw(&work.service, now)).floor();
         if repeats + 1.0 > whole {
             return false;
         }
@@ -105,14 +132,14 @@
         true
     }
 
-    /// Returns the requests that the ratio is taken of, and the repeats of the present window.
+    /// Returns what the decision about a repeat depends on.
     ///
     /// The requests are counted in the present window, the one before it or the one half a window
     /// before it, whichever has most: when the demand falls, its repeats are still under way.
-    fn sums(&self, service: &ServiceName, now: Instant) -> (f64, f64) {
+    fn sums(&self, service: &ServiceName, now: Instant) -> Sums {
         let mut windows = self.windows.borrow_mut();
         let Some(window) = windows.get_mut(service) else {
-            return (0.0, 0.0);
+            return Sums::default();
         };
         let length = self.bounds.window.0;
         window.forget_before(now, length * 2);
@@ -120,7 +147,12 @@
         let half = window.sum(now, length / 2, length, |slice| slice.requests);
         let before = window.sum(now, length, length, |slice| slice.requests);
         let repeats = window.sum(now, Duration::ZERO, length, |slice| slice.repeats);
-        (present.max(half).max(before), repeats)
+        let lately = window.sum(now, Duration::ZERO, DEMAND_TIME, |slice| slice.wanted);
+        Sums {
+            requests: present.max(half).max(before),
+            repeats,
+            wanted: lately * length.as_secs_f64() / DEMAND_TIME.as_secs_f64(),
+        }
     }
 
     /// Returns what a fraction of a repeat is rounded up by, the same for a whole window.
@@ -157,6 +189,7 @@
                 began: now,
                 requests: 0,
                 repeats: 0,
+                wanted: 0,
             });
         }
         if let Some(slice) = window.slices.back_mut() {
@@ -165,6 +198,14 @@
     }
 }
 
+/// Returns how much rank matters, from 0 to 1, when so many repeats are wanted.
+fn scarcity(wanted: f64, allowed: f64) -> f64 {
+    if allowed <= 0.0 {
+        return 1.0;
+    }
+    ((wanted / allowed - SCARCE_FROM) / SCARCE_SPAN).clamp(0.0, 1.0)
+}
+
 impl Window {
     /// Returns the sum over the slices that began within `length` before the moment `ago`.
     fn sum(&self, now: Instant, ago: Duration, length: Duration, count: fn(&Slice) -> u32) -> f64 {
--- a/crates/mesh/src/retry/tests.rs
+++ b/crates/mesh/src/retry/tests.rs
@@ -114,6 +114,49 @@
     assert!(critical > normal * 3, "{critical} after {normal}");
 }
 
+/// While fewer repeats are wanted than are allowed, no request goes without for its rank.
+#[test]
+fn few_are_for_all() {
+    let budget = Budget::new(BOUNDS);
+    let start = Instant::now();
+    tell(&budget, start);
+    let lesser = work(Rank::from_index(70), false);
+    let mut granted = 0;
+    for tenth in 0..200 {
+        let now = start + Duration::from_millis(100 * tenth);
+        note(&budget, 100, false, now);
+        granted += u32::from(budget.take(&lesser, now, 15));
+        granted += u32::from(budget.take(&lesser, now, 15));
+    }
+    // The first ones come before there is a budget.
+    assert!(granted >= 380, "{granted} of 400, 2 % of the requests");
+}
+
+/// Once far more are wanted than are allowed, those that matter more still get theirs.
+#[test]
+fn flood_leaves_room() {
+    let budget = Budget::new(BOUNDS);
+    let start = Instant::now();
+    tell(&budget, start);
+    let (lesser, critical) = (
+        work(Rank::from_index(70), false),
+        work(Rank::HIGHEST, false),
+    );
+    let (mut granted, mut wanted) = (0, 0);
+    for tenth in 0..200 {
+        let now = start + Duration::from_millis(100 * tenth);
+        note(&budget, 100, false, now);
+        for _ in 0..50 {
+            budget.take(&lesser, now, 15);
+        }
+        for _ in 0..10 {
+            wanted += 1;
+            granted += u32::from(budget.take(&critical, now, 15));
+        }
+    }
+    assert!(granted * 10 >= wanted * 9, "{granted} of {wanted}");
+}
+
 #[test]
 fn windows_pass() {
     let budget = Budget::new(BOUNDS);
--- a/crates/mesh/src/routing/load.rs
+++ b/crates/mesh/src/routing/load.rs
@@ -111,7 +111,7 @@
 
     /// Returns the share of requests that failed lately; without new ones it fades, or a node
     /// that failed once would get nothing by which it could show that it no longer does.
-    fn failing(&self, now: Instant) -> f64 {
+    pub(crate) fn failing(&self, now: Instant) -> f64 {
         let age = self
             .failed_at
             .map_or(Duration::ZERO, |seen| now.saturating_duration_since(seen));
--- a/crates/mesh/src/routing/mod.rs
+++ b/crates/mesh/src/routing/mod.rs
@@ -21,6 +21,10 @@
 /// Bytes between failure domains have a price, and so has waiting.
 const SPILL_MARGIN: f64 = 0.25;
 
+/// An upstream of another failure domain is preferred if the near one fails this much more of its
+/// requests lately. A loss of a tenth outweighs the price of an answer between failure domains.
+const FAILING_MARGIN: f64 = 0.1;
+
 /// Where a request goes.
 #[derive(Clone)]
 pub(crate) enum Target {
@@ -64,12 +68,25 @@
     /// It did not fail too often lately.
     is_available: bool,
     pressure: Pressure,
+    /// The share of its requests that failed lately.
+    failing: f64,
     /// How long an answer takes there, in seconds, if that is known.
     time: Option<f64>,
     /// How many times as long one more request is expected to take.
     weight: f64,
 }
 
+impl Candidate {
+    /// Returns true if a target in another failure domain is preferred to a near one.
+    fn is_worth_its_way(&self, near: &Self) -> bool {
+        let is_sounder = self.failing + FAILING_MARGIN < near.failing;
+        let has_room = self.pressure < Pressure::FULL;
+        let is_emptier = self.pressure.0 + SPILL_MARGIN < near.pressure.0;
+        let is_near_full = near.pressure >= Pressure::FULL;
+        (is_sounder && has_room) || (is_near_full && is_emptier)
+    }
+}
+
 impl Routing {
     /// Returns where a request to a service goes, leaving out the nodes that were tried.
     ///
@@ -82,16 +99,8 @@
             .into_iter()
             .filter(|candidate| candidate.is_available || !is_left);
         let (near, far): (Vec<_>, Vec<_>) = usable.partition(|candidate| candidate.is_near);
-        let near = pick(near);
-        if let Some(near) = &near
-            && near.pressure < Pressure::FULL
-        {
-            return Some(near.target.clone());
-        }
-        match (near, pick(far)) {
-            (Some(near), Some(far)) if far.pressure.0 + SPILL_MARGIN < near.pressure.0 => {
-                Some(far.target)
-            }
+        match (pick(near), pick(far)) {
+            (Some(near), Some(far)) if far.is_worth_its_way(&near) => Some(far.target),
             (near, far) => near.or(far).map(|candidate| candidate.target),
         }
     }
@@ -140,6 +149,7 @@
             is_near: true,
             is_available: load.is_available(now),
             pressure: self.admission.pressure(now, Importance::Normal),
+            failing: load.failing(now),
             time: load.time(now),
             weight: load.weight(now, self.upstream.slots()),
         })
@@ -151,6 +161,7 @@
     let load = link.load.borrow();
     let pressure = load.pressure(now, slots);
     let (time, weight) = (load.time(now), load.weight(now, slots));
+    let failing = load.failing(now);
     let is_available = load.is_available(now);
     drop(load);
     Candidate {
@@ -158,6 +169,7 @@
         is_near,
         is_available,
         pressure,
+        failing,
         time,
         weight,
     }
