A lost answer is repeated under load too

From a pressure of 1 on, requests wait, nothing was repeated; but windows aim at 1.25, so while demand is high that is always so, and one lost call loses the whole request.

Change: only where requests are refused, from a pressure of 2 on, a repeat is given up. Test dispatch/tests.rs. The budget is unchanged.

--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -1,5 +1,8 @@
 //! Brings a request to an answer: chooses upstreams and tries again within bounds.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -135,11 +138,7 @@
             tries.turned_away <= MOST_TURNED_AWAY
         } else {
             tries.ran_on += 1;
-            // A failure further down was repeated there as far as that helps; the whole request
-            // would make all its calls again.
-            let is_overloaded = returned.path_pressure >= Pressure::FULL;
-            let is_hopeless = is_overloaded || returned.failed_below;
-            work.idempotent && !is_hopeless && tries.ran_on < route.attempts
+            work.idempotent && !is_hopeless(returned) && tries.ran_on < route.attempts
         };
         let nodes = self.directory.len() + 1;
         may_go_on && self.budget.take(work, Instant::now(), nodes)
@@ -156,6 +155,15 @@
     }
 }
 
+/// Returns true if a request that failed would fail again.
+///
+/// A failure further down was repeated there as far as that helps; the whole request would make
+/// all its calls again. An upstream whose requests wait is no reason: one lost answer in five
+/// calls of a request loses all of them, and while demand is high requests always wait somewhere.
+fn is_hopeless(returned: &Returned) -> bool {
+    returned.failed_below || returned.path_pressure >= Pressure::REFUSING
+}
+
 /// Returns what is true of a request after its last attempt.
 fn conclude(ran: Option<Returned>, last: Option<Returned>) -> Returned {
     match (ran, last) {
