Presence says what changes; explain takes its event numbers from the catalogue

What is left is mostly presence, which repeated name, service, failure domain and address each time; that was in the hello.

The log is finished also when a node ends with an error; the ramp-up of young nodes is a function of its own.

--- a/crates/cli/src/explain/line.rs
+++ b/crates/cli/src/explain/line.rs
@@ -2,35 +2,48 @@
 
 use std::collections::BTreeMap;
 
+use sailtrack_log::catalogue;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 /// The event of a process that opened its ports.
-pub(super) const STARTED: u64 = 100;
+pub(super) const STARTED: u32 = catalogue::PROCESS_STARTED.number;
 /// The event of a process that was asked to stop.
-pub(super) const STOPPING: u64 = 101;
+pub(super) const STOPPING: u32 = catalogue::STOP_REQUESTED.number;
 /// The event of an upstream that gets nothing new.
-pub(super) const RETIRED: u64 = 412;
+pub(super) const RETIRED: u32 = catalogue::UPSTREAM_RETIRED.number;
 /// The event of an upstream that cannot be reached.
-pub(super) const GONE: u64 = 411;
+pub(super) const GONE: u32 = catalogue::UPSTREAM_GONE.number;
 /// The event of a connection between nodes that was lost.
-pub(super) const PEER_LOST: u64 = 701;
+pub(super) const PEER_LOST: u32 = catalogue::PEER_LOST.number;
 /// The event of a refused request.
-pub(super) const REFUSED: u64 = 800;
+pub(super) const REFUSED: u32 = catalogue::REQUEST_REFUSED.number;
 /// The event of a request that ended without an answer of an upstream.
-pub(super) const FAILED: u64 = 802;
+pub(super) const FAILED: u32 = catalogue::REQUEST_FAILED.number;
 /// The event of an answer that was lost beside the upstream.
-pub(super) const ANSWER_LOST: u64 = 803;
+pub(super) const ANSWER_LOST: u32 = catalogue::ANSWER_LOST.number;
 /// The event of an answer that is a failure of the upstream's own.
-pub(super) const ANSWERED_BADLY: u64 = 805;
+pub(super) const ANSWERED_BADLY: u32 = catalogue::REQUEST_ANSWERED_BADLY.number;
 /// The event that says how many others were left out.
-pub(super) const LEFT_OUT: u64 = 810;
+pub(super) const LEFT_OUT: u32 = catalogue::EVENTS_LEFT_OUT.number;
 /// The event that says how many lines were left out.
-pub(super) const LINES_LEFT_OUT: u64 = 811;
+pub(super) const LINES_LEFT_OUT: u32 = catalogue::LINES_LEFT_OUT.number;
 
 /// What changes the state of a node or of something that it depends on.
-const STATE_EVENTS: [u64; 13] = [
-    STARTED, STOPPING, 102, 110, 201, 300, 301, 302, 410, GONE, RETIRED, 501, PEER_LOST,
+const STATE_EVENTS: [u32; 13] = [
+    STARTED,
+    STOPPING,
+    catalogue::PROCESS_STOPPED.number,
+    catalogue::TASK_PANICKED.number,
+    catalogue::CONFIG_REFUSED.number,
+    catalogue::PLATFORM_LOST.number,
+    catalogue::PLATFORM_FOUND.number,
+    catalogue::STORE_FAILED.number,
+    catalogue::UPSTREAM_ANNOUNCED.number,
+    GONE,
+    RETIRED,
+    catalogue::SHEDDING_STARTED.number,
+    PEER_LOST,
 ];
 
 /// A line as processes write it.
@@ -49,7 +62,7 @@
     /// The node that wrote it.
     pub(super) node: String,
     /// The number of the event.
-    pub(super) event: u64,
+    pub(super) event: u32,
     pub(super) message: String,
     pub(super) fields: BTreeMap<String, String>,
 }
@@ -62,7 +75,7 @@
     pub(super) fn read(text: &str, source: &str) -> Option<Self> {
         let start = text.find('{')?;
         let written: Written = serde_json::from_str(text[start..].trim_end()).ok()?;
-        let event = written.kvs.get("event")?.as_u64()?;
+        let event = u32::try_from(written.kvs.get("event")?.as_u64()?).ok()?;
         let named = text[..start].split_whitespace().last();
         let fields = written.kvs.into_iter().filter(|(name, _)| name != "event");
         Some(Self {
--- a/crates/cli/src/explain/trail.rs
+++ b/crates/cli/src/explain/trail.rs
@@ -88,14 +88,14 @@
     }
 
     /// Returns the line with this number about exactly this request.
-    pub(super) fn event(&self, number: u64, request: &str) -> Option<&Line> {
+    pub(super) fn event(&self, number: u32, request: &str) -> Option<&Line> {
         let mut lines = self.lines.iter();
         lines.find(|line| line.event == number && line.field("request") == request)
     }
 
     /// Returns the last state event with one of these numbers that names a node or was written
     /// by it.
-    pub(super) fn state_of(&self, node: &str, numbers: &[u64]) -> Option<&Line> {
+    pub(super) fn state_of(&self, node: &str, numbers: &[u32]) -> Option<&Line> {
         let mut lines = self.around.iter().rev();
         lines.find(|line| {
             numbers.contains(&line.event) && (line.node == node || line.field("node") == node)
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -45,5 +45,7 @@
 /// Runs a node until it is stopped.
 pub fn run(settings: Settings, surroundings: Surroundings) -> Result<(), Error> {
     sailtrack_log::install_to(Destination::Stdout, settings.log_level);
-    sailtrack_net::runtime::run(node::run(settings, surroundings)).map_err(Error::Runtime)?
+    let result = sailtrack_net::runtime::run(node::run(settings, surroundings));
+    sailtrack_log::finish();
+    result.map_err(Error::Runtime)?
 }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -76,7 +76,6 @@
         let _stopped = life.abandon();
     }
     emit(&catalogue::PROCESS_STOPPED, &[("process", &name)]);
-    sailtrack_log::finish();
     Ok(())
 }
 
--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -65,6 +65,7 @@
     surroundings: &Surroundings,
 ) -> Result<(), Error> {
     listen(table, settings)?;
+    ramp_up_together(table)?;
     keep_own_row(table, surroundings)?;
     let store = &surroundings.store;
     let reach = table.find::<Reach>()?;
@@ -113,6 +114,15 @@
     current.listen(move || {
         metrics.bound(counted.get().map_or(0, |current| current.route_count()));
     });
+    let status = table.find::<Status>()?;
+    let told = Rc::clone(&status);
+    current.listen(move || told.publish());
+    table.find::<Upstream>()?.listen(move || status.publish());
+    Ok(())
+}
+
+/// Lets windows begin small while this node and most others have just been started.
+fn ramp_up_together(table: &Table) -> Result<(), Error> {
     let windows = table.find::<Windows>()?;
     let upstream = table.find::<Upstream>()?;
     let peers = table.find::<Peers>()?;
@@ -134,10 +144,6 @@
             }
         });
     });
-    let status = table.find::<Status>()?;
-    let told = Rc::clone(&status);
-    current.listen(move || told.publish());
-    table.find::<Upstream>()?.listen(move || status.publish());
     Ok(())
 }
 
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -46,8 +46,15 @@
     pub(crate) fn presence(&self) -> Presence {
         let now = Instant::now();
         let upstream = self.upstream.ready(now);
+        // What never changes was in the hello. Of 300 nodes each says this to each other one; with
+        // names and addresses it was three times as long.
+        let member = MemberMessage {
+            state: self.state().into(),
+            slots: self.upstream.slots(),
+            ..MemberMessage::default()
+        };
         Presence {
-            member: Some(self.member()),
+            member: Some(member),
             config_version: self.current.version().0,
             pressure_percent: self.admission.pressure(now, Importance::Normal).percent(),
             upstream: upstream.map_or_else(String::new, |key| key.to_string()),
