What normal requests may repeat adds up over the services above one

Cause, by reading: with rank out of the way while repeats are not scarce, three services that each repeat their full share make calls at the fourth one that exceed its budget, whatever that one does itself; before, rank held normal requests to an eighth.

Change: while repeats are not scarce any request may use three tenths of the budget, so three services stay below it. Test levels_add_up, red without that bound.

--- a/crates/mesh/src/retry.rs
+++ b/crates/mesh/src/retry.rs
@@ -27,13 +27,15 @@
 /// last one is called four times makes some 13 at the bottom.
 const SLACK_SHARE: f64 = 0.08;
 /// The power of a request's place in the order of shedding that is the part of the budget which it
-/// may use while far more repeats are wanted than are allowed: normal requests up to 1/8 of it,
-/// critical ones from 2/5 on. Within an importance the same requests come first at every service,
-/// so that those which get repeats complete.
-const RANK_POWER: f64 = 3.0;
-/// The wanted repeats, as a share of those allowed, up to which rank does not matter, and by how
-/// much more it matters fully. Where one upstream of three lost some answers, calls of normal
-/// requests went without repeats while a fifth of the budget was used.
+/// may use: normal requests up to 1/8 of it, critical ones from 2/5 on. Within an importance the
+/// same requests come first at every service, so that those which get repeats complete.
+const RANK_POWER: i32 = 3;
+/// The part that any request may use while repeats are not scarce: 2 % of the requests that one
+/// upstream of three fails would otherwise go without. Three services above the deepest one may
+/// all do so, and what they repeat is made of calls down there, so it is below a third.
+const COMMON_PART: f64 = 0.3;
+/// The wanted repeats, as a share of those allowed, from which they begin to be scarce, and by how
+/// much more they are so fully.
 const SCARCE_FROM: f64 = 0.5;
 const SCARCE_SPAN: f64 = 0.5;
 /// Over how long the wanted repeats are counted: within it a flood is seen.
@@ -123,7 +125,8 @@
         };
         let allowed = requests * self.bounds.ratio.0 * share + slack;
         let place = f64::from(work.rank.index()) / f64::from(Rank::HIGHEST.index());
-        let part = place.powf(RANK_POWER * scarcity(wanted, allowed));
+        let common = COMMON_PART * (1.0 - scarcity(wanted, allowed));
+        let part = place.powi(RANK_POWER).max(common);
         let whole = (allowed * part + self.draw(&work.service, now)).floor();
         if repeats + 1.0 > whole {
             return false;
@@ -198,7 +201,7 @@
     }
 }
 
-/// Returns how much rank matters, from 0 to 1, when so many repeats are wanted.
+/// Returns from 0 to 1 how scarce repeats are when so many are wanted.
 fn scarcity(wanted: f64, allowed: f64) -> f64 {
     if allowed <= 0.0 {
         return 1.0;
--- a/crates/mesh/src/retry/tests.rs
+++ b/crates/mesh/src/retry/tests.rs
@@ -132,6 +132,31 @@
     assert!(granted >= 380, "{granted} of 400, 2 % of the requests");
 }
 
+/// Repeats of normal requests at three services add up, as calls, at the one below them all.
+#[test]
+fn levels_add_up() {
+    for wanted_each in [1, 4, 7, 10, 20] {
+        let budget = Budget::new(BOUNDS);
+        let start = Instant::now();
+        tell(&budget, start);
+        let normal = work(Rank::from_index(127), false);
+        let mut granted = 0;
+        for tenth in 0..300 {
+            let now = start + Duration::from_millis(100 * tenth);
+            note(&budget, 100, false, now);
+            for _ in 0..wanted_each {
+                let is_granted = budget.take(&normal, now, 15);
+                granted += u32::from(is_granted && tenth >= 100);
+            }
+        }
+        // Of 20,000 requests.
+        assert!(
+            granted * 3 <= 4000,
+            "{granted} with {wanted_each} in 100 wanted"
+        );
+    }
+}
+
 /// Once far more are wanted than are allowed, those that matter more still get theirs.
 #[test]
 fn flood_leaves_room() {
