sailtrack explain without an id: how all requests ended, by kind, place, reason and second

Change: over logs of many nodes each client's request is put down to the deepest decision among its calls, as text or JSON. What nodes left out is allowed for: event 810 says how long it covers, and a call that was left out counts like those told of in its second.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -92,10 +92,15 @@
         .arg(
             Arg::new("request")
                 .value_name("ID")
-                .help("The id of the request's attempt")
-                .required(true)
+                .help("The id of the request's attempt [default: all that did not succeed]")
                 .value_parser(NonEmptyStringValueParser::new()),
         )
+        .arg(
+            Arg::new("all")
+                .long("all")
+                .help("Count all requests that did not succeed; every argument is a log")
+                .action(ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("logs")
                 .value_name("FILE")
--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -52,6 +52,9 @@
 }
 
 impl Cause {
+    /// The name of a call's failure about which nothing was written.
+    pub(super) const CALL_UNTOLD: &str = "call_untold";
+
     /// Finds the cause of a request's end.
     pub(super) fn of(trail: &Trail, request: &str) -> Self {
         match trail.end(request) {
@@ -62,6 +65,52 @@
         }
     }
 
+    /// Returns the cause furthest down.
+    pub(super) fn deepest(&self) -> &Self {
+        match self {
+            Self::CallFailed { cause, .. } => cause.deepest(),
+            _ => self,
+        }
+    }
+
+    /// Returns the node where it was decided, if one is known.
+    pub(super) fn node(&self) -> Option<&String> {
+        match self {
+            Self::Full { node, .. }
+            | Self::FullBelow { node, .. }
+            | Self::TurnedAway { node, .. }
+            | Self::Stopping { node }
+            | Self::Late { node, .. }
+            | Self::AnswerLost { node, .. }
+            | Self::ConnectionLost { node, .. }
+            | Self::LostSomewhere { node }
+            | Self::UpstreamFailed { node, .. }
+            | Self::CallUntold { node, .. }
+            | Self::CallFailed { node, .. } => Some(node).filter(|node| *node != "none"),
+            Self::Untold { .. } | Self::NoUpstream { .. } | Self::NotRun { .. } => None,
+        }
+    }
+
+    /// Returns its name, the same as in JSON.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Self::Untold { .. } => "untold",
+            Self::Full { .. } => "full",
+            Self::FullBelow { .. } => "full_below",
+            Self::NoUpstream { .. } => "no_upstream",
+            Self::TurnedAway { .. } => "turned_away",
+            Self::Stopping { .. } => "stopping",
+            Self::NotRun { .. } => "not_run",
+            Self::Late { .. } => "late",
+            Self::AnswerLost { .. } => "answer_lost",
+            Self::ConnectionLost { .. } => "connection_lost",
+            Self::LostSomewhere { .. } => "lost_somewhere",
+            Self::UpstreamFailed { .. } => "upstream_failed",
+            Self::CallUntold { .. } => Self::CALL_UNTOLD,
+            Self::CallFailed { .. } => "call_failed",
+        }
+    }
+
     fn of_end(trail: &Trail, end: &Line, request: &str) -> Self {
         match end.event {
             REFUSED => Self::of_refusal(trail, end),
--- a/crates/cli/src/explain/line.rs
+++ b/crates/cli/src/explain/line.rs
@@ -16,6 +16,10 @@
 pub(super) const GONE: u32 = catalogue::UPSTREAM_GONE.number;
 /// The event of a connection between nodes that was lost.
 pub(super) const PEER_LOST: u32 = catalogue::PEER_LOST.number;
+/// The event of an upstream that announced itself.
+pub(super) const ANNOUNCED: u32 = catalogue::UPSTREAM_ANNOUNCED.number;
+/// The event of a request that is sent once more.
+pub(super) const REPEATED: u32 = catalogue::REQUEST_REPEATED.number;
 /// The event of a refused request.
 pub(super) const REFUSED: u32 = catalogue::REQUEST_REFUSED.number;
 /// The event of a request that ended without an answer of an upstream.
@@ -39,7 +43,7 @@
     catalogue::PLATFORM_LOST.number,
     catalogue::PLATFORM_FOUND.number,
     catalogue::STORE_FAILED.number,
-    catalogue::UPSTREAM_ANNOUNCED.number,
+    ANNOUNCED,
     GONE,
     RETIRED,
     catalogue::SHEDDING_STARTED.number,
--- a/crates/cli/src/explain/mod.rs
+++ b/crates/cli/src/explain/mod.rs
@@ -1,13 +1,17 @@
 //! `sailtrack explain`: from the id of a request to its cause, out of the logs of nodes.
 
 mod cause;
+mod census;
 mod line;
+mod places;
+mod rounds;
+mod table;
 mod trail;
 
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::io::{BufReader, stdin};
-use std::path::Path;
+use std::io::{self, BufRead, BufReader, stdin};
+use std::path::{Path, PathBuf};
 
 use serde_json::json;
 
@@ -15,16 +19,55 @@
 use crate::exit::Exit;
 use crate::options::{Explain, Format};
 use cause::Cause;
+use census::Census;
 use line::Line;
 use trail::Trail;
 
 /// The name of the node in logs from standard input that name none.
 const NO_SOURCE: &str = "-";
 
-/// Prints what the logs say about a request and what follows from it.
+/// Prints what the logs say about a request, or about all that did not succeed.
 pub(crate) fn run(explain: &Explain) -> Result<Exit, Error> {
-    let trail = read(explain)?;
-    let cause = Cause::of(&trail, &explain.request);
+    match &explain.request {
+        Some(request) => explain_one(explain, request),
+        None => explain_all(explain),
+    }
+}
+
+/// Prints how many requests ended in which way.
+fn explain_all(explain: &Explain) -> Result<Exit, Error> {
+    let mut census = Census::default();
+    each_log(&explain.logs, |log, source| census.read(log, source))?;
+    let (counts, left_out) = census.count();
+    match explain.format {
+        Format::Json => {
+            let rows: Vec<_> = counts
+                .iter()
+                .map(|(ending, count)| json!({"ending": ending, "count": count}))
+                .collect();
+            println!("{}", json!({"endings": rows, "events_left_out": left_out}));
+        }
+        Format::Table => {
+            println!("{}", table::ways(&counts));
+            println!("{}", table::seconds(&counts));
+            println!("nodes left out {left_out} events; the numbers above allow for them");
+        }
+    }
+    Ok(if counts.is_empty() {
+        Exit::Unknown
+    } else {
+        Exit::Success
+    })
+}
+
+/// Prints what the logs say about a request and what follows from it.
+fn explain_one(explain: &Explain, request: &str) -> Result<Exit, Error> {
+    let mut trail = Trail::default();
+    each_log(&explain.logs, |log, source| {
+        trail.read(request, log, source)
+    })?;
+    trail.settle();
+    let cause = Cause::of(&trail, request);
     match explain.format {
         Format::Json => println!("{}", to_json(&trail, &cause)),
         Format::Table => print(&trail, &cause),
@@ -35,19 +78,20 @@
     })
 }
 
-fn read(explain: &Explain) -> Result<Trail, Error> {
-    let mut trail = Trail::default();
-    for file in &explain.logs {
-        let source = node_of(file);
-        let open = File::open(file).map_err(|error| Error::File(file.clone(), error))?;
-        let read = trail.read(&explain.request, BufReader::new(open), &source);
-        read.map_err(|error| Error::File(file.clone(), error))?;
+/// Hands each log with the name of its node to `read`, or standard input if there are none.
+fn each_log(
+    logs: &[PathBuf],
+    mut read: impl FnMut(&mut dyn BufRead, &str) -> io::Result<()>,
+) -> Result<(), Error> {
+    for file in logs {
+        let in_file = |error| Error::File(file.clone(), error);
+        let open = File::open(file).map_err(in_file)?;
+        read(&mut BufReader::new(open), &node_of(file)).map_err(in_file)?;
     }
-    if explain.logs.is_empty() {
-        trail.read(&explain.request, stdin().lock(), NO_SOURCE)?;
+    if logs.is_empty() {
+        read(&mut stdin().lock(), NO_SOURCE)?;
     }
-    trail.settle();
-    Ok(trail)
+    Ok(())
 }
 
 /// Returns the node that a log file is named after.
--- a/crates/cli/src/explain/trail.rs
+++ b/crates/cli/src/explain/trail.rs
@@ -10,7 +10,7 @@
 use crate::explain::line::Line;
 
 /// How long before and after a request the state of nodes is looked at.
-const AROUND: Duration = Duration::from_secs(2);
+pub(super) const AROUND: Duration = Duration::from_secs(2);
 
 /// What logs say about one request.
 #[derive(Debug, Default, Serialize)]
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -70,7 +70,8 @@
 /// What `explain` is asked for.
 #[derive(Debug)]
 pub(crate) struct Explain {
-    pub(crate) request: String,
+    /// The request to explain; without one all that did not succeed are counted.
+    pub(crate) request: Option<String>,
     /// Standard input if there are none.
     pub(crate) logs: Vec<PathBuf>,
     pub(crate) format: Format,
@@ -167,10 +168,19 @@
 }
 
 fn explain(matches: &ArgMatches) -> Explain {
+    let named = matches.get_one::<String>("request").cloned();
     let logs = matches.get_many::<PathBuf>("logs");
+    let mut logs: Vec<PathBuf> = logs.into_iter().flatten().cloned().collect();
+    // With --all there is no id, and what stands in its place is the first log.
+    let request = if matches.get_flag("all") {
+        logs.splice(0..0, named.map(PathBuf::from));
+        None
+    } else {
+        named
+    };
     Explain {
-        request: one(matches, "request"),
-        logs: logs.into_iter().flatten().cloned().collect(),
+        request,
+        logs,
         format: format(matches),
     }
 }
--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -109,8 +109,8 @@
     OUTCOME_NOT_KNOWN = 804 Info "outcome of a request not known" ["request", "kind", "reason"];
     /// An upstream answered with a failure of its own. `below` says that a call made for the request failed.
     REQUEST_ANSWERED_BADLY = 805 Info "request answered with a failure" ["request", "kind", "status", "below", "node", "tries", "pressure", "version", "after_ms"];
-    /// Events about requests were left out because there were too many. Those of `kept` percent of the requests are whole.
-    EVENTS_LEFT_OUT = 810 Info "events left out" ["count", "about", "kept"];
+    /// Events about requests were left out because there were too many, in the last `span_ms`. Those of `kept` percent of the requests are whole.
+    EVENTS_LEFT_OUT = 810 Info "events left out" ["count", "about", "kept", "span_ms"];
     /// Lines were left out because who reads the log is too slow.
     LINES_LEFT_OUT = 811 Warn "lines left out" ["count"];
 }
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -206,6 +206,7 @@
                 ("count", &summary.left_out),
                 ("about", &summary.about),
                 ("kept", &summary.kept_percent),
+                ("span_ms", &summary.span.as_millis()),
             ],
         );
     }
--- a/crates/mesh/src/events/sampler.rs
+++ b/crates/mesh/src/events/sampler.rs
@@ -25,6 +25,8 @@
     /// The requests of which everything was written, in percent; zero if some events of these were
     /// left out as well.
     pub(super) kept_percent: u32,
+    /// How long it took.
+    pub(super) span: Duration,
 }
 
 /// Whether an event is written, and what has to be said before it.
@@ -83,6 +85,7 @@
             about: self.about,
             left_out: self.left_out,
             kept_percent: if is_whole { self.kept_percent() } else { 0 },
+            span: now.saturating_duration_since(self.began),
         });
         self.threshold = self.next_threshold();
         self.began = now;
--- a/crates/mesh/src/events/tests.rs
+++ b/crates/mesh/src/events/tests.rs
@@ -72,6 +72,7 @@
         .summary
         .expect("it is said");
     assert_eq!((torn.left_out, torn.kept_percent), (MANY - MOST, 0));
+    assert_eq!(torn.span, Duration::from_secs(1));
     pass_second(&mut sampler, later, MANY, "");
     let later = later + Duration::from_secs(1);
     let whole = sampler.judge(&key(0, ""), later).summary.expect("again");
