A refusal keeps the reason of a full upstream when the next node has none

Cause: the last refusal of a request was its reason. With one upstream full and the next node without one, callers heard no upstream, without a pressure for the windows above and with another time to come back. Change: overload or shedding is kept before absence.

--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -95,7 +95,7 @@
             let returned = self.attempt(&work, &target).await;
             let goes_on = self.goes_on(&work, route, &returned, &mut tries);
             if !goes_on {
-                return conclude(tries.ran, Some(returned));
+                return conclude(tries.ran, Some(more_telling(last, returned)));
             }
             let name = target.name(&self.routing.name);
             self.events.note_retry(&work.attempt, name, &returned);
@@ -105,7 +105,7 @@
             tries.nodes.push(name.clone());
             work.repeated |= returned.offered;
             if returned.outcome == Outcome::NotRun {
-                last = Some(returned);
+                last = Some(more_telling(last, returned));
             } else if tries.ran.is_none() {
                 tries.ran = Some(returned);
             }
@@ -164,6 +164,23 @@
     returned.failed_below || returned.path_pressure >= Pressure::REFUSING
 }
 
+/// Returns which of two ends the caller is told of.
+///
+/// A full upstream stays the reason if the next node that was asked has none: it tells when to
+/// come back, and the services above that they begin too much.
+fn more_telling(before: Option<Returned>, returned: Returned) -> Returned {
+    let is_room =
+        |returned: &Returned| matches!(returned.reason, Reason::Overload | Reason::UpstreamShed);
+    match before {
+        Some(before)
+            if returned.outcome == Outcome::NotRun && !is_room(&returned) && is_room(&before) =>
+        {
+            before
+        }
+        _ => returned,
+    }
+}
+
 /// Returns what is true of a request after its last attempt.
 fn conclude(ran: Option<Returned>, last: Option<Returned>) -> Returned {
     match (ran, last) {
--- a/crates/mesh/src/dispatch/tests.rs
+++ b/crates/mesh/src/dispatch/tests.rs
@@ -3,7 +3,7 @@
 use sailtrack_admission::Pressure;
 use sailtrack_wire::Reason;
 
-use crate::dispatch::is_hopeless;
+use crate::dispatch::{is_hopeless, more_telling};
 use crate::work::Returned;
 
 fn lost(pressure: f64) -> Returned {
@@ -28,3 +28,15 @@
     };
     assert!(is_hopeless(&failed), "it was repeated there");
 }
+
+/// One upstream is full and the next node has none: the caller is told of the full one.
+#[test]
+fn fullness_is_kept() {
+    let full = || Some(Returned::refused(Reason::Overload));
+    let absent = Returned::refused(Reason::NoUpstream);
+    assert_eq!(more_telling(full(), absent).reason, Reason::Overload);
+    let shed = Returned::turned_away(Reason::UpstreamShed);
+    assert_eq!(more_telling(full(), shed).reason, Reason::UpstreamShed);
+    let lost = Returned::unknown(Reason::Connection);
+    assert_eq!(more_telling(full(), lost).reason, Reason::Connection);
+}
