What a request has met here decides what begins; a path without an upstream holds its kinds back

With it a load model of the decisions: crates/model plays a described or drawn service graph under its own clock, over the code of admission, windows and breaker that nodes run. Admission decides without waiting (arrive) and takes its clock from outside; nodes pass the real one.

Change: the own upstream's pressure counts, while calls from further up share it. Change: answers tell that a call found nobody; after three in a row the kind is refused at its first service with a time to come back, one trial each 250 ms. Kept: callers hear not run in place of not known, and the work is not done for nobody.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,7 +1,9 @@
 //! Decides which calls the own upstream gets, and when.
 
+mod breaker;
 mod level;
 mod limit;
+mod outset;
 mod pressure;
 mod queue;
 mod returns;
@@ -27,6 +29,7 @@
 use queue::{Place, Queue, Verdict};
 use returns::Returns;
 
+pub use outset::{Hold, Met, Outset, Place as OutsetPlace};
 pub use pressure::Pressure;
 pub use rules::{Policy, PolicyError, Rules};
 pub use window::{Place as WindowPlace, Windows};
@@ -39,14 +42,20 @@
 const LONGEST_SPREAD: Duration = Duration::from_secs(15);
 /// The shortest time of a call that is reckoned with, in seconds.
 const SHORTEST_OWN_TIME: f64 = 0.001;
+/// How long after a call from further up an upstream counts as shared with those who call it.
+const SHARED_TIME: Duration = Duration::from_secs(1);
 /// The most calls that may wait.
 const MAX_QUEUE: usize = 1000;
 /// The fewest calls that may wait.
 const MIN_QUEUE: usize = 4;
 
+/// Tells the time; a load model passes its own.
+pub type Clock = fn() -> Instant;
+
 /// Who may enter the own upstream.
 pub struct Admission {
     rules: Rules,
+    clock: Clock,
     state: RefCell<State>,
     in_flight: Cell<usize>,
 }
@@ -58,6 +67,8 @@
     level: Level,
     returns: Returns,
     own_time: Option<f64>,
+    /// When a call came last that was made for a request further up.
+    called: Option<Instant>,
     shedding: bool,
     logged_limit: usize,
 }
@@ -70,8 +81,15 @@
     /// Returns an admission that knows nothing of its upstream yet.
     #[must_use]
     pub fn new(rules: Rules, now: Instant) -> Self {
+        Self::with_clock(rules, Instant::now, now)
+    }
+
+    /// Returns the same under a clock that is not that of the machine.
+    #[must_use]
+    pub fn with_clock(rules: Rules, clock: Clock, now: Instant) -> Self {
         Self {
             rules,
+            clock,
             state: RefCell::new(State {
                 limit: Limit::new(now, None),
                 declared: DeclaredLimit::Auto,
@@ -79,6 +97,7 @@
                 level: Level::new(now),
                 returns: Returns::new(now),
                 own_time: None,
+                called: None,
                 shedding: false,
                 logged_limit: 0,
             }),
@@ -133,6 +152,18 @@
         Pressure::of(self.in_flight() + waiting, self.limit(now))
     }
 
+    /// Returns how full the upstream is for requests that clients bring to it directly, as far as
+    /// they have to leave room: nothing while nobody calls it from further up.
+    pub fn shared_pressure(&self, now: Instant, importance: Importance) -> Pressure {
+        let called = self.state.borrow().called;
+        let is_shared = called.is_some_and(|called| now - called < SHARED_TIME);
+        if is_shared {
+            self.pressure(now, importance)
+        } else {
+            Pressure::default()
+        }
+    }
+
     /// Returns the rank that is admitted at present.
     pub fn level(&self, now: Instant) -> Rank {
         if self.rules.policy != Policy::Adaptive {
@@ -164,22 +195,42 @@
         begun: bool,
         time_left: Duration,
     ) -> Result<Permit, Reason> {
-        let now = Instant::now();
+        match self.arrive(rank, begun, time_left) {
+            Arrival::Admitted(permit) => Ok(permit),
+            Arrival::Refused(reason) => Err(reason),
+            Arrival::Waiting(mut waiting) => {
+                let verdict = timeout(waiting.longest, &mut waiting.verdict).await;
+                waiting.conclude(verdict.ok().and_then(Result::ok))
+            }
+        }
+    }
+
+    /// Decides about a call at once: it may run, has to wait, or is refused.
+    pub fn arrive(self: &Rc<Self>, rank: Rank, begun: bool, time_left: Duration) -> Arrival {
+        let now = (self.clock)();
         let limit = self.limit(now);
+        if begun {
+            self.state.borrow_mut().called = Some(now);
+        }
         if self.rules.policy == Policy::Adaptive {
             self.state.borrow_mut().level.note_arrival(now, rank);
         }
         if self.in_flight() < limit && self.waiting() == 0 {
             self.note_entry(true);
-            return Ok(self.permit());
+            return Arrival::Admitted(self.permit());
         }
         self.note_reached();
-        let result = match self.rules.policy {
-            Policy::Adaptive => self.wait(rank, begun, limit, time_left).await,
+        let waiting = match self.rules.policy {
+            Policy::Adaptive => self.wait(rank, begun, limit, time_left),
             Policy::Forward | Policy::Fixed => Err(Reason::Overload),
         };
-        self.note_entry(result.is_ok());
-        result
+        match waiting {
+            Ok(waiting) => Arrival::Waiting(waiting),
+            Err(reason) => {
+                self.note_entry(false);
+                Arrival::Refused(reason)
+            }
+        }
     }
 
     fn note_reached(&self) {
@@ -188,28 +239,25 @@
         state.level.note_reached();
     }
 
-    async fn wait(
+    fn wait(
         self: &Rc<Self>,
         rank: Rank,
         begun: bool,
         limit: usize,
         time_left: Duration,
-    ) -> Result<Permit, Reason> {
+    ) -> Result<Waiting, Reason> {
         let longest = self.longest_wait(begun, time_left)?;
         let capacity = self.queue_capacity(limit, longest);
         let entered = self.state.borrow_mut().queue.push(rank, begun, capacity);
         let Some((place, verdict)) = entered else {
             return Err(Reason::Overload);
         };
-        let mut waiting = Waiting {
-            admission: self,
+        Ok(Waiting {
+            admission: Rc::clone(self),
             place,
             verdict,
-        };
-        match timeout(longest, &mut waiting.verdict).await {
-            Ok(Ok(Verdict::Admitted)) => Ok(self.take_reserved()),
-            Ok(Ok(Verdict::Displaced) | Err(_)) | Err(_) => Err(Reason::Overload),
-        }
+            longest,
+        })
     }
 
     /// Returns how long a call may wait and still be finished in its time.
@@ -251,14 +299,15 @@
 
     fn note_entry(&self, admitted: bool) {
         let mut state = self.state.borrow_mut();
-        state.returns.note(Instant::now(), admitted);
+        let now = (self.clock)();
+        state.returns.note(now, admitted);
         if admitted {
             return;
         }
         state.level.note_refused();
         if !state.shedding {
             state.shedding = true;
-            let level = state.level.current(Instant::now());
+            let level = state.level.current(now);
             emit(&catalogue::SHEDDING_STARTED, &[("level", &level)]);
         }
     }
@@ -283,7 +332,7 @@
 
     /// Lets waiting calls in as far as the limit allows; each takes its place at once.
     fn admit_waiting(&self) {
-        let limit = self.limit(Instant::now());
+        let limit = self.limit((self.clock)());
         while self.in_flight() < limit {
             if !self.state.borrow_mut().queue.admit_first() {
                 return;
@@ -327,14 +376,58 @@
     }
 }
 
+/// What is decided about a call when it asks for admission.
+pub enum Arrival {
+    /// It may run.
+    Admitted(Permit),
+    /// It waits for a place.
+    Waiting(Waiting),
+    /// It is refused.
+    Refused(Reason),
+}
+
 /// A waiting call, taken out of the queue if it stops waiting.
-struct Waiting<'a> {
-    admission: &'a Rc<Admission>,
+pub struct Waiting {
+    admission: Rc<Admission>,
     place: Place,
     verdict: oneshot::Receiver<Verdict>,
+    longest: Duration,
+}
+
+impl Waiting {
+    /// Returns how long it waits at most.
+    #[must_use]
+    pub fn longest(&self) -> Duration {
+        self.longest
+    }
+
+    /// Returns true once it is decided about.
+    pub fn is_decided(&mut self) -> bool {
+        self.admission.state.borrow().queue.is_out(self.place)
+    }
+
+    /// Ends the waiting with what was decided until now.
+    ///
+    /// # Errors
+    ///
+    /// Without a place in time it is refused for overload.
+    pub fn end(mut self) -> Result<Permit, Reason> {
+        let verdict = self.verdict.try_recv().ok().flatten();
+        self.conclude(verdict)
+    }
+
+    fn conclude(&self, verdict: Option<Verdict>) -> Result<Permit, Reason> {
+        let is_admitted = verdict == Some(Verdict::Admitted);
+        self.admission.note_entry(is_admitted);
+        if is_admitted {
+            Ok(self.admission.take_reserved())
+        } else {
+            Err(Reason::Overload)
+        }
+    }
 }
 
-impl Drop for Waiting<'_> {
+impl Drop for Waiting {
     fn drop(&mut self) {
         self.admission.state.borrow_mut().queue.remove(self.place);
         if let Ok(Some(Verdict::Admitted)) = self.verdict.try_recv() {
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -80,6 +80,11 @@
         false
     }
 
+    /// Returns true if a call does not wait any more.
+    pub(crate) fn is_out(&self, place: Place) -> bool {
+        !self.waiting.contains_key(&place)
+    }
+
     /// Takes out a call that no longer waits.
     pub(crate) fn remove(&mut self, place: Place) -> bool {
         let removed = self.waiting.remove(&place).is_some();
--- a/crates/mesh/src/contexts.rs
+++ b/crates/mesh/src/contexts.rs
@@ -30,8 +30,10 @@
     pub(crate) repeated: bool,
     /// The greatest pressure that a call made for it met.
     pub(crate) pressure: Cell<Pressure>,
-    /// Whether a call made for it failed.
+    /// Whether a call made for it failed,
     pub(crate) failed_below: Cell<bool>,
+    /// and whether one found no upstream of its service, there or further down.
+    pub(crate) absent_below: Cell<bool>,
 }
 
 /// The requests that run in the own upstream.
@@ -52,6 +54,7 @@
             repeated: work.repeated,
             pressure: Cell::default(),
             failed_below: Cell::new(false),
+            absent_below: Cell::new(false),
         });
         let key = work.attempt.clone();
         let mut running = self.running.borrow_mut();
@@ -91,6 +94,9 @@
         if !returned.is_success() {
             self.failed_below.set(true);
         }
+        if returned.found_nobody() {
+            self.absent_below.set(true);
+        }
     }
 }
 
--- a/crates/mesh/src/contexts/tests.rs
+++ b/crates/mesh/src/contexts/tests.rs
@@ -5,10 +5,12 @@
 
 use bytes::Bytes;
 use sailtrack_units::Rank;
+use sailtrack_wire::Reason;
 
+use crate::body::Body;
 use crate::contexts::Contexts;
 use crate::key::AttemptKey;
-use crate::work::Work;
+use crate::work::{Returned, Work};
 
 fn work(id: &str) -> Work {
     Work {
@@ -55,3 +57,31 @@
     drop(second);
     assert!(!has_parent(&contexts, "a.b"));
 }
+
+/// That a service at the bottom has no upstream is told through all services above it.
+#[test]
+fn absence_goes_up() {
+    let contexts = Rc::new(Contexts::default());
+    let open = contexts.open(&work("a"));
+    open.context.note(&Returned::refused(Reason::Overload));
+    assert!(!open.context.absent_below.get());
+    let call = Returned {
+        failed_below: true,
+        absent_below: true,
+        ..Returned::answered(500, Bytes::new(), Body::Whole(Bytes::new()))
+    };
+    open.context.note(&call);
+    assert!(open.context.absent_below.get());
+    let nobody = Returned::refused(Reason::NoUpstream);
+    assert!(nobody.found_nobody() && call.found_nobody());
+}
+
+/// A call that was served in the end found somebody.
+#[test]
+fn absence_that_was_mended() {
+    let served = Returned {
+        absent_below: true,
+        ..Returned::answered(200, Bytes::new(), Body::Whole(Bytes::new()))
+    };
+    assert!(!served.found_nobody());
+}
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::metrics::Metrics;
 use crate::peer::{Delivery, Link};
 use crate::retry::Budget;
+use crate::returns;
 use crate::routing::{Routing, Target};
 use crate::work::{Returned, Work};
 
@@ -187,7 +188,7 @@
         (Some(ran), Some(last)) if last.outcome == Outcome::NotRun => ran,
         (_, Some(last)) => last,
         (Some(ran), None) => ran,
-        (None, None) => Returned::refused(Reason::NoUpstream),
+        (None, None) => Returned::refused(Reason::NoUpstream).come_back(returns::after_absence()),
     }
 }
 
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -30,6 +30,8 @@
     Queue,
     /// window
     Window,
+    /// path
+    Path,
 }
 
 /// A request that was refused at the gate, and what decided it.
@@ -37,7 +39,8 @@
     pub(crate) attempt: &'a AttemptKey,
     pub(crate) kind: &'a KindName,
     pub(crate) reason: Reason,
-    /// The queue before the upstream, or the window of its kind.
+    /// The queue before the upstream, the window of its kind, or a service further down that has
+    /// no upstream.
     pub(crate) bound: Bound,
     /// The requests that ran and waited there.
     pub(crate) calls: usize,
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -17,8 +17,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::channel::oneshot;
 use monoio::time::{Instant as Deadline, timeout_at};
-use rand::Rng as _;
-use sailtrack_admission::{Admission, Permit, WindowPlace, Windows};
+use sailtrack_admission::{Admission, Hold, Met, Outset, OutsetPlace, Permit, Pressure, Windows};
 use sailtrack_kernel::Service;
 use sailtrack_net::task::{self, Held};
 use sailtrack_net::transparent::ResponseHead;
@@ -30,6 +29,7 @@
 use crate::events::{Bound, Events, Refusal};
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::metrics::{Metrics, Stage};
+use crate::returns;
 use crate::work::{Returned, Work};
 use exchange::{ExchangeError, UpstreamAnswer, exchange};
 use pool::Pool;
@@ -40,9 +40,6 @@
 /// How much longer than its deadline the answer to a request that must not run twice is awaited:
 /// the upstream stops at the deadline and says so.
 const ANSWER_GRACE: Duration = Duration::from_millis(250);
-/// The shortest time after which a refused caller may come back.
-const SHORTEST_RETURN: Duration = Duration::from_millis(200);
-
 /// The statuses that promise that a request did not run.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
@@ -52,7 +49,7 @@
     service: ServiceName,
     upstream: Rc<Upstream>,
     admission: Rc<Admission>,
-    windows: Rc<Windows>,
+    outset: Rc<Outset>,
     contexts: Rc<Contexts>,
     records: Rc<Records>,
     events: Rc<Events>,
@@ -71,15 +68,20 @@
     /// Its slot; given back when it is dropped.
     #[allow(dead_code, reason = "it is held, not read")]
     permit: Permit,
-    /// Its place in the window of its kind, if a client made it.
-    window: Option<WindowPlace>,
+    /// Its place among those of its kind, if a client made it.
+    outset: Option<OutsetPlace>,
 }
 
 impl Entered {
-    /// Notes the pressure that the request met further down.
-    fn note(&self, returned: &Returned) {
-        if let Some(window) = &self.window {
-            window.note(Instant::now(), returned.path_pressure);
+    /// Notes what the request met further down; `here` is how full its own upstream is.
+    fn note(&self, returned: &Returned, here: Pressure) {
+        if let Some(outset) = &self.outset {
+            let met = Met {
+                here,
+                below: returned.path_pressure,
+                found_nobody: returned.found_nobody(),
+            };
+            outset.note(Instant::now(), met);
         }
     }
 }
@@ -103,7 +105,7 @@
             service,
             upstream,
             admission: Rc::new(Admission::new(rules, Instant::now())),
-            windows: Rc::default(),
+            outset: Outset::new(Rc::default()),
             contexts: Rc::default(),
             records: Rc::default(),
             events: Rc::default(),
@@ -123,7 +125,7 @@
     /// Sets who may enter the upstream.
     pub(crate) fn admission(mut self, admission: Rc<Admission>, windows: Rc<Windows>) -> Self {
         self.gate.admission = admission;
-        self.gate.windows = windows;
+        self.gate.outset = Outset::new(windows);
         self
     }
 
@@ -148,6 +150,13 @@
 }
 
 impl Gate {
+    /// Returns how full the own upstream is for requests that matter as much as this one, as far
+    /// as it is shared with those who call it from further up.
+    fn shared_pressure(&self, work: &Work) -> Pressure {
+        let importance = work.rank.importance();
+        self.admission.shared_pressure(Instant::now(), importance)
+    }
+
     /// Brings a request to the own upstream and returns what became of it.
     ///
     /// Dropping the future stops a request that may run again, and one that was not sent yet.
@@ -186,9 +195,9 @@
                 None => return self.recall(&work.attempt).await,
             }
         };
-        let window = match self.window(&work, now) {
-            Ok(window) => window,
-            Err(reason) => return self.refuse_at(&work, reason, Bound::Window),
+        let outset = match self.begin(&work, now) {
+            Ok(outset) => outset,
+            Err(hold) => return self.hold_back(&work, hold),
         };
         let entered = self
             .admission
@@ -205,7 +214,7 @@
         let entered = Entered {
             upstream,
             permit,
-            window,
+            outset,
         };
         match place {
             None => self.run_repeatable(&work, entered).await,
@@ -216,7 +225,7 @@
     /// Runs a request that may run again, for as long as somebody waits for it.
     async fn run_repeatable(&self, work: &Work, entered: Entered) -> Returned {
         let mut returned = self.send(work, &entered.upstream, work.deadline).await;
-        entered.note(&returned);
+        entered.note(&returned, self.shared_pressure(work));
         returned.body.hold(entered);
         returned
     }
@@ -233,7 +242,7 @@
             let patience = work.deadline + ANSWER_GRACE;
             let mut returned = gate.send(&work, &entered.upstream, patience).await;
             place.end(&returned, Instant::now());
-            entered.note(&returned);
+            entered.note(&returned, gate.shared_pressure(&work));
             returned.body.hold((entered, held));
             // The caller may have left; the record has the answer.
             let _ = sender.send(returned);
@@ -266,14 +275,21 @@
         self.upstream.ready(now)
     }
 
-    /// Returns the place of a client's request in the window of its kind.
-    fn window(&self, work: &Work, now: Instant) -> Result<Option<WindowPlace>, Reason> {
+    /// Returns the place of a client's request among those of its kind.
+    fn begin(&self, work: &Work, now: Instant) -> Result<Option<OutsetPlace>, Hold> {
         if work.begun {
             return Ok(None);
         }
-        match self.windows.enter(&work.kind, now) {
-            Some(place) => Ok(Some(place)),
-            None => Err(Reason::Overload),
+        self.outset.begin(&work.kind, now).map(Some)
+    }
+
+    fn hold_back(&self, work: &Work, hold: Hold) -> Returned {
+        match hold {
+            Hold::Window => self.refuse_at(work, Reason::Overload, Bound::Window),
+            Hold::Path => Returned {
+                absent_below: true,
+                ..self.refuse_at(work, Reason::NoUpstream, Bound::Path)
+            },
         }
     }
 
@@ -289,12 +305,11 @@
             bound,
             calls: self.admission.in_flight() + self.admission.waiting(),
         });
-        let spread = self.admission.return_spread(Instant::now());
-        let after = SHORTEST_RETURN + spread.mul_f64(rand::rng().random());
-        Returned {
-            retry_after: after,
-            ..Returned::refused(reason)
-        }
+        let after = match bound {
+            Bound::Path => returns::after_absence(),
+            _ => returns::after_overload(self.admission.return_spread(Instant::now())),
+        };
+        Returned::refused(reason).come_back(after)
     }
 
     async fn send(&self, work: &Work, upstream: &UpstreamKey, patience: Instant) -> Returned {
@@ -309,6 +324,7 @@
         Returned {
             path_pressure: entry.context.pressure.get(),
             failed_below: entry.context.failed_below.get(),
+            absent_below: entry.context.absent_below.get(),
             ..returned
         }
     }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -25,6 +25,7 @@
 mod ready;
 mod retired;
 mod retry;
+mod returns;
 mod routing;
 mod scrape;
 mod settings;
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -81,6 +81,7 @@
         pressure_percent: returned.pressure.percent(),
         path_pressure_percent: returned.path_pressure.percent(),
         failed_below: returned.failed_below,
+        absent_below: returned.absent_below,
         retry_after_ms: u64::try_from(returned.retry_after.as_millis()).unwrap_or(u64::MAX),
     }
 }
@@ -95,6 +96,7 @@
         pressure: Pressure::from_percent(message.pressure_percent),
         path_pressure: Pressure::from_percent(message.path_pressure_percent),
         failed_below: message.failed_below,
+        absent_below: message.absent_below,
         retry_after: Duration::from_millis(message.retry_after_ms),
         head: message.head,
         body,
--- /dev/null
+++ b/crates/mesh/src/returns.rs
@@ -0,0 +1,26 @@
+//! When a refused caller is asked to come back.
+
+use std::time::Duration;
+
+use rand::Rng as _;
+
+/// The time after which a caller comes back to a path that has no upstream, and by how much more
+/// at most. Cuts and restarts take seconds; objectives of a second and a half leave this much.
+const ABSENCE_RETURN: Duration = Duration::from_millis(900);
+const ABSENCE_SPREAD: Duration = Duration::from_millis(600);
+/// The shortest time after which a caller comes back to a full upstream.
+const SHORTEST_RETURN: Duration = Duration::from_millis(200);
+
+/// Returns when a caller is to come back whose path has no upstream somewhere.
+///
+/// Nobody knows for how long, and most callers try once more only: a late try finds the path
+/// back more often than an early one, and one that waits longer is past what its caller hoped
+/// for. Their returns are spread, so that they do not come at once.
+pub(crate) fn after_absence() -> Duration {
+    ABSENCE_RETURN + ABSENCE_SPREAD.mul_f64(rand::rng().random())
+}
+
+/// Returns when a caller is to come back to a full upstream, at some moment within `spread`.
+pub(crate) fn after_overload(spread: Duration) -> Duration {
+    SHORTEST_RETURN + spread.mul_f64(rand::rng().random())
+}
--- a/crates/mesh/src/routing/load.rs
+++ b/crates/mesh/src/routing/load.rs
@@ -142,7 +142,7 @@
 fn is_failure(returned: &Returned) -> bool {
     match returned.outcome {
         Outcome::Done => returned.status >= 500 && !returned.failed_below,
-        Outcome::NotRun => returned.reason != Reason::Overload,
+        Outcome::NotRun => returned.reason != Reason::Overload && !returned.absent_below,
         Outcome::Unknown => true,
     }
 }
--- a/crates/mesh/src/routing/load/tests.rs
+++ b/crates/mesh/src/routing/load/tests.rs
@@ -90,3 +90,17 @@
     assert!(load.time(now).is_some());
     assert!(load.time(now + Duration::from_secs(3)).is_none());
 }
+
+/// A node that holds a kind back, as a service further down is gone, is sound itself.
+#[test]
+fn held_back_is_sound() {
+    let (mut load, now) = (PeerLoad::default(), Instant::now());
+    for _ in 0..50 {
+        let held = Returned {
+            absent_below: true,
+            ..Returned::refused(Reason::NoUpstream)
+        };
+        load.note(now, TIME, &held);
+    }
+    assert!(load.is_available(now));
+}
--- a/crates/mesh/src/work.rs
+++ b/crates/mesh/src/work.rs
@@ -55,6 +55,8 @@
     pub(crate) path_pressure: Pressure,
     /// Whether a call that was made for it failed, as far as is known.
     pub(crate) failed_below: bool,
+    /// Whether a call that was made for it found no upstream of its service, as far as is known.
+    pub(crate) absent_below: bool,
     /// When to come back; zero if nothing is said.
     pub(crate) retry_after: Duration,
 }
@@ -71,6 +73,7 @@
             pressure: Pressure::default(),
             path_pressure: Pressure::default(),
             failed_below: false,
+            absent_below: false,
             retry_after: Duration::ZERO,
         }
     }
@@ -121,6 +124,12 @@
         self.outcome == Outcome::Done && self.status < 500
     }
 
+    /// Returns true if it, or a call that was made for it, found no upstream of its service.
+    pub(crate) fn found_nobody(&self) -> bool {
+        let is_absent = self.outcome == Outcome::NotRun && self.reason == Reason::NoUpstream;
+        is_absent || (self.absent_below && !self.is_success())
+    }
+
     /// Returns the pressure that the request met; one refused for overload met too much.
     ///
     /// An upstream that turns requests away tells nothing: its gate lets in no more than it has
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,21 @@
+//! A load model for the decisions: a service graph under a clock of its own.
+//!
+//! It drives the code of admission, windows and breakers that nodes run, over
+//! services, upstreams and kinds of requests that are described or drawn at
+//! random, and tells what callers get. It models decisions, not machines:
+//! nothing is sent, connections and processors cost nothing, and the choice of
+//! an upstream is a simple one of its own (two drawn, the emptier one taken).
+
+mod bound;
+mod clock;
+mod draw;
+mod graph;
+mod process;
+mod run;
+mod tally;
+
+pub use bound::bound;
+pub use draw::draw;
+pub use graph::{Call, Graph, Kind, Service, Trouble, Upstream};
+pub use run::{Rules, play};
+pub use tally::{KindTally, Tally};
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -263,6 +263,9 @@
     pub streamed: bool,
     #[prost(bool, tag = "14")]
     pub length_known: bool,
+    /// A call that was made for the request found no upstream of its service.
+    #[prost(bool, tag = "15")]
+    pub absent_below: bool,
 }
 /// Grants more chunks of a streamed body.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
