--- a/crates/admission/src/window.rs
+++ b/crates/admission/src/window.rs
@@ -36,9 +36,9 @@
 const OPEN_MARGIN: f64 = 8.0;
 /// The part of the slots that a window begins with where all nodes were started lately, and the
 /// least. Every round in which the path has room makes it 2.3 times as large. In the first two
-/// seconds after all nodes of `calendario-mesh` were away, 281 of 794 requests failed with open
-/// windows, 157 with a quarter, 51 with an eighth; beside few slots an eighth refused more than it
-/// had to (`hlw-payroll`: 255 served in place of 309, one day each).
+/// seconds after all of 14 nodes were away under the usual demand, 281 of 794 requests failed with
+/// open windows, 157 with a quarter, 51 with an eighth; where the deepest service has 20 slots an
+/// upstream, an eighth refused more than it had to (255 served in place of 309; one run each).
 const START_SHARE: f64 = 1.0 / 6.0;
 const SMALLEST_START: f64 = 4.0;
 /// How long windows begin so.
--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -21,8 +21,9 @@
 const UNREACHABLE_PAUSE: Duration = Duration::from_secs(3);
 
 /// The share of its slots that an upstream gets filled. Some slow down when they are nearly full:
-/// with 19 of 20 slots instead of 20 a day of overload had a worth of 0.44 instead of 0.36, with
-/// 18 of 20 one of 0.41 (one day each on the users' deployment `hlw-payroll`).
+/// in a run with more demand than the deepest service takes, the worth of what callers got, less
+/// its costs, was 0.44 of the most with 19 of 20 slots filled, 0.36 with 20 and 0.41 with 18 (15
+/// nodes, one run each).
 const FILLED_SHARE: f64 = 0.96;
 
 /// Returns how many requests an upstream with this many slots gets at once.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -11,11 +11,13 @@
 mod draw;
 mod graph;
 mod process;
+mod rules;
 mod run;
 mod tally;
 
 pub use bound::bound;
 pub use draw::draw;
 pub use graph::{Call, Graph, Kind, Service, Trouble, Upstream};
-pub use run::{Rules, play};
+pub use rules::{Mechanism, Rules};
+pub use run::play;
 pub use tally::{KindTally, Tally};
--- /dev/null
+++ b/crates/model/src/rules.rs
@@ -0,0 +1,61 @@
+//! Which mechanisms decide in a run, to see what each is worth.
+
+use std::fmt;
+
+/// A mechanism that can be switched off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mechanism {
+    /// Kinds whose path has no upstream are held back.
+    Breaker,
+    /// Windows follow the pressure at the own upstream of a request too.
+    OwnPressure,
+    /// Windows bound what is begun of each kind.
+    Windows,
+    /// Calls of requests that have begun go before new requests.
+    BegunFirst,
+    /// A full upstream's requests are brought to another one.
+    Redirects,
+}
+
+impl Mechanism {
+    /// All of them.
+    pub const ALL: [Self; 5] = [
+        Self::Breaker,
+        Self::OwnPressure,
+        Self::Windows,
+        Self::BegunFirst,
+        Self::Redirects,
+    ];
+}
+
+impl fmt::Display for Mechanism {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Breaker => "breaker",
+            Self::OwnPressure => "own pressure",
+            Self::Windows => "windows",
+            Self::BegunFirst => "begun first",
+            Self::Redirects => "redirects",
+        })
+    }
+}
+
+/// Which mechanisms decide in a run: all of them, or all but one.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Rules {
+    off: Option<Mechanism>,
+}
+
+impl Rules {
+    /// Returns the rules of a run without one mechanism.
+    #[must_use]
+    pub fn without(mechanism: Mechanism) -> Self {
+        Self {
+            off: Some(mechanism),
+        }
+    }
+
+    pub(crate) fn has(self, mechanism: Mechanism) -> bool {
+        self.off != Some(mechanism)
+    }
+}
--- a/crates/model/src/run.rs
+++ b/crates/model/src/run.rs
@@ -17,6 +17,7 @@
 use crate::clock::{self, seconds};
 use crate::graph::Graph;
 use crate::process::{Client, ClientId, End, Maker, Run, RunId};
+use crate::rules::{Mechanism, Rules};
 use crate::tally::{KindTally, Tally};
 
 /// How often a refused request is brought to another upstream.
@@ -32,24 +33,6 @@
 /// The part of the time left after which a client comes back at the latest.
 const RETURN_SHARE: f64 = 3.0;
 
-/// Which mechanisms are on, to see what each is worth.
-#[derive(Debug, Clone, Copy)]
-pub struct Rules {
-    /// Windows follow the pressure at the own upstream of a request too.
-    pub own_pressure: bool,
-    /// Kinds whose path has no upstream are held back.
-    pub breaker: bool,
-}
-
-impl Default for Rules {
-    fn default() -> Self {
-        Self {
-            own_pressure: true,
-            breaker: true,
-        }
-    }
-}
-
 /// One upstream with what is decided before it.
 struct Gate {
     service: usize,
@@ -274,7 +257,12 @@
             let (service, domain) = (run.kind, run.domain);
             let service = self.graph.kinds[service].service;
             let refused_by = self.run(id).refused_by.clone();
-            let is_spent = refused_by.len() > MOST_REDIRECTS;
+            let most = if self.rules.has(Mechanism::Redirects) {
+                MOST_REDIRECTS
+            } else {
+                0
+            };
+            let is_spent = refused_by.len() > most;
             let gate = (!is_spent).then(|| self.choose(service, domain, &refused_by));
             let Some(gate) = gate.flatten() else {
                 self.run(id).found_nobody |= refused_by.is_empty();
@@ -338,7 +326,7 @@
         let run = self.run(id);
         let (kind, rank, deadline) = (run.kind, run.rank, run.deadline);
         let begun = matches!(run.maker, Maker::Run(_));
-        if !begun {
+        if !begun && self.rules.has(Mechanism::Windows) {
             match outset.begin(&self.names[kind], now) {
                 Ok(place) => self.run(id).place = Some(place),
                 Err(hold) => {
@@ -348,7 +336,8 @@
             }
         }
         let left = deadline.saturating_duration_since(now);
-        match admission.arrive(rank, begun, left) {
+        let goes_first = begun && self.rules.has(Mechanism::BegunFirst);
+        match admission.arrive(rank, goes_first, left) {
             Arrival::Admitted(permit) => self.start(id, permit),
             Arrival::Refused(_) => {
                 self.run(id).place = None;
@@ -487,13 +476,15 @@
         let here = gate.admission.pressure(now, run.rank.importance());
         if let Some(place) = &run.place {
             let met = Met {
-                here: if self.rules.own_pressure {
+                here: if self.rules.has(Mechanism::OwnPressure) {
                     gate.admission.shared_pressure(now, run.rank.importance())
                 } else {
                     Pressure(0.0)
                 },
                 below: Pressure(run.below),
-                found_nobody: self.rules.breaker && run.found_nobody && end != End::Done,
+                found_nobody: self.rules.has(Mechanism::Breaker)
+                    && run.found_nobody
+                    && end != End::Done,
             };
             place.note(now, met);
         }
--- a/crates/model/tests/direct_and_nested.rs
+++ b/crates/model/tests/direct_and_nested.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod support;
 
-use sailtrack_model::{Graph, Rules, Tally, Trouble, bound, play};
+use sailtrack_model::{Graph, Mechanism, Rules, Tally, Trouble, bound, play};
 use support::{LOOKUP, SEEDS, STATUS, bank};
 
 /// The seconds of a run.
@@ -34,10 +34,7 @@
 
 /// Plays a graph with and without windows that follow the pressure of the own upstream.
 fn with_and_without(graph: &Graph, seed: u64) -> (Tally, Tally) {
-    let without = Rules {
-        own_pressure: false,
-        ..Rules::default()
-    };
+    let without = Rules::without(Mechanism::OwnPressure);
     let with = play(graph, Rules::default(), seed, LENGTH);
     (with, play(graph, without, seed, LENGTH))
 }
--- a/crates/model/tests/path_gone.rs
+++ b/crates/model/tests/path_gone.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code, reason = "not every test uses all of it")]
 mod support;
 
-use sailtrack_model::{Graph, Rules, Tally, Trouble, play};
+use sailtrack_model::{Graph, Mechanism, Rules, Tally, Trouble, play};
 use support::{BOOKING, SEEDS, bank};
 
 /// The seconds of a run.
@@ -22,10 +22,7 @@
 }
 
 fn without_breaker(seed: u64) -> Tally {
-    let rules = Rules {
-        breaker: false,
-        ..Rules::default()
-    };
+    let rules = Rules::without(Mechanism::Breaker);
     play(&cut(), rules, seed, LENGTH)
 }
 
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod experiment;
 pub mod hop;
 pub mod http;
+pub mod model;
 pub mod net;
 pub mod process;
 pub mod relay;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use sailtrack_rig::{RigError, capacity, demo, experiment, hop};
+use sailtrack_rig::{RigError, capacity, demo, experiment, hop, model};
 
 fn main() -> ExitCode {
     match run() {
@@ -33,6 +33,28 @@
                         .value_parser(value_parser!(PathBuf)),
                 ),
         )
+        .subcommand(
+            Command::new("model")
+                .about(
+                    "Plays drawn service graphs with and without each mechanism of the decisions",
+                )
+                .arg(
+                    Arg::new("graphs")
+                        .long("graphs")
+                        .value_name("COUNT")
+                        .help("How many graphs are drawn")
+                        .default_value("200")
+                        .value_parser(value_parser!(u64).range(1..)),
+                )
+                .arg(
+                    Arg::new("output")
+                        .long("output")
+                        .value_name("FORMAT")
+                        .help("The form of the output")
+                        .default_value("text")
+                        .value_parser(["text", "json"]),
+                ),
+        )
         .subcommand(
             Command::new("hop")
                 .about("Measures the time that a node adds to a call")
@@ -52,6 +74,13 @@
     match matches.subcommand() {
         Some(("experiment", matches)) => experiment::run(&file(matches)).map(|_| ()),
         Some(("capacity", _)) => capacity::run(),
+        Some(("model", matches)) => {
+            let graphs = matches.get_one::<u64>("graphs").copied().unwrap_or(1);
+            let is_json = matches
+                .get_one::<String>("output")
+                .is_some_and(|form| form == "json");
+            model::run(graphs, is_json)
+        }
         Some(("hop", matches)) => {
             let calls = matches.get_one::<usize>("calls").copied().unwrap_or(1);
             hop::run(root, calls)
