--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -97,7 +97,7 @@
     PEER_CONNECTED = 700 Debug "peer connected" ["node"];
     /// A peer connection was lost.
     PEER_LOST = 701 Info "peer connection lost" ["node", "reason"];
-    /// A request was refused and has not run. `bound` is what was full at the gate, `calls` counts what ran and waited there; the rest is known at the entry only.
+    /// A request was refused and has not run. `bound` is what held it back at the gate: its queue, the window of its kind, or a path on which a service has no upstream; `calls` counts what ran and waited there; the rest is known at the entry only.
     REQUEST_REFUSED = 800 Info "request refused" ["request", "kind", "at", "reason", "bound", "calls", "node", "tries", "pressure", "version", "after_ms"];
     /// A request is sent to another upstream. `node` is the one that it did not end at.
     REQUEST_REPEATED = 801 Info "request sent once more" ["request", "node", "outcome", "reason"];
