--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -42,7 +42,8 @@
 const LONGEST_SPREAD: Duration = Duration::from_secs(15);
 /// The shortest time of a call that is reckoned with, in seconds.
 const SHORTEST_OWN_TIME: f64 = 0.001;
-/// How long after a call from further up an upstream counts as shared with those who call it.
+/// How long after a call from further up an upstream counts as shared with those who call it: where
+/// it is, dozens of them come in that time.
 const SHARED_TIME: Duration = Duration::from_secs(1);
 /// The most calls that may wait.
 const MAX_QUEUE: usize = 1000;
@@ -402,7 +403,8 @@
     }
 
     /// Returns true once it is decided about.
-    pub fn is_decided(&mut self) -> bool {
+    #[must_use]
+    pub fn is_decided(&self) -> bool {
         self.admission.state.borrow().queue.is_out(self.place)
     }
 
--- a/crates/model/src/rules.rs
+++ b/crates/model/src/rules.rs
@@ -9,9 +9,9 @@
     Breaker,
     /// Windows follow the pressure at the own upstream of a request too.
     OwnPressure,
-    /// Windows bound what is begun of each kind.
+    /// Windows bound what is begun of each kind; without them nothing holds kinds back.
     Windows,
-    /// Calls of requests that have begun go before new requests.
+    /// Calls of requests that have begun go before new requests and wait longer.
     BegunFirst,
     /// A full upstream's requests are brought to another one.
     Redirects,
--- a/crates/model/src/run/gate.rs
+++ b/crates/model/src/run/gate.rs
@@ -71,7 +71,7 @@
             let is_decided = self
                 .run(id)
                 .waiting
-                .as_mut()
+                .as_ref()
                 .is_none_or(Waiting::is_decided);
             if is_decided {
                 decided.push(id);
