Model: one way to a request's number; figures of the load in its tests are what the graph gives

Read again: the burst asks for 1.5 times what the deepest service can do (62.6 slots of work a second, 2.6 times that, of 108), not 1.4, and the calm graph loads it to 0.58. The number of a request was looked up by hand in two places. Nodes run the same code; only a comment of theirs changes.

--- a/crates/model/src/process.rs
+++ b/crates/model/src/process.rs
@@ -22,9 +22,11 @@
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum End {
+    /// It ran, and so did all its calls.
     Done,
-    /// It has not run; the caller may come back after so many seconds.
+    /// It has not run.
     Refused,
+    /// It ran or may have run, without an answer that its caller can use.
     Failed,
 }
 
--- a/crates/model/src/run/gate.rs
+++ b/crates/model/src/run/gate.rs
@@ -54,7 +54,7 @@
                 let longest = waiting.longest().as_secs_f64();
                 self.run(id).waiting = Some(waiting);
                 self.gates[gate].waiting.push(id);
-                let number = self.runs[id].as_ref().map_or(0, |(number, _)| *number);
+                let number = self.number_of(id);
                 self.plan(longest, Event::Waited(id, number));
                 // It may have taken the place of another one.
                 self.settle(gate);
@@ -121,7 +121,7 @@
         run.entered = clock::now();
         run.own_time = own_time;
         run.light = light;
-        let number = self.runs[id].as_ref().map_or(0, |(number, _)| *number);
+        let number = self.number_of(id);
         self.plan(own_time, Event::Worked(id, number));
     }
 
--- a/crates/model/src/run/mod.rs
+++ b/crates/model/src/run/mod.rs
@@ -203,6 +203,12 @@
         matches!(&self.runs[run], Some((known, _)) if *known == number)
     }
 
+    /// Returns the number that tells a request from others at its place.
+    fn number_of(&self, id: RunId) -> u64 {
+        let (number, _) = self.runs[id].as_ref().expect("it is under way");
+        *number
+    }
+
     fn run(&mut self, id: RunId) -> &mut Run {
         let (_, run) = self.runs[id].as_mut().expect("it is under way");
         run
@@ -212,9 +218,8 @@
     fn dispatch(&mut self, id: RunId) {
         loop {
             let run = self.run(id);
-            let (service, domain) = (run.kind, run.domain);
-            let service = self.graph.kinds[service].service;
-            let refused_by = self.run(id).refused_by.clone();
+            let (kind, domain, refused_by) = (run.kind, run.domain, run.refused_by.clone());
+            let service = self.graph.kinds[kind].service;
             let most = if self.rules.has(Mechanism::Redirects) {
                 MOST_REDIRECTS
             } else {
--- a/crates/model/tests/direct_and_nested.rs
+++ b/crates/model/tests/direct_and_nested.rs
@@ -11,7 +11,7 @@
 /// The seconds of a run.
 const LENGTH: f64 = 40.0;
 
-/// For 20 s clients want 1.4 times as much as the deepest service can do.
+/// For 20 s clients want 1.5 times as much as the deepest service can do.
 fn burst() -> Graph {
     let mut graph = bank();
     graph.troubles.push(Trouble::Burst {
--- a/crates/model/tests/random_graphs.rs
+++ b/crates/model/tests/random_graphs.rs
@@ -4,7 +4,7 @@
 
 /// The seconds of a run.
 const LENGTH: f64 = 20.0;
-/// How many graphs are played; 200 of them with all rules take 12 s.
+/// How many graphs are played.
 const GRAPHS: u32 = 60;
 
 fn share_of_bound(graph: &Graph, tally: &Tally) -> f64 {
--- a/crates/model/tests/support/mod.rs
+++ b/crates/model/tests/support/mod.rs
@@ -16,7 +16,7 @@
 
 /// Three services in three failure domains, an upstream in each. Lookups of the first and bookings
 /// of the second one read from the third, four and eight times; clients also ask the third one
-/// itself, for something that takes it as long as sixteen reads. It is loaded to 0.55.
+/// itself, for something that takes it as long as sixteen reads. It is loaded to 0.58.
 pub fn bank() -> Graph {
     Graph {
         services: vec![service(150), service(150), service(36)],
