--- a/crates/mesh/src/announcement.rs
+++ b/crates/mesh/src/announcement/mod.rs
@@ -1,11 +1,12 @@
 //! The port on which the own upstream announces itself.
 
+mod error;
+
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use displaydoc::Display;
 use futures::future::{Either, select};
 use http::{Method, StatusCode};
 use monoio::time::{sleep, timeout};
@@ -15,10 +16,11 @@
 use sailtrack_net::task;
 use sailtrack_units::ServiceName;
 
+use crate::announcement::error::{AnnouncementError, RowError};
 use crate::configuration::Current;
-use crate::dialect::{Announcement, Beat, Dialect, DialectError, Readiness};
+use crate::dialect::{Announcement, Beat, Dialect, Readiness};
 use crate::gate::Upstream;
-use crate::key::{KeyError, UpstreamKey};
+use crate::key::UpstreamKey;
 use crate::metrics::Metrics;
 use crate::peer::Peers;
 use crate::retired::Retired;
@@ -37,40 +39,6 @@
 /// How long after its start a node waits for the word of others before it believes a beat.
 const PATIENCE: Duration = Duration::from_secs(3);
 
-/// Why a message is not one of the own upstream.
-#[derive(Debug, Display)]
-pub(crate) enum AnnouncementError {
-    /// {0}
-    Dialect(DialectError),
-    /// the upstream beside this node is of service {own}, not {told}
-    Service {
-        /// The service of the own upstream.
-        own: ServiceName,
-        /// The service in the message.
-        told: ServiceName,
-    },
-    /// the upstream beside this node is at {own}, not at {told}
-    Address {
-        /// Where the own upstream is.
-        own: SocketAddr,
-        /// The address in the message.
-        told: SocketAddr,
-    },
-    /// the upstream beside this node tells when it was started, this message does not
-    Start,
-}
-
-impl std::error::Error for AnnouncementError {}
-
-impl AnnouncementError {
-    fn status(&self) -> StatusCode {
-        match self {
-            Self::Dialect(DialectError::NotFound) => StatusCode::NOT_FOUND,
-            _ => StatusCode::BAD_REQUEST,
-        }
-    }
-}
-
 /// Takes in what the own upstream announces.
 pub(crate) struct Announcements {
     pub(crate) dialect: Rc<dyn Dialect>,
@@ -289,7 +257,7 @@
                 None => return self.retired.contains(upstream),
                 Some(Ok(life)) => return self.has_left_with(upstream, life),
                 // Somebody else wrote it, and it names nobody.
-                Some(Err(reason)) => reason,
+                Some(Err(error)) => error.to_string(),
             },
             Ok(Err(error)) => error.to_string(),
             Err(_) => "late".to_owned(),
@@ -318,16 +286,16 @@
 }
 
 /// Returns the life that a row says has left.
-fn retired_life(row: &Row) -> Result<UpstreamKey, String> {
+fn retired_life(row: &Row) -> Result<UpstreamKey, RowError> {
     let text = match &row.content {
         Content::Text(text) => text,
-        Content::Unreadable(reason) => return Err(reason.clone()),
-        Content::Removed => return Err("the row was removed".to_owned()),
+        Content::Unreadable(reason) => return Err(RowError::Unreadable(reason.clone())),
+        Content::Removed => return Err(RowError::Removed),
     };
-    let life: UpstreamKey = text.parse().map_err(|error: KeyError| error.to_string())?;
+    let life: UpstreamKey = text.parse().map_err(RowError::Key)?;
     if life.id() == row.key {
         Ok(life)
     } else {
-        Err("the life in it has another id than the row".to_owned())
+        Err(RowError::OtherId)
     }
 }
