A crash of an upstream is told from other losses, and its event names what ran by what it asks

Cause: logs name attempts, and each attempt of a caller has its own id; no line says what else ran when an upstream ended, so a request that ends upstreams cannot be told from upstreams that end under load. Change: a request has an identity (BLAKE3 over caller, method, host, target and body, as the body comes), passed on between nodes; the node beside an upstream tries its port when an answer breaks off, and writes event 420 and counts if nothing listens there or another life follows; upstreams that leave as announced write none. Before and after: no decision about requests changed but one: after a crash the upstream gets nothing for the pause that follows a refused connection. Conclusion: whether one request is common to the ends can be read now.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -81,6 +81,8 @@
     UPSTREAM_RETIRED = 412 Info "upstream retired" ["upstream", "reason"];
     /// The own upstream did not say who it is; its next beat will.
     UPSTREAM_SILENT = 413 Info "upstream does not say who it is" ["address", "reason"];
+    /// The own upstream ended without having announced it. `ran` names the requests that it ran by the first digits of their identities, with their kinds; `requests` is how many there were.
+    UPSTREAM_CRASHED = 420 Warn "upstream crashed" ["upstream", "requests", "ran"];
     /// The limit of the own upstream changed by a quarter or more.
     LIMIT_CHANGED = 500 Info "concurrency limit changed" ["limit", "reason"];
     /// Requests are being shed.
--- a/crates/mesh/src/contexts.rs
+++ b/crates/mesh/src/contexts.rs
@@ -14,9 +14,10 @@
 
 use sailtrack_admission::Pressure;
 use sailtrack_kernel::Service;
-use sailtrack_units::Rank;
+use sailtrack_quarantine::Identity;
+use sailtrack_units::{KindName, Rank};
 
-use crate::key::AttemptKey;
+use crate::key::{AttemptKey, UpstreamKey};
 use crate::work::{Returned, Work};
 
 /// Separates the id of a call from that of the request that it is made for.
@@ -25,6 +26,10 @@
 /// One request that runs in the own upstream.
 #[derive(Debug)]
 pub(crate) struct Context {
+    pub(crate) identity: Identity,
+    pub(crate) kind: KindName,
+    /// The life of the upstream that runs it.
+    upstream: UpstreamKey,
     pub(crate) rank: Rank,
     /// Whether it was sent to another upstream before.
     pub(crate) repeated: bool,
@@ -48,8 +53,11 @@
 
 impl Contexts {
     /// Remembers a request until the guard is dropped.
-    pub(crate) fn open(self: &Rc<Self>, work: &Work) -> Open {
+    pub(crate) fn open(self: &Rc<Self>, work: &Work, upstream: &UpstreamKey) -> Open {
         let context = Rc::new(Context {
+            identity: work.identity,
+            kind: work.kind.clone(),
+            upstream: upstream.clone(),
             rank: work.rank,
             repeated: work.repeated,
             pressure: Cell::default(),
@@ -80,6 +88,13 @@
         None
     }
 
+    /// Returns the requests that run in this life of the own upstream.
+    pub(crate) fn running_in(&self, upstream: &UpstreamKey) -> Vec<Rc<Context>> {
+        let running = self.running.borrow();
+        let of_life = running.values().filter(|one| one.upstream == *upstream);
+        of_life.cloned().collect()
+    }
+
     /// Returns how many requests run in the own upstream.
     pub(crate) fn len(&self) -> usize {
         self.running.borrow().len()
--- a/crates/mesh/src/contexts/tests.rs
+++ b/crates/mesh/src/contexts/tests.rs
@@ -4,17 +4,19 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use sailtrack_quarantine::Hasher;
 use sailtrack_units::Rank;
 use sailtrack_wire::Reason;
 
 use crate::body::Body;
 use crate::contexts::Contexts;
-use crate::key::AttemptKey;
+use crate::key::{AttemptKey, UpstreamKey};
 use crate::work::{Returned, Work};
 
 fn work(id: &str) -> Work {
     Work {
         attempt: AttemptKey::from(id),
+        identity: Hasher::new("shop", b"GET", b"a", b"/").finish(),
         service: "bank".parse().expect("a name"),
         kind: "read".parse().expect("a name"),
         idempotent: true,
@@ -27,6 +29,10 @@
     }
 }
 
+fn upstream() -> UpstreamKey {
+    UpstreamKey::new("i-1", None).expect("a sound id")
+}
+
 fn has_parent(contexts: &Contexts, id: &str) -> bool {
     contexts.parent(&AttemptKey::from(id)).is_some()
 }
@@ -34,7 +40,7 @@
 #[test]
 fn told_by_prefix() {
     let contexts = Rc::new(Contexts::default());
-    let open = contexts.open(&work("a.b"));
+    let open = contexts.open(&work("a.b"), &upstream());
     let parent = contexts
         .parent(&AttemptKey::from("a.b.c"))
         .expect("its parent runs");
@@ -50,8 +56,8 @@
 #[test]
 fn same_id_twice() {
     let contexts = Rc::new(Contexts::default());
-    let first = contexts.open(&work("a"));
-    let second = contexts.open(&work("a"));
+    let first = contexts.open(&work("a"), &upstream());
+    let second = contexts.open(&work("a"), &upstream());
     drop(first);
     assert!(has_parent(&contexts, "a.b"), "the second one still runs");
     drop(second);
@@ -62,7 +68,7 @@
 #[test]
 fn absence_goes_up() {
     let contexts = Rc::new(Contexts::default());
-    let open = contexts.open(&work("a"));
+    let open = contexts.open(&work("a"), &upstream());
     open.context.note(&Returned::refused(Reason::Overload));
     assert!(!open.context.absent_below.get());
     let call = Returned {
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -19,7 +19,7 @@
 use crate::dispatch::Trail;
 use crate::entry::Entry;
 use crate::entry::answer::{Asked, Refusal, conclude, refuse};
-use crate::entry::request::Incoming;
+use crate::entry::request::{Incoming, Received};
 use crate::events::End;
 use crate::work::Returned;
 
@@ -138,13 +138,13 @@
             self.log(&incoming, &returned, &Trail::default());
             return self.close_with(Refusal::NotRun, Some(ROOM_RETURN)).await;
         };
-        let body = match self.body(&incoming, limits.body_bytes).await {
-            Ok(body) => body,
+        let received = match self.receive(&incoming, limits.body_bytes).await {
+            Ok(received) => received,
             Err(Some(refusal)) => return self.end(refusal).await,
             Err(None) => return Next::Close,
         };
         let trail = Trail::default();
-        let returned = self.run(&incoming, body, &trail).await;
+        let returned = self.run(&incoming, received, &trail).await;
         drop(room);
         match returned {
             Some(returned) => self.answer(&incoming, returned, &trail).await,
@@ -153,7 +153,11 @@
     }
 
     /// Reads the body; without a refusal the client is gone.
-    async fn body(&mut self, incoming: &Incoming, limit: usize) -> Result<Bytes, Option<Refusal>> {
+    async fn receive(
+        &mut self,
+        incoming: &Incoming,
+        limit: usize,
+    ) -> Result<Received, Option<Refusal>> {
         if incoming.expects_continue() && self.reader.buffered() == 0 {
             let go_on = BytesMut::from(&b"HTTP/1.1 100 Continue\r\n\r\n"[..]);
             if !self.write(go_on).await {
@@ -161,9 +165,14 @@
             }
         }
         let deadline = Deadline::from_std(incoming.deadline);
-        let body = timeout_at(deadline, self.reader.body(incoming.framing, limit)).await;
-        match body {
-            Ok(Ok(body)) => Ok(body),
+        let mut hasher = incoming.hasher(&self.entry.service);
+        let see = |piece: &[u8]| hasher.update(piece);
+        let body = self.reader.body_seen(incoming.framing, limit, see);
+        match timeout_at(deadline, body).await {
+            Ok(Ok(body)) => Ok(Received {
+                body,
+                identity: hasher.finish(),
+            }),
             Ok(Err(BodyError::TooLarge)) => Err(Some(Refusal::BodyTooLarge)),
             Ok(Err(BodyError::Malformed)) => Err(Some(Refusal::Malformed)),
             Ok(Err(BodyError::Cut | BodyError::Io(_))) => Err(None),
@@ -172,13 +181,19 @@
     }
 
     /// Brings a request to its end; returns nothing if the client leaves before.
-    async fn run(&mut self, incoming: &Incoming, body: Bytes, trail: &Trail) -> Option<Returned> {
+    async fn run(
+        &mut self,
+        incoming: &Incoming,
+        received: Received,
+        trail: &Trail,
+    ) -> Option<Returned> {
         let entry = Rc::clone(&self.entry);
         let Some(service) = entry.splitter.next(&incoming.route) else {
             return Some(Returned::refused(Reason::NoUpstream));
         };
         let fields = entry.dialect.fields();
-        let (work, parent) = incoming.work(fields, &entry.service, service, &entry.contexts, body);
+        let (work, parent) =
+            incoming.work(fields, &entry.service, service, &entry.contexts, received);
         if entry.closed.get() && !work.begun {
             return Some(Returned::refused(Reason::Draining).come_back(CLOSED_RETURN));
         }
--- a/crates/mesh/src/entry/request.rs
+++ b/crates/mesh/src/entry/request.rs
@@ -5,6 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use sailtrack_net::transparent::{Field, Framing, HeadError, RequestHead, request_framing};
+use sailtrack_quarantine::{Hasher, Identity};
 use sailtrack_units::{Rank, RequestId, ServiceName};
 
 use crate::configuration::{Configuration, Route};
@@ -24,6 +25,12 @@
     pub(super) deadline: Instant,
 }
 
+/// What came after the head.
+pub(super) struct Received {
+    pub(super) body: Bytes,
+    pub(super) identity: Identity,
+}
+
 impl Incoming {
     /// Reads a head, and finds the route of the request.
     pub(super) fn read(
@@ -54,6 +61,13 @@
         })
     }
 
+    /// Starts the identity of the request; the body is still to come.
+    pub(super) fn hasher(&self, caller: &ServiceName) -> Hasher {
+        let host = host(&self.head).unwrap_or_default();
+        let (method, target) = (&self.head.method, &self.head.target);
+        Hasher::new(caller.as_str(), method, host.as_bytes(), target)
+    }
+
     /// Returns true if the client waits for a word before it sends the body.
     pub(super) fn expects_continue(&self) -> bool {
         self.head.fields.lists("expect", "100-continue")
@@ -66,7 +80,7 @@
         caller: &ServiceName,
         service: ServiceName,
         contexts: &Contexts,
-        body: Bytes,
+        Received { body, identity }: Received,
     ) -> (Work, Option<Rc<Context>>) {
         let parent = contexts.parent(&self.attempt);
         let id = RequestId::from_key(self.attempt.as_str());
@@ -74,6 +88,7 @@
         let rank = parent.as_ref().map_or(own, |parent| parent.rank.max(own));
         let work = Work {
             attempt: self.attempt.clone(),
+            identity,
             service,
             kind: self.route.name.clone(),
             idempotent: self.route.is_idempotent(),
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -6,6 +6,7 @@
 
 use std::cell::RefCell;
 use std::fmt;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use displaydoc::Display;
@@ -15,12 +16,16 @@
 use sailtrack_units::{ConfigVersion, KindName, NodeName};
 use sailtrack_wire::Reason;
 
+use crate::contexts::Context;
 use crate::dispatch::Trail;
-use crate::key::AttemptKey;
+use crate::key::{AttemptKey, UpstreamKey};
 use crate::metrics::Stage;
 use crate::work::Returned;
 use sampler::{Sampler, Verdict};
 
+/// The most requests that the event of a crash names: an upstream runs some hundred at once.
+const MOST_NAMED: usize = 200;
+
 /// What was full where a request was refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) enum Bound {
@@ -117,6 +122,22 @@
         );
     }
 
+    /// Notes that the own upstream ended, and what it ran. There is one such event for each life.
+    #[allow(clippy::unused_self, reason = "events are written through one service")]
+    pub(crate) fn note_crash(&self, upstream: &UpstreamKey, ran: &[Rc<Context>]) {
+        let named = ran.iter().take(MOST_NAMED);
+        let named = named.map(|one| format!("{}:{}", one.identity.short(), one.kind));
+        let named = named.collect::<Vec<_>>().join(" ");
+        emit(
+            &catalogue::UPSTREAM_CRASHED,
+            &[
+                ("upstream", upstream),
+                ("requests", &ran.len()),
+                ("ran", &named),
+            ],
+        );
+    }
+
     /// Notes that a request is sent to another upstream.
     pub(crate) fn note_retry(&self, attempt: &AttemptKey, node: &NodeName, returned: &Returned) {
         let reason = returned.reason.as_str_name();
--- /dev/null
+++ b/crates/mesh/src/gate/crash.rs
@@ -0,0 +1,72 @@
+//! Tells a crash of the own upstream from everything else that breaks connections to it.
+//!
+//! An upstream that crashed refuses connections, or another life of it
+//! announces itself. One that leaves has said so before; one that resets its
+//! connections, turns wrong bytes out or is slow accepts a new one.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::FutureExt as _;
+use futures::future::{LocalBoxFuture, Shared};
+use sailtrack_net::dial::{DialError, dial};
+
+use crate::key::UpstreamKey;
+
+/// How long an upstream on the same instance may take to accept or refuse a connection. One with a
+/// full queue of new connections does neither; it lives.
+const PROBE_TIME: Duration = Duration::from_millis(100);
+
+/// Finds out whether the own upstream has crashed.
+pub(super) struct Watcher {
+    target: SocketAddr,
+    /// The connection that is being tried; all losses of the same moment wait for one.
+    probe: RefCell<Option<Shared<LocalBoxFuture<'static, bool>>>>,
+    /// The last life that crashed.
+    crashed: RefCell<Option<Rc<UpstreamKey>>>,
+}
+
+impl Watcher {
+    pub(super) fn new(target: SocketAddr) -> Self {
+        Self {
+            target,
+            probe: RefCell::default(),
+            crashed: RefCell::default(),
+        }
+    }
+
+    /// Returns true if this life is known to have crashed.
+    pub(super) fn has_seen(&self, upstream: &UpstreamKey) -> bool {
+        self.crashed.borrow().as_deref() == Some(upstream)
+    }
+
+    /// Notes that a life crashed; returns false if that was known.
+    pub(super) fn note(&self, upstream: &UpstreamKey) -> bool {
+        if self.has_seen(upstream) {
+            return false;
+        }
+        self.crashed.replace(Some(Rc::new(upstream.clone())));
+        true
+    }
+
+    /// Returns true if nothing listens at the address of the upstream.
+    pub(super) async fn is_gone(&self) -> bool {
+        let known = self.probe.borrow().clone();
+        let probe = match known {
+            Some(probe) if probe.peek().is_none() => probe,
+            _ => self.start_probe(),
+        };
+        probe.await
+    }
+
+    fn start_probe(&self) -> Shared<LocalBoxFuture<'static, bool>> {
+        let target = self.target;
+        let probe =
+            async move { matches!(dial(target, None, PROBE_TIME).await, Err(DialError::Io(_))) };
+        let probe = probe.boxed_local().shared();
+        self.probe.replace(Some(probe.clone()));
+        probe
+    }
+}
--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -55,6 +55,16 @@
 }
 
 impl ExchangeError {
+    /// Returns true if the connection broke before the answer was whole.
+    pub(super) fn is_broken(&self) -> bool {
+        match self {
+            Self::Io(_) => true,
+            Self::Message(error) => !matches!(error, MessageError::Head(_)),
+            Self::Body(error) => matches!(error, BodyError::Cut | BodyError::Io(_)),
+            _ => false,
+        }
+    }
+
     /// Returns true if the upstream cannot have seen the request.
     pub(super) fn is_unsent(&self) -> bool {
         matches!(self, Self::Connect(_))
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -4,6 +4,7 @@
 //! here without agreement: which life of it gets requests, how many at once,
 //! in which order, and that none runs twice that must not.
 
+mod crash;
 mod exchange;
 mod pool;
 mod records;
@@ -32,6 +33,7 @@
 use crate::metrics::{Metrics, Stage};
 use crate::returns;
 use crate::work::{Returned, Work};
+use crash::Watcher;
 use exchange::{ExchangeError, UpstreamAnswer, exchange};
 use pool::Pool;
 use records::Place;
@@ -57,6 +59,7 @@
     events: Rc<Events>,
     metrics: Rc<Metrics>,
     pool: Pool,
+    watcher: Watcher,
     in_flight: Rc<Cell<usize>>,
 }
 
@@ -115,6 +118,7 @@
             events: Rc::default(),
             metrics: Rc::new(Metrics::new()),
             pool: Pool::new(target),
+            watcher: Watcher::new(target),
             in_flight: Rc::default(),
         };
         Self { gate }
@@ -324,13 +328,13 @@
 
     async fn send(&self, work: &Work, entered: &Entered, patience: Instant) -> Returned {
         let upstream = &entered.upstream;
-        let entry = self.contexts.open(work);
+        let entry = self.contexts.open(work, upstream);
         let exchange = exchange(&self.pool, self.dialect.fields(), upstream, work);
         let exchange = until_ended(exchange, entered.ended.clone());
         let result = timeout_at(Deadline::from_std(patience), exchange).await;
         let returned = match result {
             Ok(Ok(answer)) => self.take_answer(work, upstream, answer),
-            Ok(Err(error)) => self.take_error(work, &error),
+            Ok(Err(error)) => self.take_error(work, upstream, &error).await,
             Err(_) => Returned::unknown(Reason::Deadline),
         };
         Returned {
@@ -363,14 +367,46 @@
         Returned::answered(head.status, passed_on(&head), body)
     }
 
-    fn take_error(&self, work: &Work, error: &ExchangeError) -> Returned {
+    async fn take_error(
+        &self,
+        work: &Work,
+        upstream: &UpstreamKey,
+        error: &ExchangeError,
+    ) -> Returned {
         self.events.note_loss(&work.attempt, error);
         if error.is_unsent() {
             self.upstream.note_unreachable(Instant::now());
             return Returned::refused(Reason::NoUpstream);
         }
+        if self.has_crashed(upstream, error).await {
+            return Returned::unknown(Reason::UpstreamCrashed);
+        }
         Returned::unknown(Reason::Connection)
     }
+
+    /// Returns true if a life of the upstream has ended without having announced it.
+    ///
+    /// The requests that it ran are all still open here: each of them waits for this answer.
+    async fn has_crashed(&self, upstream: &UpstreamKey, error: &ExchangeError) -> bool {
+        if self.watcher.has_seen(upstream) {
+            return true;
+        }
+        let has_ended = match error {
+            ExchangeError::Restarted => self.upstream.was_replaced(upstream),
+            error if error.is_broken() => self.watcher.is_gone().await,
+            _ => false,
+        };
+        if !has_ended || self.upstream.has_left(upstream) {
+            return false;
+        }
+        if self.watcher.note(upstream) {
+            self.upstream.note_unreachable(Instant::now());
+            let ran = self.contexts.running_in(upstream);
+            self.events.note_crash(upstream, &ran);
+            self.metrics.note_crash();
+        }
+        true
+    }
 }
 
 /// Waits for an answer of a life of the upstream for as long as that life may give one.
--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -93,6 +93,8 @@
     ending: RefCell<Ending>,
     /// The upstream tells when it was started; what comes without that is not from it.
     tells_start: Cell<bool>,
+    /// The last life that another one followed although it had not said that it leaves.
+    replaced: RefCell<Option<UpstreamKey>>,
     unreachable_until: Cell<Option<Instant>>,
     /// The node stops and lets nothing new in.
     closed: Cell<bool>,
@@ -112,6 +114,7 @@
             life: RefCell::default(),
             ending: RefCell::new(Ending::new()),
             tells_start: Cell::new(false),
+            replaced: RefCell::default(),
             unreachable_until: Cell::default(),
             closed: Cell::new(false),
             changed: RefCell::default(),
@@ -174,6 +177,7 @@
             Some(earlier) => {
                 // One that was started later may only have been silent, and may be back.
                 if !beat.upstream.is_older_than(&earlier.key) {
+                    self.replaced.replace(Some(earlier.key.clone()));
                     self.retired.note(earlier.key);
                 }
                 self.begin(beat, now);
@@ -254,6 +258,16 @@
         self.life.borrow().is_none()
     }
 
+    /// Returns true if a later life followed this one although it had not said that it leaves.
+    pub(crate) fn was_replaced(&self, upstream: &UpstreamKey) -> bool {
+        self.replaced.borrow().as_ref() == Some(upstream)
+    }
+
+    /// Returns true if this life leaves or has left, as it said.
+    pub(crate) fn has_left(&self, upstream: &UpstreamKey) -> bool {
+        self.retired.contains(upstream) && !self.was_replaced(upstream)
+    }
+
     /// Sends nothing new to this life from now on, and returns which one that is: of a life that
     /// does not tell its start, the present one with its id.
     pub(crate) fn retire(&self, upstream: &UpstreamKey, reason: &str) -> UpstreamKey {
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -92,6 +92,7 @@
     ended: Count<EndLabels>,
     repeats: Count<ServiceLabels>,
     refused_announcements: Counter<u64, AtomicU64>,
+    crashes: Counter<u64, AtomicU64>,
     times: Family<KindLabels, Histogram>,
     gauges: Gauges,
 }
@@ -118,6 +119,9 @@
         let refused_announcements = Counter::default();
         let help = "Messages about the own upstream that were not its own or could not be read";
         registry.register("refused_announcements", help, refused_announcements.clone());
+        let crashes = Counter::default();
+        let help = "Ends of the own upstream that it had not announced";
+        registry.register("upstream_crashes", help, crashes.clone());
         let help = "Time from a request of a client to its answer";
         registry.register_with_unit("answer", help, Unit::Seconds, times.clone());
         let gauges = register_gauges(&mut registry);
@@ -126,6 +130,7 @@
             ended,
             repeats,
             refused_announcements,
+            crashes,
             times,
             gauges,
         }
@@ -147,6 +152,11 @@
         self.refused_announcements.inc();
     }
 
+    /// Notes that the own upstream crashed.
+    pub(crate) fn note_crash(&self) {
+        self.crashes.inc();
+    }
+
     /// Notes how a request of a client ended after `time`.
     pub(crate) fn note_answer(&self, kind: &KindName, returned: &Returned, time: Duration) {
         self.note_end(Stage::Entry, kind, returned.outcome, returned.reason);
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use sailtrack_admission::Pressure;
+use sailtrack_quarantine::Identity;
 use sailtrack_units::Rank;
 use sailtrack_wire::{Forward, Reply};
 
@@ -40,6 +41,7 @@
         body: work.body.slice(..first),
         body_length: work.body.len() as u64,
         repeated: work.repeated,
+        identity: Bytes::copy_from_slice(work.identity.as_bytes()),
     }
 }
 
@@ -47,8 +49,11 @@
 pub(super) fn work_from_wire(message: Forward) -> Result<Work, WorkError> {
     let error = |what: &dyn std::fmt::Display| WorkError(what.to_string());
     let rank = u8::try_from(message.rank).map_err(|e| error(&e))?;
+    let identity = Identity::from_bytes(&message.identity);
+    let identity = identity.ok_or_else(|| error(&"its identity has not the right length"))?;
     Ok(Work {
         attempt: AttemptKey::from(message.id.as_str()),
+        identity,
         service: message.service.parse().map_err(|e| error(&e))?,
         kind: message.kind.parse().map_err(|e| error(&e))?,
         idempotent: message.idempotent,
--- a/crates/mesh/src/retry/tests.rs
+++ b/crates/mesh/src/retry/tests.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use sailtrack_quarantine::Hasher;
 use sailtrack_units::{Period, Rank, Ratio};
 
 use crate::key::AttemptKey;
@@ -19,6 +20,7 @@
 fn work(rank: Rank, repeated: bool) -> Work {
     Work {
         attempt: AttemptKey::from("a"),
+        identity: Hasher::new("shop", b"GET", b"a", b"/").finish(),
         service: "ledger".parse().expect("a name"),
         kind: "read".parse().expect("a name"),
         idempotent: true,
--- a/crates/mesh/src/work.rs
+++ b/crates/mesh/src/work.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use sailtrack_admission::Pressure;
+use sailtrack_quarantine::Identity;
 use sailtrack_units::{KindName, Rank, ServiceName};
 use sailtrack_wire::{Outcome, Reason};
 
@@ -14,6 +15,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Work {
     pub(crate) attempt: AttemptKey,
+    /// What it asks, the same for every attempt of its caller.
+    pub(crate) identity: Identity,
     pub(crate) service: ServiceName,
     /// The route that it came by.
     pub(crate) kind: KindName,
--- a/crates/net/src/transparent/reader.rs
+++ b/crates/net/src/transparent/reader.rs
@@ -178,6 +178,16 @@
 
     /// Returns the whole body of the message whose head was read last.
     pub async fn body(&mut self, framing: Framing, limit: usize) -> Result<Bytes, BodyError> {
+        self.body_seen(framing, limit, |_| {}).await
+    }
+
+    /// Returns the whole body, and shows `see` each piece of it as it comes.
+    pub async fn body_seen(
+        &mut self,
+        framing: Framing,
+        limit: usize,
+        mut see: impl FnMut(&[u8]),
+    ) -> Result<Bytes, BodyError> {
         if matches!(framing, Framing::Length(length) if length > limit as u64) {
             return Err(BodyError::TooLarge);
         }
@@ -187,6 +197,7 @@
             if body.len() + piece.len() > limit {
                 return Err(BodyError::TooLarge);
             }
+            see(&piece);
             body.extend_from_slice(&piece);
         }
         Ok(body.freeze())
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -230,6 +230,9 @@
     /// The request, or the one that it is made for, was sent to another upstream before.
     #[prost(bool, tag = "12")]
     pub repeated: bool,
+    /// Stands for the request by what it asks, for all attempts of its caller.
+    #[prost(bytes = "bytes", tag = "13")]
+    pub identity: ::prost::bytes::Bytes,
 }
 /// What became of a forwarded request.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -423,6 +426,7 @@
     NotConfigured = 14,
     UpstreamShed = 15,
     AnswerTooLarge = 16,
+    UpstreamCrashed = 17,
 }
 impl Reason {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -448,6 +452,7 @@
             Self::NotConfigured => "REASON_NOT_CONFIGURED",
             Self::UpstreamShed => "REASON_UPSTREAM_SHED",
             Self::AnswerTooLarge => "REASON_ANSWER_TOO_LARGE",
+            Self::UpstreamCrashed => "REASON_UPSTREAM_CRASHED",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -470,6 +475,7 @@
             "REASON_NOT_CONFIGURED" => Some(Self::NotConfigured),
             "REASON_UPSTREAM_SHED" => Some(Self::UpstreamShed),
             "REASON_ANSWER_TOO_LARGE" => Some(Self::AnswerTooLarge),
+            "REASON_UPSTREAM_CRASHED" => Some(Self::UpstreamCrashed),
             _ => None,
         }
     }
