--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -83,6 +83,14 @@
     UPSTREAM_SILENT = 413 Info "upstream does not say who it is" ["address", "reason"];
     /// The own upstream ended without having announced it. `ran` names the requests that it ran by the first digits of their identities, with their kinds; `requests` is how many there were.
     UPSTREAM_CRASHED = 420 Warn "upstream crashed" ["upstream", "requests", "ran"];
+    /// A request ran when several upstreams crashed and is sent to none any more. `upstream` is the life that ended last, `time_s` how long that holds in seconds. Each node that hears of the crash writes it.
+    REQUEST_QUARANTINED = 421 Warn "request quarantined" ["identity", "upstream", "time_s"];
+    /// An attempt of a request in quarantine was refused.
+    REQUEST_HELD_BACK = 422 Info "request held back" ["request", "identity"];
+    /// Nothing is held against a request any more that was on trial or in quarantine.
+    QUARANTINE_ENDED = 423 Info "quarantine ended" ["identity", "reason"];
+    /// So many nodes could not be told of a crash or a verdict, since their connections were full. They hear of it when they connect again.
+    NODES_NOT_TOLD = 424 Warn "nodes not told" ["nodes"];
     /// The limit of the own upstream changed by a quarter or more.
     LIMIT_CHANGED = 500 Info "concurrency limit changed" ["limit", "reason"];
     /// Requests are being shed.
--- a/crates/mesh/src/contexts.rs
+++ b/crates/mesh/src/contexts.rs
@@ -14,7 +14,7 @@
 
 use sailtrack_admission::Pressure;
 use sailtrack_kernel::Service;
-use sailtrack_quarantine::Identity;
+use sailtrack_quarantine::{Identity, Ran};
 use sailtrack_units::{KindName, Rank};
 
 use crate::key::{AttemptKey, UpstreamKey};
@@ -27,6 +27,8 @@
 #[derive(Debug)]
 pub(crate) struct Context {
     pub(crate) identity: Identity,
+    /// How many crashes that followed each other under it were known when it was let in.
+    known_crashes: u8,
     pub(crate) kind: KindName,
     /// The life of the upstream that runs it.
     upstream: UpstreamKey,
@@ -56,6 +58,7 @@
     pub(crate) fn open(self: &Rc<Self>, work: &Work, upstream: &UpstreamKey) -> Open {
         let context = Rc::new(Context {
             identity: work.identity,
+            known_crashes: work.known_crashes,
             kind: work.kind.clone(),
             upstream: upstream.clone(),
             rank: work.rank,
@@ -102,6 +105,14 @@
 }
 
 impl Context {
+    /// Returns what is told of it if the upstream crashes now.
+    pub(crate) fn ran(&self) -> Ran {
+        Ran {
+            identity: self.identity,
+            known: self.known_crashes,
+        }
+    }
+
     /// Notes what became of a call made for the request.
     pub(crate) fn note(&self, returned: &Returned) {
         let met = returned.met_pressure();
--- a/crates/mesh/src/contexts/tests.rs
+++ b/crates/mesh/src/contexts/tests.rs
@@ -17,6 +17,7 @@
     Work {
         attempt: AttemptKey::from(id),
         identity: Hasher::new("shop", b"GET", b"a", b"/").finish(),
+        known_crashes: 0,
         service: "bank".parse().expect("a name"),
         kind: "read".parse().expect("a name"),
         idempotent: true,
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -11,6 +11,7 @@
 use monoio::time::sleep;
 use sailtrack_admission::Pressure;
 use sailtrack_kernel::Service;
+use sailtrack_quarantine::{Identity, Standing};
 use sailtrack_units::NodeName;
 use sailtrack_wire::{Outcome, Reason};
 
@@ -20,6 +21,7 @@
 use crate::gate::Gate;
 use crate::metrics::Metrics;
 use crate::peer::{Delivery, Link};
+use crate::quarantine::Quarantine;
 use crate::retry::Budget;
 use crate::returns;
 use crate::routing::{Routing, Target};
@@ -38,6 +40,7 @@
     pub(crate) routing: Rc<Routing>,
     pub(crate) gate: Rc<Gate>,
     pub(crate) budget: Rc<Budget>,
+    pub(crate) quarantine: Rc<Quarantine>,
     pub(crate) directory: Rc<Directory>,
     pub(crate) events: Rc<Events>,
     pub(crate) metrics: Rc<Metrics>,
@@ -50,6 +53,7 @@
 /// Which way a request went, for the log; it is known also when the time ran out on the way.
 #[derive(Debug, Default)]
 pub(crate) struct Trail {
+    identity: Cell<Option<Identity>>,
     node: RefCell<Option<NodeName>>,
     tries: Cell<u32>,
 }
@@ -60,6 +64,16 @@
         self.node.borrow().clone()
     }
 
+    /// Returns what it asks, once all of it has come.
+    pub(crate) fn identity(&self) -> Option<Identity> {
+        self.identity.get()
+    }
+
+    /// Notes what it asks.
+    pub(crate) fn identify(&self, identity: Identity) {
+        self.identity.set(Some(identity));
+    }
+
     /// Returns how often it was brought to a node.
     pub(crate) fn tries(&self) -> u32 {
         self.tries.get()
@@ -91,7 +105,17 @@
         let mut tries = Tries::default();
         let mut last = None;
         self.budget.note_request(&work, Instant::now());
-        while let Some(target) = self.choose(&work, &mut tries) {
+        loop {
+            // What is held against it may have become known while it ran.
+            let standing = self.quarantine.standing(&work.identity);
+            if standing.is_quarantined() {
+                last = Some(Returned::refused(Reason::Quarantined));
+                break;
+            }
+            work.known_crashes = standing.known();
+            let Some(target) = self.choose(&work, standing, &mut tries) else {
+                break;
+            };
             trail.note(target.name(&self.routing.name));
             let returned = self.attempt(&work, &target).await;
             let goes_on = self.goes_on(&work, route, &returned, &mut tries);
@@ -116,7 +140,12 @@
 
     /// Returns where the request goes next; upstreams that turned it away are asked again when
     /// no other one is left.
-    fn choose(&self, work: &Work, tries: &mut Tries) -> Option<Target> {
+    fn choose(&self, work: &Work, standing: Standing, tries: &mut Tries) -> Option<Target> {
+        if standing != Standing::Clear {
+            return self
+                .routing
+                .preferred(&work.service, &tries.nodes, &work.identity);
+        }
         let target = self.routing.choose(&work.service, &tries.nodes);
         if target.is_some() || tries.turned_away == 0 || tries.ran.is_some() {
             return target;
@@ -127,7 +156,8 @@
 
     /// Returns true if the request may be sent to one more upstream.
     fn goes_on(&self, work: &Work, route: &Route, returned: &Returned, tries: &mut Tries) -> bool {
-        if returned.is_success() || work.time_left().is_zero() {
+        let is_held_back = matches!(returned.reason, Reason::Quarantined | Reason::OnTrial);
+        if returned.is_success() || is_held_back || work.time_left().is_zero() {
             return false;
         }
         if !returned.offered {
--- a/crates/mesh/src/entry/answer.rs
+++ b/crates/mesh/src/entry/answer.rs
@@ -29,6 +29,8 @@
     Lost,
     /// the request did not run, come back later
     NotRun,
+    /// upstreams ended under this request, so it is sent to none any more; do not send it again
+    Harmful,
     /// the time is over
     Late,
 }
@@ -38,6 +40,7 @@
     pub(super) fn of(returned: &Returned) -> Option<Self> {
         match (returned.outcome, returned.reason) {
             (Outcome::Done, _) => None,
+            (Outcome::NotRun, Reason::Quarantined) => Some(Self::Harmful),
             (Outcome::NotRun, _) => Some(Self::NotRun),
             (Outcome::Unknown, Reason::Deadline) => Some(Self::Late),
             (Outcome::Unknown, _) => Some(Self::Lost),
@@ -47,7 +50,8 @@
     /// Returns the HTTP status for it.
     pub(super) fn status(self) -> u16 {
         match self {
-            Self::Malformed => 400,
+            // Callers repeat what promises that nothing ran, and this must not come again.
+            Self::Malformed | Self::Harmful => 400,
             Self::NoRoute => 404,
             Self::TooSlow => 408,
             Self::BodyTooLarge => 413,
@@ -60,7 +64,7 @@
 
     fn phrase(self) -> &'static str {
         match self {
-            Self::Malformed => "Bad Request",
+            Self::Malformed | Self::Harmful => "Bad Request",
             Self::NoRoute => "Not Found",
             Self::TooSlow => "Request Timeout",
             Self::BodyTooLarge => "Content Too Large",
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -144,6 +144,7 @@
             Err(None) => return Next::Close,
         };
         let trail = Trail::default();
+        trail.identify(received.identity);
         let returned = self.run(&incoming, received, &trail).await;
         drop(room);
         match returned {
@@ -226,6 +227,7 @@
             time_left: incoming.deadline.saturating_duration_since(Instant::now()),
             close: is_leaving || !incoming.head.keeps_alive() || self.entry.wants_room(was_refused),
         };
+        let was_answered = returned.outcome == Outcome::Done;
         let written = conclude(returned, asked);
         let is_whole = match written.stream {
             None => self.write(written.bytes).await,
@@ -234,6 +236,12 @@
                     && self.pass_stream(stream, written.is_chunked).await
             }
         };
+        if was_answered
+            && is_whole
+            && let Some(identity) = trail.identity()
+        {
+            self.entry.dispatcher.quarantine.note_good_end(&identity);
+        }
         if is_whole && !written.close {
             Next::Request
         } else {
@@ -286,6 +294,12 @@
             None if returned.is_success() => {}
             None => events.note_bad_answer(&end),
             Some(Refusal::NotRun) => events.note_refused_end(&end),
+            Some(Refusal::Harmful) => {
+                events.note_refused_end(&end);
+                if let Some(identity) = trail.identity() {
+                    events.note_held_back(end.attempt, &identity);
+                }
+            }
             Some(_) => events.note_failure(&end),
         }
     }
--- a/crates/mesh/src/entry/request.rs
+++ b/crates/mesh/src/entry/request.rs
@@ -89,6 +89,7 @@
         let work = Work {
             attempt: self.attempt.clone(),
             identity,
+            known_crashes: 0,
             service,
             kind: self.route.name.clone(),
             idempotent: self.route.is_idempotent(),
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -13,6 +13,7 @@
 use sailtrack_admission::Pressure;
 use sailtrack_kernel::Service;
 use sailtrack_log::{Entry, Field, catalogue, emit};
+use sailtrack_quarantine::Identity;
 use sailtrack_units::{ConfigVersion, KindName, NodeName};
 use sailtrack_wire::Reason;
 
@@ -138,6 +139,25 @@
         );
     }
 
+    /// Notes that nothing is held against a request any more that was on trial or in quarantine.
+    #[allow(clippy::unused_self, reason = "events are written through one service")]
+    pub(crate) fn note_cleared(&self, identity: &Identity, reason: &dyn fmt::Display) {
+        emit(
+            &catalogue::QUARANTINE_ENDED,
+            &[("identity", identity), ("reason", reason)],
+        );
+    }
+
+    /// Notes that an attempt of a request in quarantine is refused.
+    pub(crate) fn note_held_back(&self, attempt: &AttemptKey, identity: &Identity) {
+        write(
+            &self.refusals,
+            attempt,
+            &catalogue::REQUEST_HELD_BACK,
+            &[("request", attempt), ("identity", identity)],
+        );
+    }
+
     /// Notes that a request is sent to another upstream.
     pub(crate) fn note_retry(&self, attempt: &AttemptKey, node: &NodeName, returned: &Returned) {
         let reason = returned.reason.as_str_name();
--- a/crates/mesh/src/gate/crash.rs
+++ b/crates/mesh/src/gate/crash.rs
@@ -4,13 +4,14 @@
 //! announces itself. One that leaves has said so before; one that resets its
 //! connections, turns wrong bytes out or is slow accepts a new one.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures::FutureExt as _;
 use futures::future::{LocalBoxFuture, Shared};
+use monoio::time::sleep;
 use sailtrack_net::dial::{DialError, dial};
 
 use crate::key::UpstreamKey;
@@ -19,11 +20,17 @@
 /// full queue of new connections does neither; it lives.
 const PROBE_TIME: Duration = Duration::from_millis(100);
 
+/// When a port that accepted a connection is tried once more. The connections of a process that
+/// ends are closed one after the other, its port may be among the last.
+const SECOND_LOOK: Duration = Duration::from_millis(30);
+
 /// Finds out whether the own upstream has crashed.
 pub(super) struct Watcher {
     target: SocketAddr,
     /// The connection that is being tried; all losses of the same moment wait for one.
     probe: RefCell<Option<Shared<LocalBoxFuture<'static, bool>>>>,
+    /// A second look is due; it serves all losses until then.
+    is_looking: Cell<bool>,
     /// The last life that crashed.
     crashed: RefCell<Option<Rc<UpstreamKey>>>,
 }
@@ -33,6 +40,7 @@
         Self {
             target,
             probe: RefCell::default(),
+            is_looking: Cell::new(false),
             crashed: RefCell::default(),
         }
     }
@@ -61,6 +69,19 @@
         probe.await
     }
 
+    /// Returns true if a second look has to be begun; it is over with [`Watcher::look_again`].
+    pub(super) fn wants_second_look(&self) -> bool {
+        !self.is_looking.replace(true)
+    }
+
+    /// Tries the port once more after a moment.
+    pub(super) async fn look_again(&self) -> bool {
+        sleep(SECOND_LOOK).await;
+        let is_gone = self.is_gone().await;
+        self.is_looking.set(false);
+        is_gone
+    }
+
     fn start_probe(&self) -> Shared<LocalBoxFuture<'static, bool>> {
         let target = self.target;
         let probe =
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -8,6 +8,7 @@
 mod exchange;
 mod pool;
 mod records;
+mod trial;
 mod upstream;
 
 use std::cell::Cell;
@@ -23,14 +24,16 @@
 use sailtrack_kernel::Service;
 use sailtrack_net::task::{self, Held};
 use sailtrack_net::transparent::ResponseHead;
+use sailtrack_quarantine::Standing;
 use sailtrack_units::ServiceName;
 use sailtrack_wire::{Outcome, Reason};
 
-use crate::contexts::Contexts;
+use crate::contexts::{Context, Contexts};
 use crate::dialect::Dialect;
 use crate::events::{Bound, Events, Refusal};
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::metrics::{Metrics, Stage};
+use crate::quarantine::Quarantine;
 use crate::returns;
 use crate::work::{Returned, Work};
 use crash::Watcher;
@@ -38,6 +41,7 @@
 use pool::Pool;
 use records::Place;
 pub(crate) use records::{Recalled, Records};
+use trial::{Trial, Trials};
 use upstream::Ended;
 pub(crate) use upstream::Upstream;
 
@@ -60,6 +64,8 @@
     metrics: Rc<Metrics>,
     pool: Pool,
     watcher: Watcher,
+    quarantine: Rc<Quarantine>,
+    trials: Trials,
     in_flight: Rc<Cell<usize>>,
 }
 
@@ -77,6 +83,9 @@
     permit: Permit,
     /// Its place among those of its kind, if a client made it.
     outset: Option<OutsetPlace>,
+    /// Held if it may end the upstream.
+    #[allow(dead_code, reason = "it is held, not read")]
+    trial: Option<Trial>,
 }
 
 impl Entered {
@@ -105,6 +114,7 @@
         target: SocketAddr,
         dialect: Rc<dyn Dialect>,
         upstream: Rc<Upstream>,
+        quarantine: Rc<Quarantine>,
     ) -> Self {
         let rules = crate::node::ADMISSION_RULES;
         let gate = Gate {
@@ -119,6 +129,8 @@
             metrics: Rc::new(Metrics::new()),
             pool: Pool::new(target),
             watcher: Watcher::new(target),
+            quarantine,
+            trials: Trials::default(),
             in_flight: Rc::default(),
         };
         Self { gate }
@@ -187,11 +199,15 @@
         }
     }
 
-    async fn admit(self: &Rc<Self>, work: Work) -> Returned {
+    async fn admit(self: &Rc<Self>, mut work: Work) -> Returned {
         let now = Instant::now();
         if self.upstream.is_closed() {
             return self.refuse(&work, Reason::Draining);
         }
+        // Its sender may not know yet what this node knows.
+        if self.quarantine.standing(&work.identity).is_quarantined() {
+            return self.refuse(&work, Reason::Quarantined);
+        }
         let Some(_) = self.open_upstream(&work, now) else {
             return self.refuse(&work, Reason::NoUpstream);
         };
@@ -219,11 +235,16 @@
         let Some(upstream) = self.open_upstream(&work, Instant::now()) else {
             return self.refuse(&work, Reason::Draining);
         };
+        let trial = match self.begin_trial(&mut work) {
+            Ok(trial) => trial,
+            Err(reason) => return self.refuse(&work, reason),
+        };
         let entered = Entered {
             upstream,
             ended: self.upstream.ended(),
             permit,
             outset,
+            trial,
         };
         match place {
             None => self.run_repeatable(&work, entered).await,
@@ -231,8 +252,23 @@
         }
     }
 
+    /// Lets a request in by what is held against it at this moment: it may have waited, and its
+    /// sender may know less.
+    fn begin_trial(&self, work: &mut Work) -> Result<Option<Trial>, Reason> {
+        let standing = self.quarantine.standing(&work.identity);
+        work.known_crashes = work.known_crashes.max(standing.known());
+        match standing {
+            Standing::Clear | Standing::Suspected { .. } => Ok(None),
+            Standing::OnTrial { .. } => {
+                let trial = self.trials.begin();
+                trial.map(Some).ok_or(Reason::OnTrial)
+            }
+            Standing::Quarantined { .. } => Err(Reason::Quarantined),
+        }
+    }
+
     /// Runs a request that may run again, for as long as somebody waits for it.
-    async fn run_repeatable(&self, work: &Work, entered: Entered) -> Returned {
+    async fn run_repeatable(self: &Rc<Self>, work: &Work, entered: Entered) -> Returned {
         let mut returned = self.send(work, &entered, work.deadline).await;
         entered.note(&returned, self.shared_pressure(work));
         returned.body.hold(entered);
@@ -319,14 +355,15 @@
             bound,
             calls: self.admission.in_flight() + self.admission.waiting(),
         });
-        let after = match bound {
-            Bound::Path => returns::after_absence(),
+        let after = match (bound, reason) {
+            (Bound::Path, _) => returns::after_absence(),
+            (_, Reason::OnTrial) => returns::after_trial(),
             _ => returns::after_overload(self.admission.return_spread(Instant::now())),
         };
         Returned::refused(reason).come_back(after)
     }
 
-    async fn send(&self, work: &Work, entered: &Entered, patience: Instant) -> Returned {
+    async fn send(self: &Rc<Self>, work: &Work, entered: &Entered, patience: Instant) -> Returned {
         let upstream = &entered.upstream;
         let entry = self.contexts.open(work, upstream);
         let exchange = exchange(&self.pool, self.dialect.fields(), upstream, work);
@@ -368,7 +405,7 @@
     }
 
     async fn take_error(
-        &self,
+        self: &Rc<Self>,
         work: &Work,
         upstream: &UpstreamKey,
         error: &ExchangeError,
@@ -387,26 +424,47 @@
     /// Returns true if a life of the upstream has ended without having announced it.
     ///
     /// The requests that it ran are all still open here: each of them waits for this answer.
-    async fn has_crashed(&self, upstream: &UpstreamKey, error: &ExchangeError) -> bool {
+    async fn has_crashed(self: &Rc<Self>, upstream: &UpstreamKey, error: &ExchangeError) -> bool {
         if self.watcher.has_seen(upstream) {
             return true;
         }
         let has_ended = match error {
             ExchangeError::Restarted => self.upstream.was_replaced(upstream),
             error if error.is_broken() => self.watcher.is_gone().await,
-            _ => false,
+            _ => return false,
         };
-        if !has_ended || self.upstream.has_left(upstream) {
+        let ran = self.contexts.running_in(upstream);
+        if has_ended {
+            return self.note_crash(upstream, &ran);
+        }
+        if self.watcher.wants_second_look() {
+            self.look_again(upstream.clone(), ran);
+        }
+        false
+    }
+
+    /// Takes in that a life of the upstream ended; returns false if it had said that it would.
+    fn note_crash(&self, upstream: &UpstreamKey, ran: &[Rc<Context>]) -> bool {
+        if self.upstream.has_left(upstream) {
             return false;
         }
         if self.watcher.note(upstream) {
             self.upstream.note_unreachable(Instant::now());
-            let ran = self.contexts.running_in(upstream);
-            self.events.note_crash(upstream, &ran);
-            self.metrics.note_crash();
+            self.quarantine.note_crash(upstream, ran);
         }
         true
     }
+
+    /// Looks again in a moment whether the upstream that broke a connection is there, without
+    /// holding up the request that was lost.
+    fn look_again(self: &Rc<Self>, upstream: UpstreamKey, ran: Vec<Rc<Context>>) {
+        let gate = Rc::clone(self);
+        task::spawn("second look", async move {
+            if gate.watcher.look_again().await {
+                gate.note_crash(&upstream, &ran);
+            }
+        });
+    }
 }
 
 /// Waits for an answer of a life of the upstream for as long as that life may give one.
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,6 +8,7 @@
 mod announcement;
 mod body;
 mod cleanup;
+mod clock;
 mod configuration;
 mod contexts;
 mod dialect;
@@ -22,6 +23,7 @@
 mod news;
 mod node;
 mod peer;
+mod quarantine;
 mod ready;
 mod retired;
 mod retry;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -77,6 +77,10 @@
     pub(crate) connections: usize,
     /// The rows of the store among those of nodes that name no node.
     pub(crate) foreign_rows: usize,
+    /// The requests that are remembered since they ran when upstreams ended,
+    pub(crate) suspects: usize,
+    /// and those of them that are sent to no upstream.
+    pub(crate) quarantined: usize,
     /// 1 while this node follows the store on behalf of its failure domain.
     pub(crate) watching: usize,
 }
@@ -84,7 +88,7 @@
 type Count<L> = Family<L, Counter<u64, AtomicU64>>;
 
 /// The gauges, each with the value that it shows.
-type Gauges = [(Gauge, fn(&Snapshot) -> u64); 11];
+type Gauges = [(Gauge, fn(&Snapshot) -> u64); 13];
 
 /// What the node counts.
 pub(crate) struct Metrics {
@@ -93,6 +97,7 @@
     repeats: Count<ServiceLabels>,
     refused_announcements: Counter<u64, AtomicU64>,
     crashes: Counter<u64, AtomicU64>,
+    verdicts: Counter<u64, AtomicU64>,
     times: Family<KindLabels, Histogram>,
     gauges: Gauges,
 }
@@ -122,6 +127,9 @@
         let crashes = Counter::default();
         let help = "Ends of the own upstream that it had not announced";
         registry.register("upstream_crashes", help, crashes.clone());
+        let verdicts = Counter::default();
+        let help = "Requests that were put into quarantine";
+        registry.register("verdicts", help, verdicts.clone());
         let help = "Time from a request of a client to its answer";
         registry.register_with_unit("answer", help, Unit::Seconds, times.clone());
         let gauges = register_gauges(&mut registry);
@@ -131,6 +139,7 @@
             repeats,
             refused_announcements,
             crashes,
+            verdicts,
             times,
             gauges,
         }
@@ -157,6 +166,11 @@
         self.crashes.inc();
     }
 
+    /// Notes that a request was put into quarantine.
+    pub(crate) fn note_verdict(&self) {
+        self.verdicts.inc();
+    }
+
     /// Notes how a request of a client ended after `time`.
     pub(crate) fn note_answer(&self, kind: &KindName, returned: &Returned, time: Duration) {
         self.note_end(Stage::Entry, kind, returned.outcome, returned.reason);
@@ -246,6 +260,16 @@
             "1 while the node follows the store for its failure domain",
             |now| now.watching as u64,
         ),
+        gauge(
+            "suspects",
+            "Requests remembered since they ran when upstreams ended",
+            |now| now.suspects as u64,
+        ),
+        gauge(
+            "quarantined",
+            "Requests that are sent to no upstream",
+            |now| now.quarantined as u64,
+        ),
         gauge(
             "foreign_rows",
             "Rows among those of nodes that name no node",
--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -6,13 +6,15 @@
 
 use futures::channel::mpsc;
 use monoio::time::sleep;
+use sailtrack_quarantine::Ran;
 use sailtrack_units::{ConfigVersion, NodeName};
-use sailtrack_wire::{Member as MemberMessage, Presence};
+use sailtrack_wire::{Evidence, Member as MemberMessage, Presence};
 
 use crate::configuration::{Current, Holder};
 use crate::directory::{Directory, Member};
 use crate::key::UpstreamKey;
 use crate::peer::News;
+use crate::quarantine::Quarantine;
 use crate::retired::Retired;
 use crate::status::Status;
 
@@ -27,6 +29,7 @@
     pub(crate) current: Rc<Current>,
     pub(crate) retired: Rc<Retired>,
     pub(crate) status: Rc<Status>,
+    pub(crate) quarantine: Rc<Quarantine>,
     /// Whom to ask for a newer configuration.
     pub(crate) holders: RefCell<mpsc::Sender<Holder>>,
 }
@@ -64,6 +67,16 @@
             let _ = self.holders.borrow_mut().try_send(holder);
         }
     }
+
+    fn take_evidence(&self, evidence: &Evidence) {
+        self.quarantine.take(evidence);
+    }
+
+    fn take_lost(&self, upstream: &UpstreamKey, ran: &[Ran]) {
+        if !self.retired.contains(upstream) {
+            self.quarantine.note_lost(upstream, ran);
+        }
+    }
 }
 
 fn interval(nodes: usize) -> Duration {
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -26,6 +26,7 @@
 use crate::news::Listener;
 use crate::node::{ADMISSION_RULES, Surroundings, store, tasks};
 use crate::peer::{Acceptor, News, Peers};
+use crate::quarantine::Quarantine;
 use crate::ready::ReadyPort;
 use crate::retired::Retired;
 use crate::retry::Budget;
@@ -144,6 +145,7 @@
         reach: table.find()?,
         subscribers: RefCell::default(),
     });
+    table.install(Quarantine::new(table.find()?, table.find()?, table.find()?));
     Ok(())
 }
 
@@ -154,6 +156,7 @@
         current: table.find()?,
         retired: table.find()?,
         status: table.find()?,
+        quarantine: table.find()?,
         holders: RefCell::new(holders),
     });
     let peers = table.install(Peers::new(settings.ports.peer.ip(), listener));
@@ -183,6 +186,7 @@
         settings.upstream,
         Rc::clone(dialect),
         table.find()?,
+        table.find()?,
     );
     let gate = gate
         .in_flight(Rc::clone(in_flight))
@@ -203,6 +207,7 @@
         routing: table.find()?,
         gate: table.find()?,
         budget: table.find()?,
+        quarantine: table.find()?,
         directory: table.find()?,
         events: table.find()?,
         metrics: table.find()?,
@@ -228,6 +233,7 @@
         directory: table.find()?,
         retired: table.find()?,
         current: table.find()?,
+        quarantine: table.find()?,
     });
     table.install(Announcements {
         dialect: Rc::clone(dialect),
@@ -268,6 +274,7 @@
             peers: table.find()?,
             current: table.find()?,
             watch: table.find()?,
+            quarantine: table.find()?,
             entry: table.find()?,
         });
         task::spawn("metrics port", serve(port, metrics));
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -30,6 +30,7 @@
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::peer::convert::{CHUNK, FIRST_GRANT, returned_to_wire, work_from_wire};
 use crate::peer::parts::Parts;
+use crate::quarantine::Quarantine;
 use crate::retired::Retired;
 use crate::status::Status;
 use crate::work::Returned;
@@ -48,6 +49,7 @@
     pub(crate) directory: Rc<Directory>,
     pub(crate) retired: Rc<Retired>,
     pub(crate) current: Rc<Current>,
+    pub(crate) quarantine: Rc<Quarantine>,
 }
 
 impl Service for Acceptor {
@@ -94,6 +96,7 @@
         self.meet(&said);
         let introduction = Body::Presence(self.status.introduction());
         let welcome = [hello(self.status.member()), introduction];
+        let welcome = welcome.into_iter().chain(self.quarantine.introduction());
         for message in welcome {
             if outgoing.send(message).await.is_err() {
                 return;
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -42,6 +42,7 @@
         body_length: work.body.len() as u64,
         repeated: work.repeated,
         identity: Bytes::copy_from_slice(work.identity.as_bytes()),
+        known_crashes: u32::from(work.known_crashes),
     }
 }
 
@@ -54,6 +55,7 @@
     Ok(Work {
         attempt: AttemptKey::from(message.id.as_str()),
         identity,
+        known_crashes: u8::try_from(message.known_crashes).unwrap_or(u8::MAX),
         service: message.service.parse().map_err(|e| error(&e))?,
         kind: message.kind.parse().map_err(|e| error(&e))?,
         idempotent: message.idempotent,
--- a/crates/mesh/src/peer/link/mod.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod liveness;
+mod lost;
 mod replies;
 #[cfg(test)]
 mod tests;
@@ -15,6 +16,7 @@
 use futures::SinkExt as _;
 use futures::channel::{mpsc, oneshot};
 use monoio::time::{sleep, timeout};
+use sailtrack_quarantine::Ran;
 use sailtrack_units::{ConfigVersion, Incarnation};
 use sailtrack_wire::{
     Body, Cancel, Chunk, Config, Fetch, Grant, Presence, Reason, Recall, Reply, Retire, State,
@@ -24,6 +26,7 @@
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::peer::News;
 use crate::peer::convert::{CHUNK, work_to_wire};
+use crate::peer::link::lost::Lost;
 use crate::peer::parts::Parts;
 use crate::routing::PeerLoad;
 use crate::watch::Place;
@@ -36,7 +39,8 @@
 
 /// What waits for a message of the other node.
 enum Pending {
-    Reply(oneshot::Sender<Returned>),
+    /// The request that it is the reply to, unless that was sent earlier.
+    Reply(oneshot::Sender<Returned>, Option<Ran>),
     Retired(oneshot::Sender<()>),
 }
 
@@ -62,6 +66,7 @@
     /// Where the chunks of streamed bodies go.
     streams: RefCell<HashMap<u64, mpsc::UnboundedSender<Chunk>>>,
     fetching: RefCell<Vec<oneshot::Sender<Config>>>,
+    lost: Lost,
     next_exchange: Cell<u64>,
     /// The life of the other node; zero while it is not connected.
     life: Cell<Incarnation>,
@@ -99,6 +104,7 @@
             streams: RefCell::default(),
             own: Weak::clone(own),
             fetching: RefCell::default(),
+            lost: Lost::default(),
             next_exchange: Cell::new(1),
             life: Cell::default(),
             state: Cell::new(State::Joining),
@@ -160,7 +166,11 @@
     /// Sends a request and waits for what becomes of it; dropping the future cancels it.
     pub(crate) async fn forward(&self, work: &Work) -> Delivery {
         let life = self.life.get();
-        let (exchange, receiver) = self.begin_reply();
+        let ran = Ran {
+            identity: work.identity,
+            known: work.known_crashes,
+        };
+        let (exchange, receiver) = self.begin_reply(Some(ran));
         let guard = CancelGuard {
             link: self,
             exchange,
@@ -186,7 +196,7 @@
                 if self.is_open() && self.life.get() != life {
                     return Returned::unknown(Reason::HomeGone);
                 }
-                let (exchange, receiver) = self.begin_reply();
+                let (exchange, receiver) = self.begin_reply(None);
                 let recall = Recall {
                     exchange,
                     id: attempt.to_string(),
@@ -259,10 +269,10 @@
         exchange
     }
 
-    fn begin_reply(&self) -> (u64, oneshot::Receiver<Returned>) {
+    fn begin_reply(&self, ran: Option<Ran>) -> (u64, oneshot::Receiver<Returned>) {
         let exchange = self.next();
         let (sender, receiver) = oneshot::channel();
-        let pending = Pending::Reply(sender);
+        let pending = Pending::Reply(sender, ran);
         self.pending.borrow_mut().insert(exchange, pending);
         (exchange, receiver)
     }
@@ -301,6 +311,7 @@
             Body::Reply(reply) => self.take_reply(reply),
             Body::Chunk(chunk) => self.take_chunk(chunk),
             Body::Presence(presence) => self.take_presence(&presence),
+            Body::Evidence(evidence) => self.news.take_evidence(&evidence),
             Body::Retired(retired) => {
                 let waiting = self.pending.borrow_mut().remove(&retired.exchange);
                 if let Some(Pending::Retired(sender)) = waiting {
@@ -332,13 +343,21 @@
         let percent = presence.pressure_percent;
         self.load.borrow_mut().note_told(Instant::now(), percent);
         self.news.take(&self.member.name, presence);
+        if let Some((upstream, ran)) = self.lost.settle(&presence.upstream) {
+            self.news.take_lost(&upstream, &ran);
+        }
     }
 
     fn disconnect(&self) {
         self.life.set(Incarnation::default());
         self.state.set(State::Joining);
         *self.outgoing.borrow_mut() = None;
-        self.pending.borrow_mut().clear();
+        let pending = std::mem::take(&mut *self.pending.borrow_mut());
+        let ran = pending.into_values().filter_map(|pending| match pending {
+            Pending::Reply(_, ran) => ran,
+            Pending::Retired(_) => None,
+        });
+        self.lost.keep(&self.upstream.borrow(), ran);
         self.replies.borrow_mut().clear();
         self.streams.borrow_mut().clear();
         self.fetching.borrow_mut().clear();
--- a/crates/mesh/src/peer/link/replies.rs
+++ b/crates/mesh/src/peer/link/replies.rs
@@ -72,7 +72,7 @@
 
     fn give(&self, exchange: u64, returned: Returned) {
         let waiting = self.pending.borrow_mut().remove(&exchange);
-        if let Some(Pending::Reply(sender)) = waiting {
+        if let Some(Pending::Reply(sender, _)) = waiting {
             let did_not_run = returned.outcome == Outcome::NotRun;
             if did_not_run && returned.reason == Reason::Draining {
                 self.state.set(State::Leaving);
--- a/crates/mesh/src/peer/link/tests.rs
+++ b/crates/mesh/src/peer/link/tests.rs
@@ -12,12 +12,12 @@
 use monoio::time::sleep;
 use sailtrack_net::frames::{FrameReader, hello, write_frames};
 use sailtrack_net::{runtime, task};
-use sailtrack_quarantine::Hasher;
+use sailtrack_quarantine::{Hasher, Ran};
 use sailtrack_units::{Incarnation, NodeName, Rank};
-use sailtrack_wire::{Body, Member as MemberMessage, Pong, Presence, State};
+use sailtrack_wire::{Body, Evidence, Member as MemberMessage, Pong, Presence, State};
 
 use crate::directory::Member;
-use crate::key::AttemptKey;
+use crate::key::{AttemptKey, UpstreamKey};
 use crate::peer::News;
 use crate::peer::link::{Delivery, Link};
 use crate::work::Work;
@@ -37,6 +37,10 @@
     }
 
     fn take(&self, _from: &NodeName, _presence: &Presence) {}
+
+    fn take_evidence(&self, _evidence: &Evidence) {}
+
+    fn take_lost(&self, _upstream: &UpstreamKey, _ran: &[Ran]) {}
 }
 
 fn member(address: std::net::SocketAddr) -> Member {
@@ -52,6 +56,7 @@
     Work {
         attempt: AttemptKey::from("a1"),
         identity: Hasher::new("shop", b"GET", b"a", b"/").finish(),
+        known_crashes: 0,
         service: "bank".parse().expect("a name"),
         kind: "r-1".parse().expect("a name"),
         idempotent: true,
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -16,8 +16,9 @@
 use futures::stream::FuturesUnordered;
 use sailtrack_kernel::Service;
 use sailtrack_net::task;
+use sailtrack_quarantine::Ran;
 use sailtrack_units::{DomainName, Incarnation, NodeName, ServiceName};
-use sailtrack_wire::{Member as MemberMessage, Presence};
+use sailtrack_wire::{Evidence, Member as MemberMessage, Presence};
 
 pub(crate) use accept::Acceptor;
 pub(crate) use link::{Delivery, Link};
@@ -42,6 +43,12 @@
 
     /// Takes in what another node says.
     fn take(&self, from: &NodeName, presence: &Presence);
+
+    /// Takes in what another node knows of requests that may end upstreams.
+    fn take_evidence(&self, evidence: &Evidence);
+
+    /// Takes in that a life of an upstream ended unannounced, with these requests of this node.
+    fn take_lost(&self, upstream: &UpstreamKey, ran: &[Ran]);
 }
 
 /// The links to all nodes that are known.
--- /dev/null
+++ b/crates/mesh/src/quarantine/wire.rs
@@ -0,0 +1,92 @@
+//! Evidence, as messages between nodes.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use sailtrack_quarantine::{Identity, Ran, Record};
+use sailtrack_wire::{Evidence, Held, Ran as RanMessage};
+
+use crate::key::UpstreamKey;
+
+/// A crash that another node tells of.
+pub(super) struct ToldCrash {
+    pub(super) life: String,
+    pub(super) ran: Vec<Ran>,
+    pub(super) is_whole: bool,
+}
+
+/// Returns the message that tells of a crash.
+pub(super) fn crash(upstream: &UpstreamKey, ran: &[Ran], is_whole: bool) -> Evidence {
+    let ran = ran.iter().map(|one| RanMessage {
+        identity: bytes(&one.identity),
+        known: u32::from(one.known),
+    });
+    Evidence {
+        upstream: upstream.to_string(),
+        ran: ran.collect(),
+        whole: is_whole,
+        ..Evidence::default()
+    }
+}
+
+/// Returns the message that clears a request.
+pub(super) fn cleared(identity: &Identity) -> Evidence {
+    Evidence {
+        cleared: vec![bytes(identity)],
+        ..Evidence::default()
+    }
+}
+
+/// Returns the message that tells what is held against requests.
+pub(super) fn held(records: &[Record]) -> Evidence {
+    let held = records.iter().map(|record| Held {
+        identity: bytes(&record.identity),
+        generation: u32::from(record.generation),
+        age_ms: millis(record.age),
+        left_ms: millis(record.left),
+        failed: u32::from(record.failed),
+    });
+    Evidence {
+        held: held.collect(),
+        ..Evidence::default()
+    }
+}
+
+/// Returns what a message tells; what is no identity here names no request.
+pub(super) fn read(evidence: &Evidence) -> (Option<ToldCrash>, Vec<Identity>, Vec<Record>) {
+    let ran = evidence.ran.iter().filter_map(|one| {
+        Some(Ran {
+            identity: Identity::from_bytes(&one.identity)?,
+            known: small(one.known),
+        })
+    });
+    let crash = (!evidence.upstream.is_empty()).then(|| ToldCrash {
+        life: evidence.upstream.clone(),
+        ran: ran.collect(),
+        is_whole: evidence.whole,
+    });
+    let cleared = evidence.cleared.iter();
+    let cleared = cleared.filter_map(|bytes| Identity::from_bytes(bytes));
+    let held = evidence.held.iter().filter_map(|held| {
+        Some(Record {
+            identity: Identity::from_bytes(&held.identity)?,
+            generation: small(held.generation),
+            age: Duration::from_millis(held.age_ms),
+            left: Duration::from_millis(held.left_ms),
+            failed: small(held.failed),
+        })
+    });
+    (crash, cleared.collect(), held.collect())
+}
+
+fn bytes(identity: &Identity) -> Bytes {
+    Bytes::copy_from_slice(identity.as_bytes())
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn small(number: u32) -> u8 {
+    u8::try_from(number).unwrap_or(u8::MAX)
+}
--- a/crates/mesh/src/retry/tests.rs
+++ b/crates/mesh/src/retry/tests.rs
@@ -21,6 +21,7 @@
     Work {
         attempt: AttemptKey::from("a"),
         identity: Hasher::new("shop", b"GET", b"a", b"/").finish(),
+        known_crashes: 0,
         service: "ledger".parse().expect("a name"),
         kind: "read".parse().expect("a name"),
         idempotent: true,
--- a/crates/mesh/src/returns.rs
+++ b/crates/mesh/src/returns.rs
@@ -8,6 +8,10 @@
 /// at most. Cuts and restarts take seconds; objectives of a second and a half leave this much.
 const ABSENCE_RETURN: Duration = Duration::from_millis(900);
 const ABSENCE_SPREAD: Duration = Duration::from_millis(600);
+/// The time after which a caller comes back to a request on trial, and by how much more at most:
+/// one and two runs of middle length.
+const TRIAL_RETURN: Duration = Duration::from_millis(250);
+const TRIAL_SPREAD: Duration = Duration::from_millis(250);
 /// The shortest time after which a caller comes back to a full upstream.
 const SHORTEST_RETURN: Duration = Duration::from_millis(200);
 
@@ -20,6 +24,12 @@
     ABSENCE_RETURN + ABSENCE_SPREAD.mul_f64(rand::rng().random())
 }
 
+/// Returns when a caller is to come back while another attempt of a request is on trial: a run
+/// later. The trial clears the request, or the caller hears that it is held back.
+pub(crate) fn after_trial() -> Duration {
+    TRIAL_RETURN + TRIAL_SPREAD.mul_f64(rand::rng().random())
+}
+
 /// Returns when a caller is to come back to a full upstream, at some moment within `spread`.
 pub(crate) fn after_overload(spread: Duration) -> Duration {
     SHORTEST_RETURN + spread.mul_f64(rand::rng().random())
--- a/crates/mesh/src/routing/load.rs
+++ b/crates/mesh/src/routing/load.rs
@@ -142,7 +142,10 @@
 fn is_failure(returned: &Returned) -> bool {
     match returned.outcome {
         Outcome::Done => returned.status >= 500 && !returned.failed_below,
-        Outcome::NotRun => returned.reason != Reason::Overload && !returned.absent_below,
+        Outcome::NotRun => match returned.reason {
+            Reason::Overload | Reason::Quarantined | Reason::OnTrial => false,
+            _ => !returned.absent_below,
+        },
         Outcome::Unknown => true,
     }
 }
--- a/crates/mesh/src/routing/mod.rs
+++ b/crates/mesh/src/routing/mod.rs
@@ -9,6 +9,7 @@
 use rand::seq::SliceRandom as _;
 use sailtrack_admission::{Admission, Pressure};
 use sailtrack_kernel::Service;
+use sailtrack_quarantine::Identity;
 use sailtrack_units::{DomainName, Importance, NodeName, ServiceName};
 
 pub(crate) use load::PeerLoad;
@@ -99,6 +100,25 @@
         }
     }
 
+    /// Returns where a request goes that may end what runs it: to the same upstream whichever node
+    /// sends it, and to another one after that has ended.
+    ///
+    /// Requests that were lost together part here. Sent by load alone, 7 of 9 that one crash lost
+    /// met the next one together as well.
+    pub(crate) fn preferred(
+        &self,
+        service: &ServiceName,
+        tried: &[NodeName],
+        identity: &Identity,
+    ) -> Option<Target> {
+        let all = self.candidates(service, tried, Instant::now());
+        let preferred = all.into_iter().max_by_key(|candidate| {
+            let node = candidate.target.name(&self.name);
+            identity.preference(node.as_str())
+        });
+        preferred.map(|candidate| candidate.target)
+    }
+
     fn candidates(
         &self,
         service: &ServiceName,
--- a/crates/mesh/src/scrape.rs
+++ b/crates/mesh/src/scrape.rs
@@ -1,11 +1,12 @@
-//! The port on which the counters of the node are scraped.
+//! The port on which the counters of the node are scraped, and verdicts are listed and lifted.
 
 use std::rc::Rc;
 use std::time::Instant;
 
-use http::StatusCode;
+use http::{Method, StatusCode};
 use sailtrack_admission::Admission;
 use sailtrack_net::http::{Handler, Request, Response};
+use sailtrack_quarantine::Identity;
 
 use crate::configuration::Current;
 use crate::contexts::Contexts;
@@ -14,10 +15,16 @@
 use crate::gate::{Records, Upstream};
 use crate::metrics::{Metrics, Snapshot};
 use crate::peer::Peers;
+use crate::quarantine::Quarantine;
 use crate::watch::Watch;
 
 /// Where the counters are.
-const PATH: &str = "/metrics";
+const COUNTERS: &str = "/metrics";
+/// Where the requests are that are on trial or in quarantine; each is below it by its identity.
+const QUARANTINE: &str = "/quarantine";
+/// What is said of any other path.
+const NOTHING: &str = "the counters are at /metrics, requests on trial or in quarantine at \
+    /quarantine; DELETE /quarantine/IDENTITY clears one on all nodes\n";
 
 /// Answers scrapes.
 pub(crate) struct MetricsPort {
@@ -30,15 +37,27 @@
     pub(crate) peers: Rc<Peers>,
     pub(crate) current: Rc<Current>,
     pub(crate) watch: Rc<Watch>,
+    pub(crate) quarantine: Rc<Quarantine>,
     pub(crate) entry: Rc<Entry>,
 }
 
 impl Handler for MetricsPort {
     async fn handle(&self, request: Request) -> Response {
-        if request.path != PATH {
-            return Response::text(StatusCode::NOT_FOUND, "the counters are at /metrics\n");
+        match (&request.method, request.path.as_str()) {
+            (_, COUNTERS) => Response::text(StatusCode::OK, self.counters()),
+            (&Method::GET, QUARANTINE) => Response::text(StatusCode::OK, self.quarantined()),
+            (&Method::DELETE, path) => self.lift(path),
+            _ => Response::text(StatusCode::NOT_FOUND, NOTHING),
         }
+    }
+}
+
+impl MetricsPort {
+    fn counters(&self) -> String {
+        let (suspects, quarantined) = self.quarantine.counts();
         let snapshot = Snapshot {
+            suspects,
+            quarantined,
             running: self.contexts.len(),
             waiting: self.admission.waiting(),
             slots: self.upstream.slots() as usize,
@@ -51,6 +70,34 @@
             watching: usize::from(self.watch.is_ours(Instant::now())),
             foreign_rows: self.directory.foreign_row_count(),
         };
-        Response::text(StatusCode::OK, self.metrics.text(&snapshot))
+        self.metrics.text(&snapshot)
+    }
+
+    /// Returns a line for each request: its identity, how many crashes followed each other under
+    /// it, how long ago the last one was, and how much of its quarantine is left.
+    fn quarantined(&self) -> String {
+        let records = self.quarantine.records();
+        let lines = records.iter().map(|record| {
+            format!(
+                "{} crashes={} last_s={} left_s={}\n",
+                record.identity,
+                record.generation,
+                record.age.as_secs(),
+                record.left.as_secs()
+            )
+        });
+        lines.collect()
+    }
+
+    fn lift(&self, path: &str) -> Response {
+        let identity = path.strip_prefix(QUARANTINE).unwrap_or_default();
+        let identity = identity.trim_start_matches('/').parse::<Identity>();
+        match identity {
+            Ok(identity) if self.quarantine.lift(&identity) => {
+                Response::text(StatusCode::OK, "nothing is held against it any more\n")
+            }
+            Ok(_) => Response::text(StatusCode::NOT_FOUND, "nothing is held against it here\n"),
+            Err(error) => Response::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+        }
     }
 }
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -7,6 +7,7 @@
 use futures::channel::mpsc;
 use sailtrack_admission::Admission;
 use sailtrack_kernel::{Phase, Service};
+use sailtrack_log::{catalogue, emit};
 use sailtrack_units::{Importance, Incarnation};
 use sailtrack_wire::{Body, Member as MemberMessage, Presence, State};
 
@@ -91,6 +92,19 @@
         }
     }
 
+    /// Sends a message to every node that follows this one.
+    pub(crate) fn tell(&self, message: &Body) {
+        let mut subscribers = self.subscribers.borrow_mut();
+        subscribers.retain(|subscriber| !subscriber.is_closed());
+        let missed = subscribers
+            .iter_mut()
+            .filter_map(|subscriber| subscriber.try_send(message.clone()).err());
+        let missed = missed.count();
+        if missed > 0 {
+            emit(&catalogue::NODES_NOT_TOLD, &[("nodes", &missed)]);
+        }
+    }
+
     fn state(&self) -> State {
         match self.phase.get() {
             _ if self.upstream.is_closed() => State::Leaving,
--- a/crates/mesh/src/work.rs
+++ b/crates/mesh/src/work.rs
@@ -17,6 +17,8 @@
     pub(crate) attempt: AttemptKey,
     /// What it asks, the same for every attempt of its caller.
     pub(crate) identity: Identity,
+    /// How many crashes that followed each other under it its sender knows of.
+    pub(crate) known_crashes: u8,
     pub(crate) service: ServiceName,
     /// The route that it came by.
     pub(crate) kind: KindName,
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -168,5 +168,8 @@
         Reason::NotConfigured => "not-configured",
         Reason::UpstreamShed => "upstream-shed",
         Reason::AnswerTooLarge => "answer-too-large",
+        Reason::UpstreamCrashed => "upstream-crashed",
+        Reason::Quarantined => "quarantined",
+        Reason::OnTrial => "on-trial",
     }
 }
--- /dev/null
+++ b/crates/quarantine/src/ledger.rs
@@ -0,0 +1,214 @@
+//! What is held against requests that ran when upstreams ended.
+//!
+//! Whatever ran when an upstream ended may have ended it, most of it did not.
+//! So evidence is weighed by three things:
+//!
+//! - **Generations.** A crash counts as a further one only if the request was
+//!   sent by somebody who knew of the crashes before it. A failure domain that
+//!   loses all its upstreams at once is one crash to whatever ran in several
+//!   of them.
+//! - **Good ends.** A request that ended well after a crash is cleared. One
+//!   that ends whatever runs it never does.
+//! - **Trials.** A request that was there twice runs one at a time, beside no
+//!   other one on trial, at the upstream that all nodes prefer for it. Only a
+//!   crash under a trial puts it into quarantine.
+//!
+//! `crates/model/tests/crashes.rs` measures how many requests without fault are
+//! put into quarantine.
+
+mod entry;
+mod record;
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use sailtrack_units::Moment;
+
+use crate::identity::{Caller, Identity};
+use crate::standing::Standing;
+pub(crate) use entry::{Entry, life_number};
+pub use record::Record;
+
+/// How long a request without a verdict is remembered: callers that send one again do so after
+/// seconds or a few minutes.
+const MEMORY: Duration = Duration::from_mins(10);
+/// The most requests that are remembered, some 100 bytes each: the requests of 80 crashes with a
+/// hundred in each.
+const MOST_ENTRIES: usize = 8192;
+/// The most of one caller. One that makes up harmful requests pushes out its own.
+const MOST_OF_CALLER: usize = 2048;
+/// How many lifted verdicts are remembered, so that a node that comes back does not bring them up
+/// again.
+const MOST_CLEARED: usize = 256;
+/// The most records that a node which connects is told; of many nodes each tells other ones.
+const MOST_TOLD: usize = 128;
+
+/// One request that ran when an upstream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ran {
+    /// The request.
+    pub identity: Identity,
+    /// The generation of crashes that was known when it was sent.
+    pub known: u8,
+}
+
+/// The end of a life of an upstream.
+#[derive(Debug, Clone, Copy)]
+pub struct Crash<'a> {
+    /// Names the life; several nodes may tell of the same one.
+    pub life: &'a str,
+    /// What ran there, as far as the teller knows.
+    pub ran: &'a [Ran],
+    /// Nothing else ran there.
+    pub is_whole: bool,
+}
+
+/// What is held against requests.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    entries: HashMap<Identity, Entry>,
+    of_caller: HashMap<Caller, usize>,
+    cleared: VecDeque<(Identity, Moment)>,
+}
+
+impl Ledger {
+    /// Returns true if nothing is held against any request.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns how many requests are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns how many requests are in quarantine.
+    #[must_use]
+    pub fn quarantined(&self, now: Moment) -> usize {
+        let all = self.entries.values();
+        all.filter(|entry| entry.standing(now).is_quarantined())
+            .count()
+    }
+
+    /// Returns what is held against a request.
+    #[must_use]
+    pub fn standing(&self, identity: &Identity, now: Moment) -> Standing {
+        let entry = self.entries.get(identity);
+        entry.map_or(Standing::Clear, |entry| entry.standing(now))
+    }
+
+    /// Takes in a crash; returns the requests that are in quarantine by it.
+    pub fn note_crash(&mut self, crash: Crash<'_>, now: Moment) -> Vec<Identity> {
+        let life = life_number(crash.life);
+        let was_alone = crash.is_whole && crash.ran.len() == 1;
+        let mut verdicts = Vec::new();
+        for ran in crash.ran {
+            self.make_room(ran.identity, now);
+            let entry = self.entries.entry(ran.identity).or_insert_with(|| {
+                *self.of_caller.entry(ran.identity.caller()).or_default() += 1;
+                Entry::new(now)
+            });
+            if entry.note_crash(life, ran.known, was_alone, now) {
+                verdicts.push(ran.identity);
+            }
+        }
+        verdicts
+    }
+
+    /// Takes in that a request ended well; returns what was held against it.
+    pub fn note_good_end(&mut self, identity: &Identity, now: Moment) -> Standing {
+        let before = self.standing(identity, now);
+        self.forget(identity);
+        before
+    }
+
+    /// Clears a request on somebody's word; returns true if something was held against it.
+    pub fn clear(&mut self, identity: &Identity, now: Moment) -> bool {
+        self.cleared.push_back((*identity, now));
+        if self.cleared.len() > MOST_CLEARED {
+            self.cleared.pop_front();
+        }
+        self.forget(identity)
+    }
+
+    /// Takes in what another node holds against a request.
+    pub fn take(&mut self, record: &Record, now: Moment) {
+        let crashed = now.before(record.age);
+        let is_cleared =
+            |(identity, at): &(Identity, Moment)| *identity == record.identity && *at > crashed;
+        if self.cleared.iter().any(is_cleared) {
+            return;
+        }
+        self.make_room(record.identity, now);
+        let entry = self.entries.entry(record.identity).or_insert_with(|| {
+            *self.of_caller.entry(record.identity.caller()).or_default() += 1;
+            Entry::new(crashed)
+        });
+        entry.take(record, now);
+    }
+
+    /// Returns what a node that connects is to know: trials and quarantine, the newest first.
+    #[must_use]
+    pub fn to_tell(&self, now: Moment) -> Vec<Record> {
+        let mut records = self.records(now);
+        records.truncate(MOST_TOLD);
+        records
+    }
+
+    /// Returns all requests that are on trial or in quarantine, the newest first.
+    #[must_use]
+    pub fn records(&self, now: Moment) -> Vec<Record> {
+        let graver = self.entries.iter();
+        let graver = graver.filter(|(_, entry)| entry.standing(now).is_grave());
+        let mut records: Vec<Record> = graver
+            .map(|(identity, entry)| entry.record(*identity, now))
+            .collect();
+        records.sort_by_key(|record| (record.age, record.identity));
+        records
+    }
+
+    fn forget(&mut self, identity: &Identity) -> bool {
+        if self.entries.remove(identity).is_none() {
+            return false;
+        }
+        let caller = identity.caller();
+        if let Some(count) = self.of_caller.get_mut(&caller) {
+            *count -= 1;
+            if *count == 0 {
+                self.of_caller.remove(&caller);
+            }
+        }
+        true
+    }
+
+    /// Makes room for one more request of the same caller, or of any.
+    fn make_room(&mut self, identity: Identity, now: Moment) {
+        if self.entries.contains_key(&identity) {
+            return;
+        }
+        let caller = identity.caller();
+        let of_caller = self.of_caller.get(&caller).copied().unwrap_or_default();
+        if of_caller >= MOST_OF_CALLER {
+            self.forget_least(Some(caller), now);
+        } else if self.entries.len() >= MOST_ENTRIES {
+            let largest = self.of_caller.iter().max_by_key(|(_, count)| **count);
+            let largest = largest.map(|(caller, _)| *caller);
+            self.forget_least(largest, now);
+        }
+    }
+
+    /// Forgets the request that matters least: what is over first, then the oldest suspects.
+    fn forget_least(&mut self, caller: Option<Caller>, now: Moment) {
+        let of_caller = self
+            .entries
+            .iter()
+            .filter(|(identity, _)| caller.is_none_or(|caller| identity.caller() == caller));
+        let least = of_caller.min_by_key(|(_, entry)| entry.weight(now));
+        let least = least.map(|(identity, _)| *identity);
+        if let Some(least) = least {
+            self.forget(&least);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quarantine/src/ledger/entry.rs
@@ -0,0 +1,170 @@
+//! What is held against one request.
+
+use std::time::Duration;
+
+use sailtrack_units::Moment;
+
+use crate::identity::Identity;
+use crate::ledger::{MEMORY, Record};
+use crate::standing::Standing;
+
+/// From this generation on a request runs on trial only. One request in some hundred that ran
+/// beside a harmful one is there a second time, since what was lost together is repeated together.
+const TRIAL_GENERATION: u8 = 2;
+/// From this generation on it is in quarantine. The last crash was under a trial, where the other
+/// ones that were there twice do not run.
+const QUARANTINE_GENERATION: u8 = 3;
+/// So many upstreams that ended under it put it on trial in the first generation too: callers may
+/// send one request to several upstreams at the same moment.
+const TRIAL_LIVES: usize = 3;
+/// How long the quarantine of a request lasts, each time a trial fails. Upstreams are mended and
+/// replaced within minutes or hours; three more crashes in seven hours are what it costs to find
+/// out, and one a day after that.
+const TERMS: [Duration; 4] = [
+    Duration::from_mins(10),
+    Duration::from_hours(1),
+    Duration::from_hours(6),
+    Duration::from_hours(24),
+];
+
+/// Returns the number by which a life is remembered.
+pub(crate) fn life_number(life: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(life.as_bytes())
+}
+
+/// The quarantine of a request.
+#[derive(Debug, Clone, Copy)]
+struct Sentence {
+    until: Moment,
+    /// How many trials failed, the one that led here included.
+    failed: u8,
+}
+
+/// What is held against one request.
+#[derive(Debug, Clone)]
+pub(crate) struct Entry {
+    generation: u8,
+    /// The lives that ended under it, as many as matter.
+    lives: [u64; TRIAL_LIVES],
+    lives_known: usize,
+    /// It was on trial at some time, or nothing ran beside it when an upstream ended.
+    on_trial: bool,
+    last_crash: Moment,
+    sentence: Option<Sentence>,
+}
+
+impl Entry {
+    pub(crate) fn new(crashed: Moment) -> Self {
+        Self {
+            generation: 0,
+            lives: [0; TRIAL_LIVES],
+            lives_known: 0,
+            on_trial: false,
+            last_crash: crashed,
+            sentence: None,
+        }
+    }
+
+    /// Returns what is held against the request.
+    pub(crate) fn standing(&self, now: Moment) -> Standing {
+        let known = self.generation;
+        match self.sentence {
+            Some(sentence) if sentence.until > now => Standing::Quarantined {
+                left: sentence.until.since(now),
+            },
+            Some(_) => Standing::OnTrial { known },
+            None if now.since(self.last_crash) > MEMORY => Standing::Clear,
+            None if self.on_trial => Standing::OnTrial { known },
+            None => Standing::Suspected { known },
+        }
+    }
+
+    /// Takes in a crash; returns true if the request is in quarantine by it.
+    pub(crate) fn note_crash(&mut self, life: u64, known: u8, alone: bool, now: Moment) -> bool {
+        if self.standing(now) == Standing::Clear {
+            *self = Self::new(now);
+        }
+        let is_new = self.note_life(life);
+        let generation = known.saturating_add(1);
+        let was_in_quarantine = self.standing(now).is_quarantined();
+        let is_further = generation > self.generation;
+        self.generation = self.generation.max(generation);
+        self.last_crash = now;
+        self.on_trial |=
+            alone || self.generation >= TRIAL_GENERATION || self.lives_known >= TRIAL_LIVES;
+        if was_in_quarantine || !(is_further || is_new) {
+            return false;
+        }
+        if self.generation < QUARANTINE_GENERATION {
+            return false;
+        }
+        self.sentence_again(now);
+        true
+    }
+
+    fn note_life(&mut self, life: u64) -> bool {
+        if self.lives[..self.lives_known.min(TRIAL_LIVES)].contains(&life) {
+            return false;
+        }
+        self.lives[self.lives_known % TRIAL_LIVES] = life;
+        self.lives_known = (self.lives_known + 1).min(2 * TRIAL_LIVES);
+        true
+    }
+
+    fn sentence_again(&mut self, now: Moment) {
+        let failed = self.sentence.map_or(0, |sentence| sentence.failed);
+        let term = TERMS[usize::from(failed).min(TERMS.len() - 1)];
+        self.sentence = Some(Sentence {
+            until: now + term,
+            failed: failed.saturating_add(1),
+        });
+    }
+
+    /// Takes in what another node holds against it, if that is more.
+    pub(crate) fn take(&mut self, record: &Record, now: Moment) {
+        self.generation = self.generation.max(record.generation);
+        self.last_crash = self.last_crash.max(now.before(record.age));
+        self.on_trial = true;
+        if record.failed == 0 {
+            return;
+        }
+        let told = Sentence {
+            until: now + record.left,
+            failed: record.failed,
+        };
+        let own = self.sentence.map_or((0, Moment::default()), Sentence::rank);
+        if told.rank() > own {
+            self.sentence = Some(told);
+        }
+    }
+
+    /// Returns what other nodes are told about it.
+    pub(crate) fn record(&self, identity: Identity, now: Moment) -> Record {
+        Record {
+            identity,
+            generation: self.generation,
+            age: now.since(self.last_crash),
+            left: self
+                .sentence
+                .map_or(Duration::ZERO, |sentence| sentence.until.since(now)),
+            failed: self.sentence.map_or(0, |sentence| sentence.failed),
+        }
+    }
+
+    /// Returns how much it matters that it is remembered.
+    pub(crate) fn weight(&self, now: Moment) -> (u8, Moment) {
+        let grade = match self.standing(now) {
+            Standing::Clear => 0,
+            Standing::Suspected { .. } => 1,
+            Standing::OnTrial { .. } => 2,
+            Standing::Quarantined { .. } => 3,
+        };
+        (grade, self.last_crash)
+    }
+}
+
+impl Sentence {
+    fn rank(self) -> (u8, Moment) {
+        (self.failed, self.until)
+    }
+}
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,6 +1,12 @@
-//! Requests that end the upstreams that run them: how one is known again, and what is held
-//! against it.
+//! Requests that end the upstreams that run them: how one is known again, what is held against it,
+//! and what follows from that.
+//!
+//! Nothing here knows of networks or reads a clock.
 
 mod identity;
+mod ledger;
+mod standing;
 
 pub use identity::{Caller, Hasher, IDENTITY_BYTES, Identity, IdentityError};
+pub use ledger::{Crash, Ledger, Ran, Record};
+pub use standing::Standing;
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod ident;
 mod importance;
+mod moment;
 mod name;
 mod quantity;
 mod rank;
@@ -14,6 +15,7 @@
 pub use clock::{Clock, Timestamp};
 pub use ident::{ConfigVersion, Incarnation, RequestId};
 pub use importance::Importance;
+pub use moment::Moment;
 pub use name::{DomainName, EventName, KindName, NameError, NodeName, OperatorName, ServiceName};
 pub use quantity::{Allowance, ByteSize, Period, QuantityError, Rate, Ratio};
 pub use rank::Rank;
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -4,7 +4,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -48,6 +48,8 @@
         Ping(super::Ping),
         #[prost(message, tag = "18")]
         Pong(super::Pong),
+        #[prost(message, tag = "19")]
+        Evidence(super::Evidence),
     }
 }
 /// The first frame in each direction.
@@ -233,6 +235,9 @@
     /// Stands for the request by what it asks, for all attempts of its caller.
     #[prost(bytes = "bytes", tag = "13")]
     pub identity: ::prost::bytes::Bytes,
+    /// How many crashes that followed each other under it the sender knows of.
+    #[prost(uint32, tag = "14")]
+    pub known_crashes: u32,
 }
 /// What became of a forwarded request.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -282,6 +287,51 @@
     #[prost(uint32, tag = "2")]
     pub chunks: u32,
 }
+/// A request that ran when an upstream ended.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Ran {
+    #[prost(bytes = "bytes", tag = "1")]
+    pub identity: ::prost::bytes::Bytes,
+    /// How many crashes that followed each other under it were known when it was sent.
+    #[prost(uint32, tag = "2")]
+    pub known: u32,
+}
+/// What a node holds against a request.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Held {
+    #[prost(bytes = "bytes", tag = "1")]
+    pub identity: ::prost::bytes::Bytes,
+    #[prost(uint32, tag = "2")]
+    pub generation: u32,
+    /// How long ago the last crash under it was.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    /// How much longer it is in quarantine; zero if it is in none.
+    #[prost(uint64, tag = "4")]
+    pub left_ms: u64,
+    /// How often it was put into quarantine.
+    #[prost(uint32, tag = "5")]
+    pub failed: u32,
+}
+/// What the sender knows of requests that may end upstreams.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Evidence {
+    /// A life of an upstream that crashed, written as in a presence; empty if none is told of.
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    /// What ran there.
+    #[prost(message, repeated, tag = "2")]
+    pub ran: ::prost::alloc::vec::Vec<Ran>,
+    /// Nothing else ran there.
+    #[prost(bool, tag = "3")]
+    pub whole: bool,
+    /// Requests against which nothing is held any more.
+    #[prost(bytes = "bytes", repeated, tag = "4")]
+    pub cleared: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    /// What was known before the connection was opened.
+    #[prost(message, repeated, tag = "5")]
+    pub held: ::prost::alloc::vec::Vec<Held>,
+}
 /// Asks the receiver for a sign that it still works, while something is awaited from it.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Ping {}
@@ -427,6 +477,8 @@
     UpstreamShed = 15,
     AnswerTooLarge = 16,
     UpstreamCrashed = 17,
+    Quarantined = 18,
+    OnTrial = 19,
 }
 impl Reason {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -453,6 +505,8 @@
             Self::UpstreamShed => "REASON_UPSTREAM_SHED",
             Self::AnswerTooLarge => "REASON_ANSWER_TOO_LARGE",
             Self::UpstreamCrashed => "REASON_UPSTREAM_CRASHED",
+            Self::Quarantined => "REASON_QUARANTINED",
+            Self::OnTrial => "REASON_ON_TRIAL",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -476,6 +530,8 @@
             "REASON_UPSTREAM_SHED" => Some(Self::UpstreamShed),
             "REASON_ANSWER_TOO_LARGE" => Some(Self::AnswerTooLarge),
             "REASON_UPSTREAM_CRASHED" => Some(Self::UpstreamCrashed),
+            "REASON_QUARANTINED" => Some(Self::Quarantined),
+            "REASON_ON_TRIAL" => Some(Self::OnTrial),
             _ => None,
         }
     }
