A request that ends upstreams is the same one beside whatever service it comes in

Cause: the identity held the service beside which a request came in. Change: the identity is method, host, target, body and on whose behalf the request is made (authorization, cookie). Who answers for it in the bounds is kept beside it.

--- a/crates/mesh/src/contexts/tests.rs
+++ b/crates/mesh/src/contexts/tests.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use sailtrack_quarantine::Hasher;
+use sailtrack_quarantine::{Caller, Hasher};
 use sailtrack_units::Rank;
 use sailtrack_wire::Reason;
 
@@ -16,7 +16,7 @@
 fn work(id: &str) -> Work {
     Work {
         attempt: AttemptKey::from(id),
-        identity: Hasher::new("shop", b"GET", b"a", b"/").finish(),
+        identity: Hasher::new(&[b"/"], Caller::default()).finish(),
         known_crashes: 0,
         service: "bank".parse().expect("a name"),
         kind: "read".parse().expect("a name"),
--- a/crates/mesh/src/entry/request.rs
+++ b/crates/mesh/src/entry/request.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use sailtrack_net::transparent::{Field, Framing, HeadError, RequestHead, request_framing};
-use sailtrack_quarantine::{Hasher, Identity};
+use sailtrack_quarantine::{Caller, Hasher, Identity};
 use sailtrack_units::{Rank, RequestId, ServiceName};
 
 use crate::configuration::{Configuration, Route};
@@ -15,6 +15,9 @@
 use crate::key::AttemptKey;
 use crate::work::Work;
 
+/// The fields that tell on whose behalf a request is made.
+const BEHALF: [&str; 2] = ["authorization", "cookie"];
+
 /// A request whose body has not been read yet.
 pub(super) struct Incoming {
     pub(super) head: RequestHead,
@@ -62,10 +65,23 @@
     }
 
     /// Starts the identity of the request; the body is still to come.
-    pub(super) fn hasher(&self, caller: &ServiceName) -> Hasher {
-        let host = host(&self.head).unwrap_or_default();
-        let (method, target) = (&self.head.method, &self.head.target);
-        Hasher::new(caller.as_str(), method, host.as_bytes(), target)
+    ///
+    /// Where it comes in is no part of it: a request that ends upstreams comes again beside any
+    /// service. On whose behalf it is made is: what one user's request does, another's need not.
+    pub(super) fn hasher(&self, beside: &ServiceName) -> Hasher {
+        let head = &self.head;
+        let host = host(head).unwrap_or_default();
+        let behalf = BEHALF.map(|name| head.fields.get(name).unwrap_or_default());
+        let is_named = behalf.iter().any(|value| !value.is_empty());
+        let caller = if is_named {
+            Caller::named(behalf.concat().as_bytes())
+        } else {
+            Caller::named(beside.as_str().as_bytes())
+        };
+        let [authorization, cookie] = behalf.map(str::as_bytes);
+        let (method, target) = (&head.method[..], &head.target[..]);
+        let parts = [authorization, cookie, method, host.as_bytes(), target];
+        Hasher::new(&parts, caller)
     }
 
     /// Returns true if the client waits for a word before it sends the body.
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -41,7 +41,7 @@
         body: work.body.slice(..first),
         body_length: work.body.len() as u64,
         repeated: work.repeated,
-        identity: Bytes::copy_from_slice(work.identity.as_bytes()),
+        identity: Bytes::copy_from_slice(&work.identity.to_bytes()),
         known_crashes: u32::from(work.known_crashes),
     }
 }
--- a/crates/mesh/src/peer/link/tests.rs
+++ b/crates/mesh/src/peer/link/tests.rs
@@ -12,7 +12,7 @@
 use monoio::time::sleep;
 use sailtrack_net::frames::{FrameReader, hello, write_frames};
 use sailtrack_net::{runtime, task};
-use sailtrack_quarantine::{Hasher, Ran};
+use sailtrack_quarantine::{Caller, Hasher, Ran};
 use sailtrack_units::{Incarnation, NodeName, Rank};
 use sailtrack_wire::{Body, Evidence, Member as MemberMessage, Pong, Presence, State};
 
@@ -55,7 +55,7 @@
 fn work() -> Work {
     Work {
         attempt: AttemptKey::from("a1"),
-        identity: Hasher::new("shop", b"GET", b"a", b"/").finish(),
+        identity: Hasher::new(&[b"/"], Caller::default()).finish(),
         known_crashes: 0,
         service: "bank".parse().expect("a name"),
         kind: "r-1".parse().expect("a name"),
--- a/crates/mesh/src/quarantine/wire.rs
+++ b/crates/mesh/src/quarantine/wire.rs
@@ -80,7 +80,7 @@
 }
 
 fn bytes(identity: &Identity) -> Bytes {
-    Bytes::copy_from_slice(identity.as_bytes())
+    Bytes::copy_from_slice(&identity.to_bytes())
 }
 
 fn millis(time: Duration) -> u64 {
--- a/crates/mesh/src/retry/tests.rs
+++ b/crates/mesh/src/retry/tests.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use sailtrack_quarantine::Hasher;
+use sailtrack_quarantine::{Caller, Hasher};
 use sailtrack_units::{Period, Rank, Ratio};
 
 use crate::key::AttemptKey;
@@ -20,7 +20,7 @@
 fn work(rank: Rank, repeated: bool) -> Work {
     Work {
         attempt: AttemptKey::from("a"),
-        identity: Hasher::new("shop", b"GET", b"a", b"/").finish(),
+        identity: Hasher::new(&[b"/"], Caller::default()).finish(),
         known_crashes: 0,
         service: "ledger".parse().expect("a name"),
         kind: "read".parse().expect("a name"),
--- a/crates/quarantine/src/identity.rs
+++ b/crates/quarantine/src/identity.rs
@@ -15,17 +15,57 @@
 /// The digits by which logs name a request among the some hundred that ran beside it.
 const SHORT_DIGITS: usize = 12;
 
-/// Stands for a request by what it asks: its caller, method, host, target and body.
+/// Stands for a request by what it asks: its method, host, target, body, and on whose behalf.
 ///
-/// Each attempt of a caller has an id of its own; this is the same for all of them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Identity([u8; IDENTITY_BYTES]);
+/// Each attempt of a caller has an id of its own; this is the same for all of them, wherever they
+/// come in. Who is made to answer for it is kept beside it, and makes no difference between two.
+#[derive(Debug, Clone, Copy)]
+pub struct Identity {
+    digest: [u8; DIGEST_BYTES],
+    caller: Caller,
+}
 
-/// The caller of a request, as far as its identity tells it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+/// Who is made to answer for a request, as far as it tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
 pub struct Caller([u8; CALLER_BYTES]);
 
-/// an identity has 40 hexadecimal digits: {0:?}
+impl Caller {
+    /// Returns the caller that says this of itself.
+    #[must_use]
+    pub fn named(name: &[u8]) -> Self {
+        let mut caller = [0; CALLER_BYTES];
+        caller.copy_from_slice(&blake3::hash(name).as_bytes()[..CALLER_BYTES]);
+        Self(caller)
+    }
+}
+
+impl PartialEq for Identity {
+    fn eq(&self, other: &Self) -> bool {
+        self.digest == other.digest
+    }
+}
+
+impl Eq for Identity {}
+
+impl std::hash::Hash for Identity {
+    fn hash<H: std::hash::Hasher>(&self, state: &mut H) {
+        self.digest.hash(state);
+    }
+}
+
+impl PartialOrd for Identity {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Identity {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.digest.cmp(&other.digest)
+    }
+}
+
+/// an identity has 32 hexadecimal digits: {0:?}
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub struct IdentityError(String);
 
@@ -35,21 +75,26 @@
     /// Returns the identity that these bytes are, if there are as many as one has.
     #[must_use]
     pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
-        bytes.try_into().ok().map(Self)
+        let (digest, caller) = bytes.split_at_checked(DIGEST_BYTES)?;
+        Some(Self {
+            digest: digest.try_into().ok()?,
+            caller: Caller(caller.try_into().ok()?),
+        })
     }
 
     /// Returns its bytes.
     #[must_use]
-    pub fn as_bytes(&self) -> &[u8] {
-        &self.0
+    pub fn to_bytes(&self) -> [u8; IDENTITY_BYTES] {
+        let mut bytes = [0; IDENTITY_BYTES];
+        bytes[..DIGEST_BYTES].copy_from_slice(&self.digest);
+        bytes[DIGEST_BYTES..].copy_from_slice(&self.caller.0);
+        bytes
     }
 
-    /// Returns who made the request.
+    /// Returns who is made to answer for it.
     #[must_use]
     pub fn caller(&self) -> Caller {
-        let mut caller = [0; CALLER_BYTES];
-        caller.copy_from_slice(&self.0[DIGEST_BYTES..]);
-        Caller(caller)
+        self.caller
     }
 
     /// Returns how its text begins, enough to find it in logs.
@@ -63,7 +108,7 @@
     /// Returns how much a place is preferred for this request; every node gets the same number.
     #[must_use]
     pub fn preference(&self, place: &str) -> u64 {
-        let mut bytes = self.0.to_vec();
+        let mut bytes = self.digest.to_vec();
         bytes.extend_from_slice(place.as_bytes());
         xxhash_rust::xxh3::xxh3_64(&bytes)
     }
@@ -71,7 +116,8 @@
 
 impl fmt::Display for Identity {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+        let mut bytes = self.digest.iter();
+        bytes.try_for_each(|byte| write!(f, "{byte:02x}"))
     }
 }
 
@@ -80,15 +126,16 @@
 
     fn from_str(text: &str) -> Result<Self, IdentityError> {
         let error = || IdentityError(text.to_owned());
-        if text.len() != 2 * IDENTITY_BYTES || !text.is_ascii() {
+        if text.len() != 2 * DIGEST_BYTES || !text.is_ascii() {
             return Err(error());
         }
-        let mut bytes = [0; IDENTITY_BYTES];
-        for (place, byte) in bytes.iter_mut().enumerate() {
+        let mut digest = [0; DIGEST_BYTES];
+        for (place, byte) in digest.iter_mut().enumerate() {
             let digits = &text[2 * place..2 * place + 2];
             *byte = u8::from_str_radix(digits, 16).map_err(|_| error())?;
         }
-        Ok(Self(bytes))
+        let caller = Caller::default();
+        Ok(Self { digest, caller })
     }
 }
 
@@ -96,26 +143,22 @@
 #[derive(Clone)]
 pub struct Hasher {
     request: blake3::Hasher,
-    caller: [u8; CALLER_BYTES],
+    caller: Caller,
 }
 
 impl Hasher {
-    /// Starts with what is known before the body.
+    /// Starts with what is known before the body: on whose behalf it comes, its method, host and
+    /// target, in a fixed order.
     ///
     /// Each part goes in with its length, so that nothing of one can pass for the next.
     #[must_use]
-    pub fn new(caller: &str, method: &[u8], host: &[u8], target: &[u8]) -> Self {
+    pub fn new(parts: &[&[u8]], caller: Caller) -> Self {
         let mut request = blake3::Hasher::new();
-        for part in [caller.as_bytes(), method, host, target] {
+        for part in parts {
             request.update(&(part.len() as u64).to_le_bytes());
             request.update(part);
         }
-        let mut known = [0; CALLER_BYTES];
-        known.copy_from_slice(&blake3::hash(caller.as_bytes()).as_bytes()[..CALLER_BYTES]);
-        Self {
-            request,
-            caller: known,
-        }
+        Self { request, caller }
     }
 
     /// Takes in a piece of the body; how it is cut into pieces makes no difference.
@@ -126,9 +169,9 @@
     /// Returns the identity of the request.
     #[must_use]
     pub fn finish(&self) -> Identity {
-        let mut bytes = [0; IDENTITY_BYTES];
-        bytes[..DIGEST_BYTES].copy_from_slice(&self.request.finalize().as_bytes()[..DIGEST_BYTES]);
-        bytes[DIGEST_BYTES..].copy_from_slice(&self.caller);
-        Identity(bytes)
+        let mut digest = [0; DIGEST_BYTES];
+        digest.copy_from_slice(&self.request.finalize().as_bytes()[..DIGEST_BYTES]);
+        let caller = self.caller;
+        Identity { digest, caller }
     }
 }
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -170,10 +170,11 @@
     }
 
     fn forget(&mut self, identity: &Identity) -> bool {
-        if self.entries.remove(identity).is_none() {
+        // Whoever names it may not know who answers for it.
+        let Some((known, _)) = self.entries.remove_entry(identity) else {
             return false;
-        }
-        let caller = identity.caller();
+        };
+        let caller = known.caller();
         if let Some(count) = self.of_caller.get_mut(&caller) {
             *count -= 1;
             if *count == 0 {
