--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -43,6 +43,8 @@
     STOP_REPEATED = 103 Warn "stop requested again; still finishing work in flight" ["in_flight"];
     /// SIGHUP arrived; the settings of a running process stay as they are.
     RELOAD_REQUESTED = 104 Info "reload requested" [];
+    /// The instance was suspended for so long; what was known before is looked at anew.
+    INSTANCE_SUSPENDED = 105 Warn "instance was suspended" ["time_ms"];
     /// A task panicked; only its connection ended.
     TASK_PANICKED = 110 Error "a task panicked and was ended" ["task"];
     /// A connection was closed because of what it sent.
--- /dev/null
+++ b/crates/mesh/src/clock/tests.rs
@@ -0,0 +1,57 @@
+//! A clock of which a test can let time pass that the runtime does not count.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use monoio::time::sleep;
+use sailtrack_net::runtime;
+use sailtrack_units::Moment;
+
+use crate::clock::{Late, until};
+
+/// How long the instance of a test is suspended.
+pub(crate) const SUSPENSIONS: [Duration; 3] = [
+    Duration::from_secs(1),
+    Duration::from_secs(5),
+    Duration::from_secs(30),
+];
+
+thread_local! {
+    /// For how long the instance of this test was suspended.
+    static SUSPENDED: Cell<Duration> = const { Cell::new(Duration::ZERO) };
+}
+
+pub(crate) fn now() -> Moment {
+    Moment::now() + SUSPENDED.get()
+}
+
+/// Lets the instance have been suspended for `time`: only this clock counts it.
+pub(crate) fn suspend(time: Duration) {
+    SUSPENDED.set(SUSPENDED.get() + time);
+}
+
+/// A deadline that passed meanwhile is over at once, not when the timer of the runtime is.
+#[test]
+fn deadline_passed() {
+    let waited = async {
+        let deadline = now() + Duration::from_millis(900);
+        let began = std::time::Instant::now();
+        let waiting = until(deadline, sleep(Duration::from_secs(20)));
+        let suspending = async {
+            sleep(Duration::from_millis(100)).await;
+            suspend(Duration::from_secs(1));
+        };
+        let (result, ()) = futures::join!(waiting, suspending);
+        (result, began.elapsed())
+    };
+    let (result, time) = runtime::run(waited).expect("a runtime");
+    assert_eq!(result, Err(Late));
+    assert!(time < Duration::from_millis(800), "{time:?}");
+}
+
+#[test]
+fn ends_in_time() {
+    let deadline = now() + Duration::from_secs(5);
+    let result = runtime::run(until(deadline, std::future::ready(7))).expect("a runtime");
+    assert_eq!(result, Ok(7));
+}
--- a/crates/mesh/src/configuration/fetch.rs
+++ b/crates/mesh/src/configuration/fetch.rs
@@ -1,7 +1,7 @@
 //! Asks other nodes for a configuration that the store does not bring.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures::StreamExt as _;
 use futures::channel::mpsc;
@@ -60,7 +60,7 @@
         if self.current.get().is_none() {
             return first;
         }
-        if self.watch.is_ours(Instant::now()) {
+        if self.watch.is_ours() {
             sleep(HEAD_START).await;
             return first;
         }
--- a/crates/mesh/src/contexts/tests.rs
+++ b/crates/mesh/src/contexts/tests.rs
@@ -1,7 +1,6 @@
 //! Calls are told by their ids only where that is checked.
 
 use std::rc::Rc;
-use std::time::Instant;
 
 use bytes::Bytes;
 use sailtrack_quarantine::{Caller, Hasher};
@@ -9,6 +8,7 @@
 use sailtrack_wire::Reason;
 
 use crate::body::Body;
+use crate::clock;
 use crate::contexts::Contexts;
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::work::{Returned, Work};
@@ -24,7 +24,7 @@
         rank: Rank::HIGHEST,
         begun: false,
         repeated: true,
-        deadline: Instant::now(),
+        deadline: clock::now(),
         head: Bytes::new(),
         body: Bytes::new(),
     }
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -5,7 +5,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures::future::{Either, select};
 use monoio::time::sleep;
@@ -15,6 +15,7 @@
 use sailtrack_units::NodeName;
 use sailtrack_wire::{Outcome, Reason};
 
+use crate::clock;
 use crate::configuration::Route;
 use crate::directory::Directory;
 use crate::events::Events;
@@ -25,6 +26,7 @@
 use crate::retry::Budget;
 use crate::returns;
 use crate::routing::{Routing, Target};
+use crate::wake::Wake;
 use crate::work::{Returned, Work};
 
 /// How often a request that no upstream has seen is brought elsewhere.
@@ -41,6 +43,7 @@
     pub(crate) gate: Rc<Gate>,
     pub(crate) budget: Rc<Budget>,
     pub(crate) quarantine: Rc<Quarantine>,
+    pub(crate) wake: Rc<Wake>,
     pub(crate) directory: Rc<Directory>,
     pub(crate) events: Rc<Events>,
     pub(crate) metrics: Rc<Metrics>,
@@ -104,7 +107,8 @@
     pub(crate) async fn dispatch(&self, mut work: Work, route: &Route, trail: &Trail) -> Returned {
         let mut tries = Tries::default();
         let mut last = None;
-        self.budget.note_request(&work, Instant::now());
+        self.wake.news().await;
+        self.budget.note_request(&work, clock::now());
         loop {
             // What is held against it may have become known while it ran.
             let standing = self.quarantine.standing(&work.identity);
@@ -172,7 +176,7 @@
             work.idempotent && !is_hopeless(returned) && tries.ran_on < route.attempts
         };
         let nodes = self.directory.len() + 1;
-        may_go_on && self.budget.take(work, Instant::now(), nodes)
+        may_go_on && self.budget.take(work, clock::now(), nodes)
     }
 
     async fn attempt(&self, work: &Work, target: &Target) -> Returned {
@@ -243,7 +247,7 @@
 
 /// Waits until nothing has come from the node for too long.
 async fn wait_for_silence(link: &Link) {
-    while !link.is_silent(Instant::now()) {
+    while !link.is_silent() {
         sleep(SILENCE_LOOK).await;
     }
 }
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -7,7 +7,7 @@
 use futures::future::{Either, select};
 use monoio::io::{AsyncWriteRentExt as _, OwnedWriteHalf, Splitable as _};
 use monoio::net::TcpStream;
-use monoio::time::{Instant as Deadline, timeout, timeout_at};
+use monoio::time::timeout;
 use sailtrack_kernel::Phase;
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::task::Held;
@@ -15,6 +15,7 @@
 use sailtrack_wire::{Outcome, Reason};
 
 use crate::body::Stream;
+use crate::clock;
 use crate::configuration::ClientLimits;
 use crate::dispatch::Trail;
 use crate::entry::Entry;
@@ -165,11 +166,10 @@
                 return Err(None);
             }
         }
-        let deadline = Deadline::from_std(incoming.deadline);
         let mut hasher = incoming.hasher(&self.entry.service);
         let see = |piece: &[u8]| hasher.update(piece);
         let body = self.reader.body_seen(incoming.framing, limit, see);
-        match timeout_at(deadline, body).await {
+        match clock::until(incoming.deadline, body).await {
             Ok(Ok(body)) => Ok(Received {
                 body,
                 identity: hasher.finish(),
@@ -198,10 +198,9 @@
         if entry.closed.get() && !work.begun {
             return Some(Returned::refused(Reason::Draining).come_back(CLOSED_RETURN));
         }
-        let deadline = Deadline::from_std(incoming.deadline);
         // Boxed, since each future around it would keep room for it once more.
         let dispatch = Box::pin(entry.dispatcher.dispatch(work, &incoming.route, trail));
-        let dispatch = std::pin::pin!(timeout_at(deadline, dispatch));
+        let dispatch = std::pin::pin!(clock::until(incoming.deadline, dispatch));
         let leaving = std::pin::pin!(wait_for_end(&mut self.reader));
         let returned = match select(dispatch, leaving).await {
             Either::Left((Ok(returned), _)) => returned,
@@ -224,7 +223,7 @@
         let asked = Asked {
             is_head: &incoming.head.method[..] == b"HEAD",
             is_1_1: incoming.head.is_1_1,
-            time_left: incoming.deadline.saturating_duration_since(Instant::now()),
+            time_left: incoming.deadline.since(clock::now()),
             close: is_leaving || !incoming.head.keeps_alive() || self.entry.wants_room(was_refused),
         };
         let was_answered = returned.outcome == Outcome::Done;
--- a/crates/mesh/src/entry/request.rs
+++ b/crates/mesh/src/entry/request.rs
@@ -6,8 +6,9 @@
 use bytes::{Bytes, BytesMut};
 use sailtrack_net::transparent::{Field, Framing, HeadError, RequestHead, request_framing};
 use sailtrack_quarantine::{Caller, Hasher, Identity};
-use sailtrack_units::{Rank, RequestId, ServiceName};
+use sailtrack_units::{Moment, Rank, RequestId, ServiceName};
 
+use crate::clock;
 use crate::configuration::{Configuration, Route};
 use crate::contexts::{Context, Contexts};
 use crate::dialect::FieldNames;
@@ -25,7 +26,7 @@
     pub(super) attempt: AttemptKey,
     pub(super) route: Rc<Route>,
     pub(super) came: Instant,
-    pub(super) deadline: Instant,
+    pub(super) deadline: Moment,
 }
 
 /// What came after the head.
@@ -58,7 +59,7 @@
             attempt: AttemptKey::from(attempt),
             route: Rc::clone(route),
             came,
-            deadline: came + time,
+            deadline: clock::now() + time,
             framing,
             head,
         })
--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -1,6 +1,6 @@
 //! One request to the own upstream and its answer.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
@@ -176,7 +176,7 @@
 }
 
 fn request_bytes(fields: &FieldNames, upstream: &UpstreamKey, work: &Work) -> BytesMut {
-    let left = work.deadline.saturating_duration_since(Instant::now());
+    let left = work.time_left();
     let own = format!(
         "{}: {}\r\n{}: {}\r\n\r\n",
         fields.time_left_ms,
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -19,15 +19,15 @@
 use bytes::{Bytes, BytesMut};
 use futures::channel::oneshot;
 use futures::future::{Either, select};
-use monoio::time::{Instant as Deadline, timeout_at};
 use sailtrack_admission::{Admission, Hold, Met, Outset, OutsetPlace, Permit, Pressure, Windows};
 use sailtrack_kernel::Service;
 use sailtrack_net::task::{self, Held};
 use sailtrack_net::transparent::ResponseHead;
 use sailtrack_quarantine::Standing;
-use sailtrack_units::ServiceName;
+use sailtrack_units::{Moment, ServiceName};
 use sailtrack_wire::{Outcome, Reason};
 
+use crate::clock;
 use crate::contexts::{Context, Contexts};
 use crate::dialect::Dialect;
 use crate::events::{Bound, Events, Refusal};
@@ -35,6 +35,7 @@
 use crate::metrics::{Metrics, Stage};
 use crate::quarantine::Quarantine;
 use crate::returns;
+use crate::wake::Wake;
 use crate::work::{Returned, Work};
 use crash::Watcher;
 use exchange::{ExchangeError, UpstreamAnswer, exchange};
@@ -65,6 +66,7 @@
     pool: Pool,
     watcher: Watcher,
     quarantine: Rc<Quarantine>,
+    wake: Rc<Wake>,
     trials: Trials,
     in_flight: Rc<Cell<usize>>,
 }
@@ -114,7 +116,7 @@
         target: SocketAddr,
         dialect: Rc<dyn Dialect>,
         upstream: Rc<Upstream>,
-        quarantine: Rc<Quarantine>,
+        (quarantine, wake): (Rc<Quarantine>, Rc<Wake>),
     ) -> Self {
         let rules = crate::node::ADMISSION_RULES;
         let gate = Gate {
@@ -130,6 +132,7 @@
             pool: Pool::new(target),
             watcher: Watcher::new(target),
             quarantine,
+            wake,
             trials: Trials::default(),
             in_flight: Rc::default(),
         };
@@ -204,6 +207,7 @@
         if self.upstream.is_closed() {
             return self.refuse(&work, Reason::Draining);
         }
+        self.wake.news().await;
         // Its sender may not know yet what this node knows.
         if self.quarantine.standing(&work.identity).is_quarantined() {
             return self.refuse(&work, Reason::Quarantined);
@@ -363,12 +367,12 @@
         Returned::refused(reason).come_back(after)
     }
 
-    async fn send(self: &Rc<Self>, work: &Work, entered: &Entered, patience: Instant) -> Returned {
+    async fn send(self: &Rc<Self>, work: &Work, entered: &Entered, patience: Moment) -> Returned {
         let upstream = &entered.upstream;
         let entry = self.contexts.open(work, upstream);
         let exchange = exchange(&self.pool, self.dialect.fields(), upstream, work);
         let exchange = until_ended(exchange, entered.ended.clone());
-        let result = timeout_at(Deadline::from_std(patience), exchange).await;
+        let result = clock::until(patience, exchange).await;
         let returned = match result {
             Ok(Ok(answer)) => self.take_answer(work, upstream, answer),
             Ok(Err(error)) => self.take_error(work, upstream, &error).await,
--- a/crates/mesh/src/gate/pool.rs
+++ b/crates/mesh/src/gate/pool.rs
@@ -2,12 +2,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use monoio::io::{OwnedWriteHalf, Splitable as _};
 use monoio::net::TcpStream;
 use sailtrack_net::dial::{DialError, dial};
 use sailtrack_net::transparent::{Reader, ResponseHead};
+use sailtrack_units::Moment;
+
+use crate::clock;
 
 /// How long a connection may take to be accepted by an upstream on the same instance.
 const CONNECT_TIME: Duration = Duration::from_millis(500);
@@ -28,13 +31,13 @@
 pub(super) struct Connection {
     pub(super) reader: Reader,
     pub(super) writer: OwnedWriteHalf<TcpStream>,
-    used: Instant,
+    used: Moment,
     idle_time: Duration,
 }
 
 impl Connection {
-    fn is_usable(&mut self, now: Instant) -> bool {
-        now.saturating_duration_since(self.used) < self.idle_time && self.reader.is_quiet()
+    fn is_usable(&mut self, now: Moment) -> bool {
+        now.since(self.used) < self.idle_time && self.reader.is_quiet()
     }
 }
 
@@ -59,7 +62,7 @@
     /// An upstream may forget a connection sooner than it says, and what is sent on it then is
     /// lost. A request that may run again is sent again; `only_fresh` is for the others.
     pub(super) async fn take(&self, only_fresh: bool) -> Result<Connection, DialError> {
-        let now = Instant::now();
+        let now = clock::now();
         loop {
             let idle = self.pop(now, only_fresh);
             let Some(mut connection) = idle else {
@@ -72,10 +75,9 @@
     }
 
     /// Takes the connection that was used last, if it is fresh enough.
-    fn pop(&self, now: Instant, only_fresh: bool) -> Option<Connection> {
-        let is_wanted = |connection: &mut Connection| {
-            !only_fresh || now.saturating_duration_since(connection.used) < FRESH_TIME
-        };
+    fn pop(&self, now: Moment, only_fresh: bool) -> Option<Connection> {
+        let is_wanted =
+            |connection: &mut Connection| !only_fresh || now.since(connection.used) < FRESH_TIME;
         self.idle.borrow_mut().pop_if(is_wanted)
     }
 
@@ -84,7 +86,7 @@
         if !head.keeps_alive() || connection.reader.buffered() > 0 {
             return;
         }
-        connection.used = Instant::now();
+        connection.used = clock::now();
         if let Some(stated) = stated_idle_time(head) {
             connection.idle_time = stated.mul_f64(IDLE_SHARE);
         }
@@ -112,7 +114,7 @@
         Ok(Connection {
             reader: Reader::new(read),
             writer,
-            used: Instant::now(),
+            used: clock::now(),
             idle_time: IDLE_TIME,
         })
     }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -33,6 +33,7 @@
 mod settings;
 mod status;
 mod store;
+mod wake;
 mod watch;
 mod work;
 
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -35,6 +35,7 @@
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::store::Reach;
+use crate::wake::Wake;
 use crate::watch::Watch;
 
 /// How many nodes with a newer configuration wait to be asked.
@@ -160,6 +161,7 @@
         holders: RefCell::new(holders),
     });
     let peers = table.install(Peers::new(settings.ports.peer.ip(), listener));
+    table.install(Wake::new(Rc::clone(&peers)));
     let identity = &settings.identity;
     table.install(Watch::new(
         &identity.name,
@@ -186,7 +188,7 @@
         settings.upstream,
         Rc::clone(dialect),
         table.find()?,
-        table.find()?,
+        (table.find()?, table.find()?),
     );
     let gate = gate
         .in_flight(Rc::clone(in_flight))
@@ -208,6 +210,7 @@
         gate: table.find()?,
         budget: table.find()?,
         quarantine: table.find()?,
+        wake: table.find()?,
         directory: table.find()?,
         events: table.find()?,
         metrics: table.find()?,
--- a/crates/mesh/src/node/stop.rs
+++ b/crates/mesh/src/node/stop.rs
@@ -2,13 +2,14 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use monoio::time::sleep;
 use sailtrack_kernel::{Draining, Error, Life, Table};
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::terminate::Signals;
 
+use crate::clock;
 use crate::entry::Entry;
 use crate::gate::Upstream;
 use crate::node::{LOOK, is_stop, start};
@@ -51,7 +52,8 @@
         &[("in_flight", &in_flight.get())],
     );
     start::publish(table)?;
-    let began = Instant::now();
+    // Who waits for the end counts the time in which the instance is suspended.
+    let began = clock::now();
     let longest = settings.stop_time.0.saturating_sub(RESERVE);
     let mut busy = began;
     let entry = table.find::<Entry>()?;
@@ -59,18 +61,19 @@
     let taking = settings.stop_time.0.mul_f64(TAKING_SHARE);
     loop {
         sleep(LOOK).await;
-        let now = Instant::now();
-        if now - began >= GATE_TIME {
+        let now = clock::now();
+        let passed = now.since(began);
+        if passed >= GATE_TIME {
             upstream.close();
         }
-        if now - began >= taking {
+        if passed >= taking {
             entry.close();
         }
         if in_flight.get() > 0 {
             busy = now;
         }
-        let is_quiet = now - busy >= QUIET_TIME && now - began >= LEAVING_TIME;
-        if is_quiet || now - began >= longest {
+        let is_quiet = now.since(busy) >= QUIET_TIME && passed >= LEAVING_TIME;
+        if is_quiet || passed >= longest {
             break;
         }
     }
--- a/crates/mesh/src/node/store.rs
+++ b/crates/mesh/src/node/store.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures::StreamExt as _;
 use futures::channel::mpsc;
@@ -44,7 +44,7 @@
 
 impl Follower for ConfigurationRows {
     fn is_due(&self) -> bool {
-        self.watch.is_ours(Instant::now())
+        self.watch.is_ours()
     }
 
     fn reset(&self, rows: &[Row]) {
@@ -73,7 +73,7 @@
     /// A node follows until it has seen its own row, so that it misses none that was written
     /// meanwhile. Nodes that start later connect to it themselves.
     fn is_due(&self) -> bool {
-        !self.directory.has_own_row() || self.watch.is_ours(Instant::now())
+        !self.directory.has_own_row() || self.watch.is_ours()
     }
 
     fn pace(&self) -> Pace {
--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -17,6 +17,7 @@
 use crate::peer::Peers;
 use crate::settings::Settings;
 use crate::status::Status;
+use crate::wake::Wake;
 
 /// A node that has run for no longer, among others that have run for no longer, is one of many
 /// that were started at once, and their clients come back at once. One that is started anew while
@@ -87,6 +88,7 @@
     let status = table.find::<Status>()?;
     let directory = table.find::<Directory>()?;
     task::spawn("presence", keep_telling(status, directory));
+    task::spawn("wake", table.find::<Wake>()?.keep_looking());
     let fetch = Fetch {
         peers: table.find()?,
         current: table.find()?,
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -1,6 +1,6 @@
 //! Requests and what became of them, as messages between nodes.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use displaydoc::Display;
@@ -10,6 +10,7 @@
 use sailtrack_wire::{Forward, Reply};
 
 use crate::body::Body;
+use crate::clock;
 use crate::key::AttemptKey;
 use crate::work::{Returned, Work};
 
@@ -62,7 +63,7 @@
         rank: Rank::from_index(rank),
         begun: message.begun,
         repeated: message.repeated,
-        deadline: Instant::now() + Duration::from_micros(message.time_left_us),
+        deadline: clock::now() + Duration::from_micros(message.time_left_us),
         head: message.head,
         body: message.body,
     })
--- a/crates/mesh/src/peer/link/liveness.rs
+++ b/crates/mesh/src/peer/link/liveness.rs
@@ -5,7 +5,7 @@
 //! has stopped, so a node from which an answer is awaited is asked. What that
 //! costs grows with the requests that wait, not with the nodes.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures::channel::oneshot;
 use futures::future::{Either, select};
@@ -13,6 +13,7 @@
 use sailtrack_log::{catalogue, emit};
 use sailtrack_wire::{Body, Ping};
 
+use crate::clock;
 use crate::peer::link::Link;
 use crate::work::Returned;
 
@@ -30,14 +31,16 @@
 
 impl Link {
     /// Returns true if the node seems to have stopped.
-    pub(crate) fn is_silent(&self, now: Instant) -> bool {
-        let silence = now.saturating_duration_since(self.heard.get());
+    ///
+    /// After a suspension of this instance every node does, until it is heard again.
+    pub(crate) fn is_silent(&self) -> bool {
+        let silence = clock::now().since(self.heard.get());
         silence > self.news.interval() * SILENT_INTERVALS || self.unanswered.get() >= SILENT_PINGS
     }
 
     /// Notes that something came from the node.
     pub(super) fn note_heard(&self) {
-        self.heard.set(Instant::now());
+        self.heard.set(clock::now());
         self.unanswered.set(0);
     }
 
@@ -50,16 +53,17 @@
             let pause = std::pin::pin!(sleep(PING_PAUSE));
             match select(&mut receiver, pause).await {
                 Either::Left((reply, _)) => return reply,
-                Either::Right(_) => self.ping_if_quiet(Instant::now()),
+                Either::Right(_) => self.ping_if_quiet(),
             }
         }
     }
 
     /// Asks the node for a sign of life if nothing came for a while; many requests may wait for it,
     /// and one question serves all.
-    fn ping_if_quiet(&self, now: Instant) {
+    fn ping_if_quiet(&self) {
+        let now = clock::now();
         let last = self.heard.get().max(self.pinged.get());
-        if !self.is_open() || now.saturating_duration_since(last) < PING_PAUSE {
+        if !self.is_open() || now.since(last) < PING_PAUSE {
             return;
         }
         if self.unanswered.get() >= DEAD_PINGS {
@@ -73,8 +77,13 @@
             self.disconnect();
             return;
         }
-        self.pinged.set(now);
         self.unanswered.set(self.unanswered.get() + 1);
+        self.ping();
+    }
+
+    /// Asks the node for a sign of life.
+    pub(crate) fn ping(&self) {
+        self.pinged.set(clock::now());
         // A full channel counts as a ping too: nothing gets through to the node.
         self.send(Body::Ping(Ping {}));
     }
--- a/crates/mesh/src/peer/link/mod.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -17,11 +17,12 @@
 use futures::channel::{mpsc, oneshot};
 use monoio::time::{sleep, timeout};
 use sailtrack_quarantine::Ran;
-use sailtrack_units::{ConfigVersion, Incarnation};
+use sailtrack_units::{ConfigVersion, Incarnation, Moment};
 use sailtrack_wire::{
     Body, Cancel, Chunk, Config, Fetch, Grant, Presence, Reason, Recall, Reply, Retire, State,
 };
 
+use crate::clock;
 use crate::directory::Member;
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::peer::News;
@@ -74,9 +75,9 @@
     /// The upstream beside the node, the last one that took requests.
     upstream: RefCell<String>,
     slots: Cell<u32>,
-    heard: Cell<Instant>,
+    heard: Cell<Moment>,
     /// When the last ping was sent,
-    pinged: Cell<Instant>,
+    pinged: Cell<Moment>,
     /// and how many were sent since anything came.
     unanswered: Cell<u32>,
     lost_since: Cell<Option<Instant>>,
@@ -110,8 +111,8 @@
             state: Cell::new(State::Joining),
             upstream: RefCell::default(),
             slots: Cell::new(0),
-            heard: Cell::new(Instant::now()),
-            pinged: Cell::new(Instant::now()),
+            heard: Cell::new(clock::now()),
+            pinged: Cell::new(clock::now()),
             unanswered: Cell::new(0),
             lost_since: Cell::new(Some(Instant::now())),
             closed: Cell::new(false),
@@ -137,14 +138,14 @@
     }
 
     /// Returns true if the node takes requests for its upstream, as far as is known.
-    pub(crate) fn is_serving(&self, now: Instant) -> bool {
-        self.is_open() && self.state.get() == State::Serving && !self.is_silent(now)
+    pub(crate) fn is_serving(&self) -> bool {
+        self.is_open() && self.state.get() == State::Serving && !self.is_silent()
     }
 
     /// Returns true if the node follows the store when its place is among the first.
-    pub(crate) fn can_watch(&self, now: Instant) -> bool {
+    pub(crate) fn can_watch(&self) -> bool {
         let stays = self.state.get() != State::Leaving && !self.store_lost.get();
-        self.is_open() && stays && !self.is_silent(now)
+        self.is_open() && stays && !self.is_silent()
     }
 
     /// Returns where the node stands among those that follow the store.
@@ -157,7 +158,8 @@
         self.slots.get()
     }
 
-    /// Returns for how long the node could not be reached.
+    /// Returns for how long the node could not be reached while this instance tried to: a
+    /// suspension of this one says nothing about the other.
     pub(crate) fn lost_for(&self, now: Instant) -> Duration {
         let since = self.lost_since.get();
         since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
--- a/crates/mesh/src/peer/link/tests.rs
+++ b/crates/mesh/src/peer/link/tests.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::channel::mpsc;
@@ -16,20 +16,24 @@
 use sailtrack_units::{Incarnation, NodeName, Rank};
 use sailtrack_wire::{Body, Evidence, Member as MemberMessage, Pong, Presence, State};
 
+use crate::clock;
+use crate::clock::tests::SUSPENSIONS;
 use crate::directory::Member;
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::peer::News;
 use crate::peer::link::{Delivery, Link};
 use crate::work::Work;
 
+/// How often the nodes of a small mesh say what they are like.
+const SMALL_MESH_INTERVAL: Duration = Duration::from_millis(300);
 /// How often 194 nodes say what they are like.
 const INTERVAL: Duration = Duration::from_millis(1940);
 
-struct Quiet(MemberMessage);
+struct Quiet(MemberMessage, Duration);
 
 impl News for Quiet {
     fn interval(&self) -> Duration {
-        INTERVAL
+        self.1
     }
 
     fn hello(&self) -> MemberMessage {
@@ -63,7 +67,7 @@
         rank: Rank::from_index(1),
         begun: false,
         repeated: false,
-        deadline: Instant::now() + Duration::from_secs(10),
+        deadline: clock::now() + Duration::from_secs(10),
         head: Bytes::from_static(b"GET / HTTP/1.1\r\n"),
         body: Bytes::new(),
     }
@@ -90,7 +94,7 @@
 }
 
 /// Sends a request to such a node and looks at the link after `time`.
-fn after(time: Duration, works: bool, look: impl FnOnce(&Link, Instant, bool) + 'static) {
+fn after(time: Duration, works: bool, look: impl FnOnce(&Link, bool) + 'static) {
     let played = async move {
         let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
         let listener = TcpListener::bind((local, 0)).expect("a port is free");
@@ -102,7 +106,7 @@
             let (stream, _) = listener.accept().await.expect("a connection");
             play(stream, told, works).await;
         });
-        let link = Link::new(Rc::new(member), local, Rc::new(Quiet(own)));
+        let link = Link::new(Rc::new(member), local, Rc::new(Quiet(own, INTERVAL)));
         task::spawn("link", Rc::clone(&link).keep());
         while !link.is_open() {
             sleep(Duration::from_millis(5)).await;
@@ -117,7 +121,7 @@
         });
         sleep(time).await;
         let is_lost = futures::FutureExt::now_or_never(ended.next()) == Some(Some(true));
-        look(&link, Instant::now(), is_lost);
+        look(&link, is_lost);
         link.close();
     };
     runtime::run(played).expect("a runtime");
@@ -125,22 +129,64 @@
 
 #[test]
 fn stopped_node() {
-    after(Duration::from_millis(1300), false, |link, now, _| {
-        assert!(!link.is_serving(now), "no new requests go there");
+    after(Duration::from_millis(1300), false, |link, _| {
+        assert!(!link.is_serving(), "no new requests go there");
     });
 }
 
 #[test]
 fn lost_request() {
-    after(Duration::from_millis(3500), false, |_, _, is_lost| {
+    after(Duration::from_millis(3500), false, |_, is_lost| {
         assert!(is_lost, "its caller can be told, or it is sent elsewhere");
     });
 }
 
 #[test]
 fn slow_answer() {
-    after(Duration::from_millis(3500), true, |link, now, is_lost| {
-        assert!(link.is_serving(now), "it works on the request");
+    after(Duration::from_millis(3500), true, |link, is_lost| {
+        assert!(link.is_serving(), "it works on the request");
         assert!(!is_lost);
     });
 }
+
+/// A link that was heard a moment ago, by a clock that stood still, says nothing of the node.
+#[test]
+fn suspended_meanwhile() {
+    for time in SUSPENSIONS {
+        let played = async move {
+            let local = IpAddr::V4(Ipv4Addr::LOCALHOST);
+            let listener = TcpListener::bind((local, 0)).expect("a port is free");
+            let member = member(listener.local_addr().expect("it has one"));
+            let own = member.to_wire(Incarnation(1), State::Serving, 8);
+            let told = own.clone();
+            task::spawn("node", async move {
+                let (stream, _) = listener.accept().await.expect("a connection");
+                play(stream, told, true).await;
+            });
+            let news = Rc::new(Quiet(own, SMALL_MESH_INTERVAL));
+            let link = Link::new(Rc::new(member), local, news);
+            task::spawn("link", Rc::clone(&link).keep());
+            while !link.is_open() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            assert!(link.is_serving());
+            clock::suspend(time);
+            assert!(!link.is_serving(), "nothing is known after {time:?}");
+            link.ping();
+            sleep(Duration::from_millis(100)).await;
+            assert!(link.is_serving(), "it answered");
+            link.close();
+        };
+        runtime::run(played).expect("a runtime");
+    }
+}
+
+/// What is left of a request's time is less by a suspension.
+#[test]
+fn time_left_shrinks() {
+    let work = work();
+    clock::suspend(Duration::from_secs(4));
+    assert!(work.time_left() <= Duration::from_secs(6));
+    clock::suspend(Duration::from_secs(30));
+    assert_eq!(work.time_left(), Duration::ZERO);
+}
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -92,9 +92,8 @@
 
     /// Returns how many other nodes take requests for their upstreams.
     pub(crate) fn serving_count(&self) -> usize {
-        let now = Instant::now();
         let links = self.links.borrow();
-        links.values().filter(|link| link.is_serving(now)).count()
+        links.values().filter(|link| link.is_serving()).count()
     }
 
     /// Returns true if more of the nodes that can be reached were started at least `time` before
@@ -107,12 +106,12 @@
     }
 
     /// Returns how many nodes of a failure domain follow the store before one in this place.
-    pub(crate) fn watchers_before(&self, place: Place, domain: &DomainName, now: Instant) -> usize {
+    pub(crate) fn watchers_before(&self, place: Place, domain: &DomainName) -> usize {
         let links = self.links.borrow();
         let before = links
             .values()
             .filter(|link| link.member.domain == *domain && link.place() < place);
-        before.filter(|link| link.can_watch(now)).count()
+        before.filter(|link| link.can_watch()).count()
     }
 
     /// Asks other nodes to remember that an upstream leaves; returns true once enough do.
@@ -133,6 +132,13 @@
         lost.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Asks every node for a sign of life.
+    pub(crate) fn ping_all(&self) {
+        for link in self.links.borrow().values() {
+            link.ping();
+        }
+    }
+
     fn drop_link(&self, name: &NodeName) {
         if let Some(link) = self.links.borrow_mut().remove(name) {
             link.close();
--- a/crates/mesh/src/retry.rs
+++ b/crates/mesh/src/retry.rs
@@ -1,18 +1,19 @@
 //! How many requests may be sent once more.
 //!
 //! All nodes together share one budget for each service. Each takes a fixed
-//! part by what it sees itself, so the bound holds without agreement.
+//! part by what it sees itself, so the bound holds without agreement. The
+//! window goes on while an instance is suspended: upstreams count by it too.
 
 #[cfg(test)]
 mod tests;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use rand::Rng as _;
 use sailtrack_kernel::Service;
-use sailtrack_units::{Rank, ServiceName};
+use sailtrack_units::{Moment, Rank, ServiceName};
 
 use crate::settings::RetryBounds;
 use crate::work::Work;
@@ -46,7 +47,7 @@
 /// The requests and repeats of one slice of time.
 #[derive(Debug, Clone, Copy)]
 struct Slice {
-    began: Instant,
+    began: Moment,
     requests: u32,
     repeats: u32,
     /// Repeats that were asked for, granted or not.
@@ -76,7 +77,7 @@
     bounds: RetryBounds,
     windows: RefCell<HashMap<ServiceName, Window>>,
     /// What fractions are rounded up by, and since when.
-    draws: RefCell<HashMap<ServiceName, (Instant, f64)>>,
+    draws: RefCell<HashMap<ServiceName, (Moment, f64)>>,
     /// Whether calls of upstreams can be told from requests of clients.
     is_told: Cell<bool>,
 }
@@ -98,7 +99,7 @@
     /// Notes a request to a service; one that is made for a repeat counts as a repeat itself.
     ///
     /// The first call that could be told from a request of a client shows that calls can be.
-    pub(crate) fn note_request(&self, work: &Work, now: Instant) {
+    pub(crate) fn note_request(&self, work: &Work, now: Moment) {
         if work.begun {
             self.is_told.set(true);
         }
@@ -109,7 +110,7 @@
     }
 
     /// Takes the right to send a request once more; `nodes` share the budget.
-    pub(crate) fn take(&self, work: &Work, now: Instant, nodes: usize) -> bool {
+    pub(crate) fn take(&self, work: &Work, now: Moment, nodes: usize) -> bool {
         self.with_slice(&work.service, now, |slice| slice.wanted += 1);
         let Sums {
             requests,
@@ -139,7 +140,7 @@
     ///
     /// The requests are counted in the present window, the one before it or the one half a window
     /// before it, whichever has most: when the demand falls, its repeats are still under way.
-    fn sums(&self, service: &ServiceName, now: Instant) -> Sums {
+    fn sums(&self, service: &ServiceName, now: Moment) -> Sums {
         let mut windows = self.windows.borrow_mut();
         let Some(window) = windows.get_mut(service) else {
             return Sums::default();
@@ -163,11 +164,11 @@
     /// A node that sends a service ten requests in a window is allowed less than one repeat. All
     /// of them together are allowed some, and only the draw gives them to anybody. Drawn for each
     /// try instead, every node that tries often enough would get one.
-    fn draw(&self, service: &ServiceName, now: Instant) -> f64 {
+    fn draw(&self, service: &ServiceName, now: Moment) -> f64 {
         let mut draws = self.draws.borrow_mut();
         let length = self.bounds.window.0;
         if let Some((drawn, draw)) = draws.get(service)
-            && now.saturating_duration_since(*drawn) < length
+            && now.since(*drawn) < length
         {
             return *draw;
         }
@@ -176,7 +177,7 @@
         draw
     }
 
-    fn with_slice(&self, service: &ServiceName, now: Instant, change: impl FnOnce(&mut Slice)) {
+    fn with_slice(&self, service: &ServiceName, now: Moment, change: impl FnOnce(&mut Slice)) {
         let mut windows = self.windows.borrow_mut();
         if !windows.contains_key(service) {
             windows.insert(service.clone(), Window::default());
@@ -185,7 +186,7 @@
             return;
         };
         let length = self.bounds.window.0 / SLICES;
-        let is_over = |slice: &Slice| now.saturating_duration_since(slice.began) >= length;
+        let is_over = |slice: &Slice| now.since(slice.began) >= length;
         if window.slices.back().is_none_or(is_over) {
             window.forget_before(now, self.bounds.window.0 * 2);
             window.slices.push_back(Slice {
@@ -211,16 +212,16 @@
 
 impl Window {
     /// Returns the sum over the slices that began within `length` before the moment `ago`.
-    fn sum(&self, now: Instant, ago: Duration, length: Duration, count: fn(&Slice) -> u32) -> f64 {
+    fn sum(&self, now: Moment, ago: Duration, length: Duration, count: fn(&Slice) -> u32) -> f64 {
         let counted = self.slices.iter().filter(|slice| {
-            let age = now.saturating_duration_since(slice.began);
+            let age = now.since(slice.began);
             age >= ago && age < ago + length
         });
         f64::from(counted.map(count).sum::<u32>())
     }
 
-    fn forget_before(&mut self, now: Instant, length: Duration) {
-        let is_old = |slice: &Slice| now.saturating_duration_since(slice.began) >= length;
+    fn forget_before(&mut self, now: Moment, length: Duration) {
+        let is_old = |slice: &Slice| now.since(slice.began) >= length;
         while self.slices.front().is_some_and(is_old) {
             self.slices.pop_front();
         }
--- a/crates/mesh/src/retry/tests.rs
+++ b/crates/mesh/src/retry/tests.rs
@@ -1,11 +1,12 @@
 //! The budget under time that the test sets.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use sailtrack_quarantine::{Caller, Hasher};
-use sailtrack_units::{Period, Rank, Ratio};
+use sailtrack_units::{Moment, Period, Rank, Ratio};
 
+use crate::clock;
 use crate::key::AttemptKey;
 use crate::retry::Budget;
 use crate::settings::RetryBounds;
@@ -28,28 +29,28 @@
         rank,
         begun: false,
         repeated,
-        deadline: Instant::now(),
+        deadline: clock::now(),
         head: Bytes::new(),
         body: Bytes::new(),
     }
 }
 
 /// Takes repeats until there are none left.
-fn drain(budget: &Budget, rank: Rank, now: Instant) -> usize {
+fn drain(budget: &Budget, rank: Rank, now: Moment) -> usize {
     let work = work(rank, false);
     (0..10_000)
         .take_while(|_| budget.take(&work, now, 15))
         .count()
 }
 
-fn note(budget: &Budget, requests: usize, repeated: bool, now: Instant) {
+fn note(budget: &Budget, requests: usize, repeated: bool, now: Moment) {
     for _ in 0..requests {
         budget.note_request(&work(Rank::HIGHEST, repeated), now);
     }
 }
 
 /// Lets the budget see one call that can be told from a request of a client.
-fn tell(budget: &Budget, now: Instant) {
+fn tell(budget: &Budget, now: Moment) {
     let call = Work {
         begun: true,
         ..work(Rank::HIGHEST, false)
@@ -60,7 +61,7 @@
 #[test]
 fn within_the_ratio() {
     let budget = Budget::new(BOUNDS);
-    let now = Instant::now();
+    let now = clock::now();
     note(&budget, 1000, false, now);
     tell(&budget, now);
     let taken = drain(&budget, Rank::HIGHEST, now);
@@ -71,7 +72,7 @@
 #[test]
 fn untold_chain() {
     let budget = Budget::new(BOUNDS);
-    let now = Instant::now();
+    let now = clock::now();
     note(&budget, 1000, false, now);
     let taken = drain(&budget, Rank::HIGHEST, now);
     assert!(taken * 4 <= 204, "{taken} at each of four services");
@@ -83,7 +84,7 @@
 /// Each gets one or none; the mean of 4,000 is within 5 standard deviations of what is allowed.
 #[test]
 fn slack_is_shared() {
-    let now = Instant::now();
+    let now = clock::now();
     let taken: usize = (0..4000)
         .map(|_| {
             let taken = drain(&Budget::new(BOUNDS), Rank::HIGHEST, now);
@@ -98,7 +99,7 @@
 #[test]
 fn calls_of_repeats_count() {
     let budget = Budget::new(BOUNDS);
-    let now = Instant::now();
+    let now = clock::now();
     tell(&budget, now);
     note(&budget, 800, false, now);
     note(&budget, 200, true, now);
@@ -108,7 +109,7 @@
 #[test]
 fn important_ones_first() {
     let budget = Budget::new(BOUNDS);
-    let now = Instant::now();
+    let now = clock::now();
     tell(&budget, now);
     note(&budget, 1000, false, now);
     let normal = drain(&budget, Rank::from_index(130), now);
@@ -121,7 +122,7 @@
 #[test]
 fn few_are_for_all() {
     let budget = Budget::new(BOUNDS);
-    let start = Instant::now();
+    let start = clock::now();
     tell(&budget, start);
     let lesser = work(Rank::from_index(70), false);
     let mut granted = 0;
@@ -140,7 +141,7 @@
 fn levels_add_up() {
     for wanted_each in [1, 4, 7, 10, 20] {
         let budget = Budget::new(BOUNDS);
-        let start = Instant::now();
+        let start = clock::now();
         tell(&budget, start);
         let normal = work(Rank::from_index(127), false);
         let mut granted = 0;
@@ -164,7 +165,7 @@
 #[test]
 fn flood_leaves_room() {
     let budget = Budget::new(BOUNDS);
-    let start = Instant::now();
+    let start = clock::now();
     tell(&budget, start);
     let (lesser, critical) = (
         work(Rank::from_index(70), false),
@@ -188,7 +189,7 @@
 #[test]
 fn windows_pass() {
     let budget = Budget::new(BOUNDS);
-    let now = Instant::now();
+    let now = clock::now();
     tell(&budget, now);
     note(&budget, 1000, false, now);
     let first = drain(&budget, Rank::HIGHEST, now);
@@ -201,3 +202,15 @@
     let much_later = now + Duration::from_secs(40);
     assert!(drain(&budget, Rank::HIGHEST, much_later) < 2);
 }
+
+/// The requests of before a suspension are as old as the upstreams count them.
+#[test]
+fn window_goes_on_suspended() {
+    let budget = Budget::new(BOUNDS);
+    let before = clock::now();
+    note(&budget, 1000, false, before);
+    assert!(drain(&budget, Rank::HIGHEST, clock::now()) > 0);
+    clock::suspend(BOUNDS.window.0 * 3);
+    let after = drain(&budget, Rank::HIGHEST, clock::now());
+    assert!(after <= 1, "{after} repeats without requests");
+}
--- a/crates/mesh/src/routing/mod.rs
+++ b/crates/mesh/src/routing/mod.rs
@@ -128,7 +128,7 @@
         let links = self.peers.of_service(service);
         let usable = links
             .into_iter()
-            .filter(|link| link.is_serving(now) && !tried.contains(&link.member.name));
+            .filter(|link| link.is_serving() && !tried.contains(&link.member.name));
         let remote = usable.map(|link| {
             let is_near = link.member.domain == self.domain;
             remote(link, is_near, now)
--- a/crates/mesh/src/scrape.rs
+++ b/crates/mesh/src/scrape.rs
@@ -1,7 +1,6 @@
 //! The port on which the counters of the node are scraped, and verdicts are listed and lifted.
 
 use std::rc::Rc;
-use std::time::Instant;
 
 use http::{Method, StatusCode};
 use sailtrack_admission::Admission;
@@ -67,7 +66,7 @@
             serving: self.peers.serving_count(),
             version: self.current.version().0,
             connections: self.entry.connections.get(),
-            watching: usize::from(self.watch.is_ours(Instant::now())),
+            watching: usize::from(self.watch.is_ours()),
             foreign_rows: self.directory.foreign_row_count(),
         };
         self.metrics.text(&snapshot)
--- /dev/null
+++ b/crates/mesh/src/wake/tests.rs
@@ -0,0 +1,79 @@
+//! A suspension is noticed, and what came meanwhile is read before the node goes on.
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use sailtrack_net::runtime;
+use sailtrack_quarantine::Ran;
+use sailtrack_units::NodeName;
+use sailtrack_wire::{Evidence, Member as MemberMessage, Presence};
+
+use crate::clock::suspend;
+use crate::clock::tests::SUSPENSIONS;
+use crate::key::UpstreamKey;
+use crate::peer::{News, Peers};
+use crate::wake::{NEWS_TIME, Wake};
+
+struct Quiet;
+
+impl News for Quiet {
+    fn interval(&self) -> Duration {
+        Duration::from_millis(300)
+    }
+
+    fn hello(&self) -> MemberMessage {
+        MemberMessage::default()
+    }
+
+    fn take(&self, _from: &NodeName, _presence: &Presence) {}
+
+    fn take_evidence(&self, _evidence: &Evidence) {}
+
+    fn take_lost(&self, _upstream: &UpstreamKey, _ran: &[Ran]) {}
+}
+
+fn wake() -> Wake {
+    let peers = Peers::new(IpAddr::V4(Ipv4Addr::LOCALHOST), Rc::new(Quiet));
+    Wake::new(Rc::new(peers))
+}
+
+#[test]
+fn suspension_is_noticed() {
+    let wake = wake();
+    assert_eq!(wake.look(), None);
+    for time in SUSPENSIONS {
+        suspend(time);
+        let noticed = wake.look().expect("it was suspended");
+        assert!(
+            noticed.abs_diff(time) < Duration::from_millis(100),
+            "{noticed:?}"
+        );
+        assert_eq!(wake.look(), None, "once");
+    }
+}
+
+#[test]
+fn busy_is_no_suspension() {
+    let wake = wake();
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(wake.look(), None, "both clocks went on");
+}
+
+#[test]
+fn news_is_awaited() {
+    let wake = Rc::new(wake());
+    let waiting = Rc::clone(&wake);
+    let times = async move {
+        let before = Instant::now();
+        waiting.news().await;
+        let calm = before.elapsed();
+        suspend(Duration::from_secs(5));
+        let before = Instant::now();
+        waiting.news().await;
+        (calm, before.elapsed())
+    };
+    let (calm, woken) = runtime::run(times).expect("a runtime");
+    assert!(calm < NEWS_TIME / 2, "{calm:?}");
+    assert!(woken + Duration::from_millis(5) >= NEWS_TIME, "{woken:?}");
+}
--- a/crates/mesh/src/watch.rs
+++ b/crates/mesh/src/watch.rs
@@ -9,7 +9,6 @@
 //! that is cut off goes on by itself.
 
 use std::rc::Rc;
-use std::time::Instant;
 
 use sailtrack_kernel::Service;
 use sailtrack_units::{DomainName, NodeName};
@@ -64,7 +63,7 @@
     /// Returns true while this node follows the store.
     ///
     /// One that has lost it goes on asking, and the others do not count on it meanwhile.
-    pub(crate) fn is_ours(&self, now: Instant) -> bool {
-        self.reach.is_lost() || self.peers.watchers_before(self.place, &self.domain, now) < WATCHERS
+    pub(crate) fn is_ours(&self) -> bool {
+        self.reach.is_lost() || self.peers.watchers_before(self.place, &self.domain) < WATCHERS
     }
 }
--- a/crates/mesh/src/work.rs
+++ b/crates/mesh/src/work.rs
@@ -1,14 +1,15 @@
 //! A request on its way to an upstream, and what became of it.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use sailtrack_admission::Pressure;
 use sailtrack_quarantine::Identity;
-use sailtrack_units::{KindName, Rank, ServiceName};
+use sailtrack_units::{KindName, Moment, Rank, ServiceName};
 use sailtrack_wire::{Outcome, Reason};
 
 use crate::body::Body;
+use crate::clock;
 use crate::key::AttemptKey;
 
 /// A request for one upstream.
@@ -29,7 +30,7 @@
     pub(crate) begun: bool,
     /// It, or the request that it is made for, was sent to another upstream before.
     pub(crate) repeated: bool,
-    pub(crate) deadline: Instant,
+    pub(crate) deadline: Moment,
     /// The request line and the fields to be passed on.
     pub(crate) head: Bytes,
     pub(crate) body: Bytes,
@@ -38,7 +39,7 @@
 impl Work {
     /// Returns the time left until the deadline.
     pub(crate) fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline.since(clock::now())
     }
 }
 
