What ended well lately needs two more crashes before it is held back

Holding back what many callers make costs them all. A request that came in at several places at once and ended four upstreams is held back at its first failed trial (many_at_once).

--- a/crates/mesh/src/contexts.rs
+++ b/crates/mesh/src/contexts.rs
@@ -110,6 +110,7 @@
         Ran {
             identity: self.identity,
             known: self.known_crashes,
+            is_familiar: false,
         }
     }
 
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -378,6 +378,9 @@
             Ok(Err(error)) => self.take_error(work, upstream, &error).await,
             Err(_) => Returned::unknown(Reason::Deadline),
         };
+        if returned.outcome == Outcome::Done {
+            self.quarantine.note_answered(&work.identity);
+        }
         Returned {
             path_pressure: entry.context.pressure.get(),
             failed_below: entry.context.failed_below.get(),
--- a/crates/mesh/src/peer/link/mod.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -171,6 +171,7 @@
         let ran = Ran {
             identity: work.identity,
             known: work.known_crashes,
+            is_familiar: false,
         };
         let (exchange, receiver) = self.begin_reply(Some(ran));
         let guard = CancelGuard {
--- a/crates/mesh/src/quarantine.rs
+++ b/crates/mesh/src/quarantine.rs
@@ -61,7 +61,14 @@
     pub(crate) fn note_crash(&self, upstream: &UpstreamKey, ran: &[Rc<Context>]) {
         self.events.note_crash(upstream, ran);
         self.metrics.note_crash();
-        let mut ran: Vec<Ran> = ran.iter().map(|one| one.ran()).collect();
+        let now = clock::now();
+        let ledger = self.ledger.borrow();
+        let ran = ran.iter().map(|one| Ran {
+            is_familiar: ledger.is_familiar(&one.identity, now),
+            ..one.ran()
+        });
+        let mut ran: Vec<Ran> = ran.collect();
+        drop(ledger);
         ran.sort_by_key(|one| std::cmp::Reverse(one.known));
         let is_whole = ran.len() <= MOST_REPORTED;
         ran.truncate(MOST_REPORTED);
@@ -80,18 +87,22 @@
 
     /// Takes in that a request was answered to its end.
     pub(crate) fn note_good_end(&self, identity: &Identity) {
-        let mut ledger = self.ledger.borrow_mut();
-        if ledger.is_empty() {
-            return;
-        }
-        let before = ledger.note_good_end(identity, clock::now());
-        drop(ledger);
+        let before = self
+            .ledger
+            .borrow_mut()
+            .note_good_end(identity, clock::now());
         if before.is_grave() {
             self.events.note_cleared(identity, &"it ended well");
             self.status.tell(&Body::Evidence(wire::cleared(identity)));
         }
     }
 
+    /// Takes in that the own upstream answered a request.
+    pub(crate) fn note_answered(&self, identity: &Identity) {
+        let mut ledger = self.ledger.borrow_mut();
+        ledger.note_familiar(identity, clock::now());
+    }
+
     /// Clears a request on an operator's word; returns true if something was held against it.
     pub(crate) fn lift(&self, identity: &Identity) -> bool {
         let was_known = self.ledger.borrow_mut().clear(identity, clock::now());
--- a/crates/mesh/src/quarantine/wire.rs
+++ b/crates/mesh/src/quarantine/wire.rs
@@ -20,6 +20,7 @@
     let ran = ran.iter().map(|one| RanMessage {
         identity: bytes(&one.identity),
         known: u32::from(one.known),
+        familiar: one.is_familiar,
     });
     Evidence {
         upstream: upstream.to_string(),
@@ -45,6 +46,7 @@
         age_ms: millis(record.age),
         left_ms: millis(record.left),
         failed: u32::from(record.failed),
+        familiar: record.is_familiar,
     });
     Evidence {
         held: held.collect(),
@@ -58,6 +60,7 @@
         Some(Ran {
             identity: Identity::from_bytes(&one.identity)?,
             known: small(one.known),
+            is_familiar: one.familiar,
         })
     });
     let crash = (!evidence.upstream.is_empty()).then(|| ToldCrash {
@@ -74,6 +77,7 @@
             age: Duration::from_millis(held.age_ms),
             left: Duration::from_millis(held.left_ms),
             failed: small(held.failed),
+            is_familiar: held.familiar,
         })
     });
     (crash, cleared.collect(), held.collect())
--- a/crates/model/src/crashes.rs
+++ b/crates/model/src/crashes.rs
@@ -220,6 +220,7 @@
             ran: Ran {
                 identity: request.identity,
                 known: standing.known(),
+                is_familiar: false,
             },
             on_trial: standing.is_on_trial(),
         };
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -1,7 +1,7 @@
 //! What is held against requests that ran when upstreams ended.
 //!
 //! Whatever ran when an upstream ended may have ended it, most of it did not.
-//! So evidence is weighed by three things:
+//! So evidence is weighed by four things:
 //!
 //! - **Generations.** A crash counts as a further one only if the request was
 //!   sent by somebody who knew of the crashes before it. A failure domain that
@@ -11,8 +11,9 @@
 //!   that ends whatever runs it never does.
 //! - **Trials.** A request that was there twice runs one at a time, beside no
 //!   other one on trial, at the upstream that all nodes prefer for it. Only a
-//!   crash under a trial puts it into quarantine, and only the second one if
-//!   another suspect ran there.
+//!   crash under a trial puts it into quarantine: the second one if another
+//!   suspect ran there, the first one if four upstreams had ended under it.
+//! - **Familiarity.** What ended well lately needs two more crashes.
 //!
 //! In the load model, with 100 requests in each of 20 upstreams: of 44,103
 //! requests without fault that ran when upstreams crashed once a second, 1 was
@@ -28,6 +29,7 @@
 
 use sailtrack_units::Moment;
 
+use crate::familiar::Familiar;
 use crate::identity::{Caller, Identity};
 use crate::standing::Standing;
 pub(crate) use entry::{Beside, Entry, life_number};
@@ -54,6 +56,8 @@
     pub identity: Identity,
     /// The generation of crashes that was known when it was sent.
     pub known: u8,
+    /// It ended well lately where the upstream crashed.
+    pub is_familiar: bool,
 }
 
 /// The end of a life of an upstream.
@@ -73,6 +77,7 @@
     entries: HashMap<Identity, Entry>,
     of_caller: HashMap<Caller, usize>,
     cleared: VecDeque<(Identity, Moment)>,
+    familiar: Familiar,
 }
 
 impl Ledger {
@@ -115,10 +120,12 @@
                 had_suspects: suspects > usize::from(ran.known > 0),
             };
             self.make_room(ran.identity, now);
+            let is_familiar = ran.is_familiar || self.is_familiar(&ran.identity, now);
             let entry = self.entries.entry(ran.identity).or_insert_with(|| {
                 *self.of_caller.entry(ran.identity.caller()).or_default() += 1;
                 Entry::new(now)
             });
+            entry.note_familiar(is_familiar);
             if entry.note_crash(life, ran.known, beside, now) {
                 verdicts.push(ran.identity);
             }
@@ -126,8 +133,23 @@
         verdicts
     }
 
+    /// Returns true if a request ended well lately, as far as is known here.
+    #[must_use]
+    pub fn is_familiar(&self, identity: &Identity, now: Moment) -> bool {
+        self.familiar.contains(identity, now)
+    }
+
+    /// Takes in that a request ended well here, without clearing it.
+    pub fn note_familiar(&mut self, identity: &Identity, now: Moment) {
+        self.familiar.note(identity, now);
+    }
+
     /// Takes in that a request ended well; returns what was held against it.
     pub fn note_good_end(&mut self, identity: &Identity, now: Moment) -> Standing {
+        self.familiar.note(identity, now);
+        if self.entries.is_empty() {
+            return Standing::Clear;
+        }
         let before = self.standing(identity, now);
         self.forget(identity);
         before
--- a/crates/quarantine/src/ledger/entry.rs
+++ b/crates/quarantine/src/ledger/entry.rs
@@ -17,6 +17,14 @@
 /// So many upstreams that ended under it put it on trial in the first generation too: callers may
 /// send one request to several upstreams at the same moment.
 const TRIAL_LIVES: usize = 3;
+/// So many upstreams that ended under it suffice with a crash under a trial. Where a request came
+/// in at several places at once and ended all upstreams, their return would be ended three times
+/// more before the generations tell.
+const PROOF_LIVES: usize = 4;
+/// How many more crashes that follow each other it takes if the request ended well lately: many
+/// callers may make it. Killing all upstreams twice, 0.6 s apart, put such a request into
+/// quarantine in one of three runs without this.
+const FAMILIAR_GENERATIONS: u8 = 2;
 /// How long the quarantine of a request lasts, each time a trial fails. Upstreams are mended and
 /// replaced within minutes or hours; three more crashes in seven hours are what it costs to find
 /// out, and one a day after that.
@@ -58,6 +66,8 @@
     lives_known: usize,
     /// It was on trial at some time, or nothing ran beside it when an upstream ended.
     on_trial: bool,
+    /// It ended well lately before an upstream ended under it.
+    is_familiar: bool,
     last_crash: Moment,
     sentence: Option<Sentence>,
 }
@@ -69,6 +79,7 @@
             lives: [0; TRIAL_LIVES],
             lives_known: 0,
             on_trial: false,
+            is_familiar: false,
             last_crash: crashed,
             sentence: None,
         }
@@ -91,7 +102,10 @@
     /// Takes in a crash; returns true if the request is in quarantine by it.
     pub(crate) fn note_crash(&mut self, life: u64, known: u8, beside: Beside, now: Moment) -> bool {
         if self.standing(now) == Standing::Clear {
-            *self = Self::new(now);
+            *self = Self {
+                is_familiar: self.is_familiar,
+                ..Self::new(now)
+            };
         }
         let is_new = self.note_life(life);
         let generation = known.saturating_add(1);
@@ -105,14 +119,30 @@
         if was_in_quarantine || !(is_further || is_new) {
             return false;
         }
-        let needed = QUARANTINE_GENERATION + u8::from(beside.had_suspects);
-        if self.generation < needed {
+        if !self.is_proved(beside) {
             return false;
         }
         self.sentence_again(now);
         true
     }
 
+    /// Notes whether it ended well lately.
+    pub(crate) fn note_familiar(&mut self, is_familiar: bool) {
+        self.is_familiar |= is_familiar;
+    }
+
+    /// Returns true if what is known suffices for quarantine.
+    fn is_proved(&self, beside: Beside) -> bool {
+        let extra = if self.is_familiar {
+            FAMILIAR_GENERATIONS
+        } else {
+            0
+        };
+        let needed = QUARANTINE_GENERATION + u8::from(beside.had_suspects) + extra;
+        let ended_many = self.lives_known >= PROOF_LIVES && !self.is_familiar;
+        self.generation >= needed || (self.generation >= TRIAL_GENERATION && ended_many)
+    }
+
     fn note_life(&mut self, life: u64) -> bool {
         if self.lives[..self.lives_known.min(TRIAL_LIVES)].contains(&life) {
             return false;
@@ -136,6 +166,7 @@
         self.generation = self.generation.max(record.generation);
         self.last_crash = self.last_crash.max(now.before(record.age));
         self.on_trial = true;
+        self.is_familiar |= record.is_familiar;
         if record.failed == 0 {
             return;
         }
@@ -159,6 +190,7 @@
                 .sentence
                 .map_or(Duration::ZERO, |sentence| sentence.until.since(now)),
             failed: self.sentence.map_or(0, |sentence| sentence.failed),
+            is_familiar: self.is_familiar,
         }
     }
 
--- a/crates/quarantine/src/ledger/record.rs
+++ b/crates/quarantine/src/ledger/record.rs
@@ -17,4 +17,6 @@
     pub left: Duration,
     /// How often it was put into quarantine.
     pub failed: u8,
+    /// It ended well lately before an upstream ended under it.
+    pub is_familiar: bool,
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Nothing here knows of networks or reads a clock.
 
+mod familiar;
 mod identity;
 mod ledger;
 mod standing;
--- a/crates/quarantine/tests/verdicts.rs
+++ b/crates/quarantine/tests/verdicts.rs
@@ -22,7 +22,11 @@
 
 fn ran(name: &str, known: u8) -> Ran {
     let identity = identity(name);
-    Ran { identity, known }
+    Ran {
+        identity,
+        known,
+        is_familiar: false,
+    }
 }
 
 fn crash(ledger: &mut Ledger, life: &str, ran: &[Ran], now: Moment) -> Vec<Identity> {
@@ -68,6 +72,12 @@
     }
     let standing = ledger.standing(&identity("popular"), START);
     assert_eq!(standing, Standing::OnTrial { known: 1 }, "one at a time");
+    let verdicts = crash(&mut ledger, "f", &[ran("popular", 1), ran("e", 1)], START);
+    assert_eq!(
+        verdicts,
+        [identity("popular")],
+        "its trial ended one as well"
+    );
 }
 
 /// Several nodes tell of the same life.
@@ -202,7 +212,13 @@
     let mut ledger = convicted();
     for number in 0..4000 {
         let identity = of_caller(&format!("made up {number}"), "maker");
-        let made = [Ran { identity, known: 0 }, ran("beside", 0)];
+        let made = [
+            Ran {
+                identity,
+                ..ran("", 0)
+            },
+            ran("beside", 0),
+        ];
         crash(&mut ledger, &format!("life {number}"), &made, START);
     }
     assert!(ledger.len() < 2048 + 10, "{}", ledger.len());
@@ -211,9 +227,46 @@
         for number in 0..2100 {
             let name = format!("{caller} {number}");
             let identity = of_caller(&name, &format!("maker {caller}"));
-            crash(&mut ledger, &name, &[Ran { identity, known: 0 }], START);
+            crash(
+                &mut ledger,
+                &name,
+                &[Ran {
+                    identity,
+                    ..ran("", 0)
+                }],
+                START,
+            );
         }
     }
     assert!(ledger.len() <= 8192, "{}", ledger.len());
     assert!(ledger.standing(&identity("bad"), START).is_quarantined());
 }
+
+/// What ended well lately needs two more crashes: many callers may make it.
+#[test]
+fn familiar() {
+    let mut ledger = Ledger::default();
+    let popular = identity("popular");
+    ledger.note_good_end(&popular, START);
+    for (number, life) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        let known = u8::try_from(number).expect("it is small");
+        let verdicts = crash(&mut ledger, life, &[ran("popular", known)], START);
+        assert!(verdicts.is_empty(), "{life}");
+    }
+    let verdicts = crash(&mut ledger, "e", &[ran("popular", 4)], START);
+    assert_eq!(verdicts, [popular]);
+}
+
+/// A request that has not come for a minute is as good as new.
+#[test]
+fn no_more_familiar() {
+    let mut ledger = Ledger::default();
+    let once = identity("once");
+    ledger.note_good_end(&once, START);
+    let later = START + Duration::from_mins(2);
+    for (number, life) in ["a", "b", "c"].into_iter().enumerate() {
+        let known = u8::try_from(number).expect("it is small");
+        crash(&mut ledger, life, &[ran("once", known)], later);
+    }
+    assert!(ledger.standing(&once, later).is_quarantined());
+}
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -295,6 +295,9 @@
     /// How many crashes that followed each other under it were known when it was sent.
     #[prost(uint32, tag = "2")]
     pub known: u32,
+    /// It ended well lately there.
+    #[prost(bool, tag = "3")]
+    pub familiar: bool,
 }
 /// What a node holds against a request.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -312,6 +315,9 @@
     /// How often it was put into quarantine.
     #[prost(uint32, tag = "5")]
     pub failed: u32,
+    /// It ended well lately before an upstream ended under it.
+    #[prost(bool, tag = "6")]
+    pub familiar: bool,
 }
 /// What the sender knows of requests that may end upstreams.
 #[derive(Clone, PartialEq, ::prost::Message)]
