--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -8,6 +8,9 @@
 };
 use crate::explain::trail::Trail;
 
+/// Stands for a node that no log names.
+const NOBODY: &str = "a node whose log is not here";
+
 /// Why a request ended as it did.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Serialize)]
 #[serde(rename_all = "snake_case", tag = "name")]
@@ -24,6 +27,10 @@
     TurnedAway { node: String, tries: String },
     /// it has not run: {node} was stopping
     Stopping { node: String },
+    /// it has not run: {crashes} upstreams ended under this request, the last one beside {last}, so it is sent to none any more; GET /quarantine on a metrics port lists it
+    HeldBack { crashes: usize, last: String },
+    /// it has not run: upstreams had ended under this request, and another attempt of it was on trial beside {node}
+    OnTrial { node: String },
     /// it has not run: {reason}
     NotRun { reason: String },
     /// the time was over, {after} after it came in; {node} had it then{detail}
@@ -84,9 +91,11 @@
             | Self::AnswerLost { node, .. }
             | Self::ConnectionLost { node, .. }
             | Self::LostSomewhere { node }
+            | Self::OnTrial { node }
             | Self::UpstreamFailed { node, .. }
             | Self::CallUntold { node, .. }
             | Self::CallFailed { node, .. } => Some(node).filter(|node| *node != "none"),
+            Self::HeldBack { last, .. } => Some(last).filter(|node| *node != NOBODY),
             Self::Untold { .. } | Self::NoUpstream { .. } | Self::NotRun { .. } => None,
         }
     }
@@ -100,6 +109,8 @@
             Self::NoUpstream { .. } => "no_upstream",
             Self::TurnedAway { .. } => "turned_away",
             Self::Stopping { .. } => "stopping",
+            Self::HeldBack { .. } => "held_back",
+            Self::OnTrial { .. } => "on_trial",
             Self::NotRun { .. } => "not_run",
             Self::Late { .. } => "late",
             Self::AnswerLost { .. } => "answer_lost",
@@ -142,6 +153,14 @@
                 node: end.node.clone(),
             },
             "REASON_DRAINING" => Self::Stopping { node },
+            "REASON_QUARANTINED" => Self::HeldBack {
+                crashes: trail.crashes.len(),
+                last: trail
+                    .crashes
+                    .last()
+                    .map_or_else(|| NOBODY.to_owned(), |line| line.node.clone()),
+            },
+            "REASON_ON_TRIAL" => Self::OnTrial { node },
             reason => Self::NotRun {
                 reason: reason.to_owned(),
             },
--- a/crates/cli/src/explain/line.rs
+++ b/crates/cli/src/explain/line.rs
@@ -26,6 +26,10 @@
 pub(super) const FAILED: u32 = catalogue::REQUEST_FAILED.number;
 /// The event of an answer that was lost beside the upstream.
 pub(super) const ANSWER_LOST: u32 = catalogue::ANSWER_LOST.number;
+/// The event of an upstream that ended without having announced it.
+pub(super) const CRASHED: u32 = catalogue::UPSTREAM_CRASHED.number;
+/// The event of an attempt that was refused since upstreams ended under its request.
+pub(super) const HELD_BACK: u32 = catalogue::REQUEST_HELD_BACK.number;
 /// The event of an answer that is a failure of the upstream's own.
 pub(super) const ANSWERED_BADLY: u32 = catalogue::REQUEST_ANSWERED_BADLY.number;
 /// The event that says how many others were left out.
@@ -34,11 +38,12 @@
 pub(super) const LINES_LEFT_OUT: u32 = catalogue::LINES_LEFT_OUT.number;
 
 /// What changes the state of a node or of something that it depends on.
-const STATE_EVENTS: [u32; 13] = [
+const STATE_EVENTS: [u32; 14] = [
     STARTED,
     STOPPING,
     catalogue::PROCESS_STOPPED.number,
     catalogue::TASK_PANICKED.number,
+    catalogue::INSTANCE_SUSPENDED.number,
     catalogue::CONFIG_REFUSED.number,
     catalogue::PLATFORM_LOST.number,
     catalogue::PLATFORM_FOUND.number,
@@ -114,6 +119,13 @@
         matches!(self.event, STARTED | STOPPING | GONE | RETIRED)
     }
 
+    /// Returns true if it tells that an upstream crashed under this request, named by its identity.
+    pub(super) fn is_crash_under(&self, identity: &str) -> bool {
+        let mut named = self.field("ran").split(' ');
+        let is_it = |digits: &str| !digits.is_empty() && identity.starts_with(digits);
+        self.event == CRASHED && named.any(|one| is_it(one.split(':').next().unwrap_or_default()))
+    }
+
     /// Returns true if it says that other lines were left out.
     pub(super) fn is_gap(&self) -> bool {
         matches!(self.event, LEFT_OUT | LINES_LEFT_OUT)
--- a/crates/cli/src/explain/mod.rs
+++ b/crates/cli/src/explain/mod.rs
@@ -106,6 +106,7 @@
         "sentence": cause.to_string(),
         "lines": trail.lines,
         "around": trail.around,
+        "crashes": trail.crashes,
         "gaps": trail.gaps,
     })
 }
@@ -120,6 +121,12 @@
             print_line(line);
         }
     }
+    if !trail.crashes.is_empty() {
+        println!("upstreams that ended under it:");
+        for line in &trail.crashes {
+            print_line(line);
+        }
+    }
     print_gaps(&trail.gaps);
     println!("cause: {cause}");
 }
--- a/crates/cli/src/explain/trail.rs
+++ b/crates/cli/src/explain/trail.rs
@@ -7,7 +7,7 @@
 use jiff::Timestamp;
 use serde::Serialize;
 
-use crate::explain::line::Line;
+use crate::explain::line::{CRASHED, HELD_BACK, Line};
 
 /// How long before and after a request the state of nodes is looked at.
 pub(super) const AROUND: Duration = Duration::from_secs(2);
@@ -19,6 +19,8 @@
     pub(super) lines: Vec<Line>,
     /// What changed on nodes around it.
     pub(super) around: Vec<Line>,
+    /// The crashes of upstreams under it, at any time.
+    pub(super) crashes: Vec<Line>,
     /// What was left out by nodes around it.
     pub(super) gaps: Vec<Line>,
 }
@@ -39,6 +41,8 @@
             };
             if line.is_about(request) {
                 self.lines.push(line);
+            } else if line.event == CRASHED {
+                self.crashes.push(line);
             } else if line.is_gap() {
                 self.gaps.push(line);
             } else if line.is_state() {
@@ -62,11 +66,23 @@
             .retain(|line| is_near(line) && (line.is_loss() || nodes.contains(&line.node)));
         self.gaps
             .retain(|line| is_near(line) && nodes.contains(&line.node));
-        for lines in [&mut self.around, &mut self.gaps] {
+        let identity = self.identity().map(str::to_owned);
+        self.crashes.retain(|line| {
+            let identity = identity.as_deref();
+            identity.is_some_and(|identity| line.is_crash_under(identity))
+        });
+        for lines in [&mut self.around, &mut self.gaps, &mut self.crashes] {
             lines.sort_by(|one, other| one.time.cmp(&other.time));
         }
     }
 
+    /// Returns what stands for the request in the lines about crashes, if it was held back.
+    pub(super) fn identity(&self) -> Option<&str> {
+        let mut lines = self.lines.iter();
+        let held_back = lines.find(|line| line.event == HELD_BACK);
+        held_back.map(|line| line.field("identity"))
+    }
+
     /// Returns the nodes that wrote about the request or are named as having had it.
     fn nodes(&self) -> BTreeSet<String> {
         let wrote = self.lines.iter().map(|line| line.node.clone());
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -67,6 +67,49 @@
     );
 }
 
+/// From one refused attempt to the crashes that are its reason, minutes before on other nodes.
+#[test]
+fn held_back() {
+    let identity = "0f3a9c11d2e4b5a60718293a4b5c6d7e";
+    let crash = |node: &str, millis: u32, upstream: &str, ran: &str| {
+        let fields = json!({"upstream": upstream, "requests": "2", "ran": ran});
+        line(node, millis, 420, "upstream crashed", &fields)
+    };
+    let logs = crash(
+        "pay-1",
+        1000,
+        "i-1",
+        "0f3a9c11d2e4:lookup aaaaaaaaaaaa:lookup",
+    ) + &crash(
+        "pay-2",
+        1100,
+        "i-2",
+        "bbbbbbbbbbbb:lookup 0f3a9c11d2e4:lookup",
+    ) + &crash("pay-9", 1200, "i-9", "cccccccccccc:lookup")
+        + &crash("pay-3", 2000, "i-3", "0f3a9c11d2e4:lookup")
+        + &line(
+            "desk-1",
+            4999,
+            422,
+            "request held back",
+            &json!({"request": "a1", "identity": identity}),
+        )
+        + &refused("REASON_QUARANTINED", &json!({"node": "none"}));
+    assert_cause(&logs, &["has not run", "3 upstreams ended", "beside pay-3"]);
+    let output = explain(&["a1"], &logs);
+    let text = String::from_utf8(output.stdout).expect("it is text");
+    for upstream in ["i-1", "i-2", "i-3"] {
+        assert!(text.contains(&format!("upstream={upstream}")), "{text}");
+    }
+    assert!(!text.contains("i-9"), "another request ended that one");
+}
+
+#[test]
+fn on_trial() {
+    let logs = refused("REASON_ON_TRIAL", &json!({"node": "pay-1"}));
+    assert_cause(&logs, &["has not run", "on trial beside pay-1"]);
+}
+
 #[test]
 fn too_late() {
     let logs = line(
--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -91,7 +91,7 @@
     REQUEST_HELD_BACK = 422 Info "request held back" ["request", "identity"];
     /// Nothing is held against a request any more that was on trial or in quarantine.
     QUARANTINE_ENDED = 423 Info "quarantine ended" ["identity", "reason"];
-    /// So many nodes could not be told of a crash or a verdict, since their connections were full. They hear of it when they connect again.
+    /// So many nodes could not be told of a crash or a verdict, since their connections were full. They hear of a verdict when they connect again.
     NODES_NOT_TOLD = 424 Warn "nodes not told" ["nodes"];
     /// The limit of the own upstream changed by a quarter or more.
     LIMIT_CHANGED = 500 Info "concurrency limit changed" ["limit", "reason"];
--- a/crates/mesh/src/announcement/mod.rs
+++ b/crates/mesh/src/announcement/mod.rs
@@ -37,8 +37,8 @@
 /// How often the word of other nodes is looked for while the store does not answer.
 const LOOK: Duration = Duration::from_millis(50);
 /// How long after its start a node waits for news before its upstream gets requests: others connect
-/// within some 50 ms of reading its row. Without it a node that was started anew brought a request
-/// to its upstream that all others hold back.
+/// within some 50 ms of reading its row. Its upstream is not to get a request that all others hold
+/// back.
 const NEWS_TIME: Duration = Duration::from_millis(300);
 /// How often a connection is looked for meanwhile.
 const NEWS_LOOK: Duration = Duration::from_millis(5);
--- a/crates/mesh/src/quarantine.rs
+++ b/crates/mesh/src/quarantine.rs
@@ -22,7 +22,7 @@
 use crate::status::Status;
 
 /// The most requests that a node tells others of after one crash, those first that were there
-/// before. With as many in each of 60 crashes a minute a node among any number gets 7 KB/s.
+/// before: 26 bytes each, so 7 KB to each node, at any number of nodes.
 const MOST_REPORTED: usize = 256;
 
 /// What this node holds against requests under which upstreams ended.
