--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -93,6 +93,18 @@
     QUARANTINE_ENDED = 423 Info "quarantine ended" ["identity", "reason"];
     /// So many nodes could not be told of a crash or a verdict, since their connections were full. They hear of a verdict when they connect again.
     NODES_NOT_TOLD = 424 Warn "nodes not told" ["nodes"];
+    /// A request was not let in, since it has no key of a workspace, more than one, or one that no workspace has in this version.
+    KEY_REFUSED = 430 Info "key refused" ["request", "kind", "reason", "version"];
+    /// What is known of the configuration is too old for requests with keys, which are refused from now on. The age is -1 if it is not known.
+    KEYS_OUTDATED = 431 Warn "keys outdated" ["age_ms"];
+    /// Requests with keys are let in again.
+    KEYS_CURRENT = 432 Info "keys current" ["age_ms"];
+    /// A workspace asks more than it may; the event is written every 5 s at most.
+    WORKSPACE_OVER_LIMIT = 440 Info "workspace over its limit" ["workspace", "rate", "version"];
+    /// This node keeps the tokens of its failure domain from now on.
+    QUOTA_KEEPER_BEGAN = 441 Info "keeps the tokens of its failure domain" ["term"];
+    /// This node no longer keeps them.
+    QUOTA_KEEPER_ENDED = 442 Info "keeps no tokens any more" ["term"];
     /// The limit of the own upstream changed by a quarter or more.
     LIMIT_CHANGED = 500 Info "concurrency limit changed" ["limit", "reason"];
     /// Requests are being shed.
--- a/crates/mesh/src/announcement/mod.rs
+++ b/crates/mesh/src/announcement/mod.rs
@@ -268,7 +268,7 @@
     async fn has_left(&self, upstream: &UpstreamKey) -> bool {
         let row = self.store.row(Table::Retired, upstream.id());
         let reason = match timeout(LOOKUP_TIME, row).await {
-            Ok(Ok(row)) => match row.as_ref().map(retired_life) {
+            Ok(Ok(reading)) => match reading.row.as_ref().map(retired_life) {
                 None => return self.retired.contains(upstream),
                 Some(Ok(life)) => return self.has_left_with(upstream, life),
                 // Somebody else wrote it, and it names nobody.
--- a/crates/mesh/src/configuration/mod.rs
+++ b/crates/mesh/src/configuration/mod.rs
@@ -4,6 +4,7 @@
 mod fetch;
 mod route;
 mod split;
+mod workspace;
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -15,6 +16,7 @@
 pub(crate) use fetch::{Fetch, Holder};
 pub use route::{Route, RouteBuilder, Share};
 pub(crate) use split::Splitter;
+pub use workspace::{Credential, Workspace, WorkspaceError, Workspaces};
 
 /// The bounds on what a client may send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,6 +47,8 @@
     pub version: ConfigVersion,
     /// The bounds on what a client may send.
     pub limits: ClientLimits,
+    /// The workspaces with their keys. Without any, requests need no key.
+    pub workspaces: Option<Workspaces>,
     hosts: HashMap<String, HashMap<String, Rc<Route>>>,
     services: HashMap<ServiceName, ServiceRules>,
 }
@@ -56,6 +60,7 @@
         Self {
             version,
             limits,
+            workspaces: None,
             hosts: HashMap::new(),
             services: HashMap::new(),
         }
--- a/crates/mesh/src/configuration/route.rs
+++ b/crates/mesh/src/configuration/route.rs
@@ -26,6 +26,8 @@
     pub name: KindName,
     /// What the paths of its requests begin with; begins and ends with a slash.
     pub prefix: String,
+    /// Whether its requests need no key of a workspace.
+    pub is_public: bool,
     /// Whether its requests may run again.
     pub repeat: Repeat,
     /// How much its requests matter.
@@ -45,6 +47,7 @@
         RouteBuilder(Self {
             name,
             prefix: prefix.into(),
+            is_public: false,
             repeat: Repeat::Never,
             importance: Importance::Normal,
             timeout: DEFAULT_TIMEOUT,
@@ -65,6 +68,13 @@
 pub struct RouteBuilder(Route);
 
 impl RouteBuilder {
+    /// Lets requests in without the key of a workspace.
+    #[must_use]
+    pub fn public(mut self, is_public: bool) -> Self {
+        self.0.is_public = is_public;
+        self
+    }
+
     /// Sets whether requests may run again.
     #[must_use]
     pub fn repeat(mut self, repeat: Repeat) -> Self {
--- a/crates/mesh/src/contexts.rs
+++ b/crates/mesh/src/contexts.rs
@@ -3,7 +3,10 @@
 //! The calls that an upstream makes carry nothing that surely names the
 //! request that they are made for. Where the id of a call begins with the id
 //! of a request that runs here at this moment, it is taken for a call of that
-//! request; nothing but importance and pressure depends on it.
+//! request. Importance and pressure depend on it, and on a route that wants a
+//! key, whether it is let in: there it counts as one more request of the
+//! workspace, so that a caller who makes up such an id for a request of its
+//! own gains nothing that its key would not give.
 
 #[cfg(test)]
 mod tests;
@@ -15,7 +18,7 @@
 use sailtrack_admission::Pressure;
 use sailtrack_kernel::Service;
 use sailtrack_quarantine::{Identity, Ran};
-use sailtrack_units::{KindName, Rank};
+use sailtrack_units::{KindName, Rank, WorkspaceName};
 
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::work::{Returned, Work};
@@ -33,6 +36,8 @@
     /// The life of the upstream that runs it.
     upstream: UpstreamKey,
     pub(crate) rank: Rank,
+    /// On whose behalf it is made.
+    pub(crate) workspace: Option<WorkspaceName>,
     /// Whether it was sent to another upstream before.
     pub(crate) repeated: bool,
     /// The greatest pressure that a call made for it met.
@@ -62,6 +67,7 @@
             kind: work.kind.clone(),
             upstream: upstream.clone(),
             rank: work.rank,
+            workspace: work.workspace.clone(),
             repeated: work.repeated,
             pressure: Cell::default(),
             failed_below: Cell::new(false),
--- a/crates/mesh/src/contexts/tests.rs
+++ b/crates/mesh/src/contexts/tests.rs
@@ -15,6 +15,7 @@
 
 fn work(id: &str) -> Work {
     Work {
+        workspace: None,
         attempt: AttemptKey::from(id),
         identity: Hasher::new(&[b"/"], Caller::default()).finish(),
         known_crashes: 0,
--- a/crates/mesh/src/dialect.rs
+++ b/crates/mesh/src/dialect.rs
@@ -23,6 +23,10 @@
     pub expected_upstream: &'static str,
     /// The service of the instance where the request began.
     pub caller: &'static str,
+    /// The key of a client's workspace, on requests of clients only.
+    pub credential: &'static str,
+    /// The name of the workspace on whose behalf a request is made, on requests to upstreams only.
+    pub workspace: &'static str,
     /// Present on answers of an upstream that did not run the request.
     pub not_run: &'static str,
     /// Present on answers that an upstream made.
--- a/crates/mesh/src/entry/answer.rs
+++ b/crates/mesh/src/entry/answer.rs
@@ -17,6 +17,10 @@
 pub(super) enum Refusal {
     /// the request is malformed, or its end can be read in two ways
     Malformed,
+    /// the request needs a key of a workspace, and has none or one that no workspace has
+    NoKey,
+    /// the workspace asks more than it may, come back later
+    OverQuota,
     /// no route leads to this host and path
     NoRoute,
     /// the head did not come in time
@@ -41,6 +45,7 @@
         match (returned.outcome, returned.reason) {
             (Outcome::Done, _) => None,
             (Outcome::NotRun, Reason::Quarantined) => Some(Self::Harmful),
+            (Outcome::NotRun, Reason::OverQuota) => Some(Self::OverQuota),
             (Outcome::NotRun, _) => Some(Self::NotRun),
             (Outcome::Unknown, Reason::Deadline) => Some(Self::Late),
             (Outcome::Unknown, _) => Some(Self::Lost),
@@ -52,9 +57,11 @@
         match self {
             // Callers repeat what promises that nothing ran, and this must not come again.
             Self::Malformed | Self::Harmful => 400,
+            Self::NoKey => 401,
             Self::NoRoute => 404,
             Self::TooSlow => 408,
             Self::BodyTooLarge => 413,
+            Self::OverQuota => 429,
             Self::HeadTooLarge => 431,
             Self::Lost => 502,
             Self::NotRun => 503,
@@ -65,9 +72,11 @@
     fn phrase(self) -> &'static str {
         match self {
             Self::Malformed | Self::Harmful => "Bad Request",
+            Self::NoKey => "Unauthorized",
             Self::NoRoute => "Not Found",
             Self::TooSlow => "Request Timeout",
             Self::BodyTooLarge => "Content Too Large",
+            Self::OverQuota => "Too Many Requests",
             Self::HeadTooLarge => "Request Header Fields Too Large",
             Self::Lost => "Bad Gateway",
             Self::NotRun => "Service Unavailable",
@@ -132,7 +141,8 @@
         return pass_on(returned, asked);
     };
     let after = returned.retry_after.min(asked.time_left / RETURN_SHARE);
-    let after = (refusal == Refusal::NotRun).then_some(after);
+    let may_return = matches!(refusal, Refusal::NotRun | Refusal::OverQuota);
+    let after = may_return.then_some(after);
     Written::whole(refuse(refusal, after, asked.close), asked.close)
 }
 
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -11,7 +11,7 @@
 use sailtrack_kernel::Phase;
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::task::Held;
-use sailtrack_net::transparent::{BodyError, HeadError, MessageError, Reader};
+use sailtrack_net::transparent::{BodyError, Framing, HeadError, MessageError, Reader};
 use sailtrack_wire::{Outcome, Reason};
 
 use crate::body::Stream;
@@ -19,9 +19,12 @@
 use crate::configuration::ClientLimits;
 use crate::dispatch::Trail;
 use crate::entry::Entry;
+use crate::entry::KeyRefusal;
 use crate::entry::answer::{Asked, Refusal, conclude, refuse};
 use crate::entry::request::{Incoming, Received};
 use crate::events::End;
+use crate::quota::{Shortage, Token};
+use crate::returns;
 use crate::work::Returned;
 
 /// How long a client may take to accept an answer.
@@ -52,6 +55,14 @@
     Close,
 }
 
+/// Why a request is not let in.
+enum Denial {
+    /// Nobody is known to ask.
+    Key(KeyRefusal),
+    /// It may come back.
+    NotNow(Box<Returned>),
+}
+
 /// One client connection.
 struct Connection {
     entry: Rc<Entry>,
@@ -130,10 +141,16 @@
                 .await;
         };
         let fields = self.entry.dialect.fields();
-        let incoming = match Incoming::read(&head, fields, &configuration, came) {
+        let contexts = &self.entry.contexts;
+        let incoming = match Incoming::read(&head, fields, &configuration, contexts, came) {
             Ok(incoming) => incoming,
             Err(refusal) => return self.end(refusal).await,
         };
+        let token = match self.admit(&incoming).await {
+            Ok(token) => token,
+            Err(Denial::Key(refusal)) => return self.refuse_key(&incoming, refusal).await,
+            Err(Denial::NotNow(returned)) => return self.turn_away(&incoming, returned).await,
+        };
         let Some(room) = self.entry.room.take(incoming.framing, limits.body_bytes) else {
             let returned = Returned::refused(Reason::Overload).come_back(ROOM_RETURN);
             self.log(&incoming, &returned, &Trail::default());
@@ -148,12 +165,70 @@
         trail.identify(received.identity);
         let returned = self.run(&incoming, received, &trail).await;
         drop(room);
+        if let Some(token) = token
+            && returned
+                .as_ref()
+                .is_some_and(|one| one.outcome == Outcome::NotRun)
+        {
+            token.give_back();
+        }
         match returned {
             Some(returned) => self.answer(&incoming, returned, &trail).await,
             None => Next::Close,
         }
     }
 
+    /// Lets a request in by its key and by the limit of its workspace.
+    async fn admit(&self, incoming: &Incoming) -> Result<Option<Token>, Denial> {
+        let refused = |reason, after| {
+            let returned = Returned::refused(reason).come_back(after);
+            Err(Denial::NotNow(Box::new(returned)))
+        };
+        let has_key = match &incoming.caller {
+            Ok(caller) => caller.has_key(),
+            Err(refusal) => *refusal == KeyRefusal::Unknown,
+        };
+        // A key that is not known may be new.
+        if has_key && !self.entry.freshness.is_enough(clock::now()) {
+            return refused(Reason::KeysOutdated, returns::after_outage());
+        }
+        if let Err(refusal) = incoming.caller {
+            return Err(Denial::Key(refusal));
+        }
+        let workspace = incoming.workspace();
+        let Some(limited) = workspace.filter(|workspace| workspace.limit.is_some()) else {
+            return Ok(None);
+        };
+        match self.entry.quotas.admit(&limited.name).await {
+            Ok(token) => Ok(Some(token)),
+            Err(Shortage::Over(after)) => refused(Reason::OverQuota, after),
+            Err(Shortage::NoKeeper) => refused(Reason::QuotaNotKnown, returns::after_outage()),
+        }
+    }
+
+    async fn refuse_key(&mut self, incoming: &Incoming, refusal: KeyRefusal) -> Next {
+        let (attempt, kind) = (&incoming.attempt, &incoming.route.name);
+        let version = self.entry.current.version();
+        self.entry
+            .events
+            .note_key_refused(attempt, kind, refusal, version);
+        self.entry.metrics.note_key_refused();
+        self.close_with(Refusal::NoKey, None).await
+    }
+
+    /// Answers a request that is not let in now; it takes no room, so a body is not read.
+    async fn turn_away(&mut self, incoming: &Incoming, returned: Box<Returned>) -> Next {
+        if incoming.framing == Framing::None {
+            return self.answer(incoming, *returned, &Trail::default()).await;
+        }
+        self.log(incoming, &returned, &Trail::default());
+        let time = incoming.came.elapsed();
+        let kind = &incoming.route.name;
+        self.entry.metrics.note_answer(kind, &returned, time);
+        let refusal = Refusal::of(&returned).unwrap_or(Refusal::NotRun);
+        self.close_with(refusal, Some(returned.retry_after)).await
+    }
+
     /// Reads the body; without a refusal the client is gone.
     async fn receive(
         &mut self,
@@ -193,8 +268,7 @@
             return Some(Returned::refused(Reason::NoUpstream));
         };
         let fields = entry.dialect.fields();
-        let (work, parent) =
-            incoming.work(fields, &entry.service, service, &entry.contexts, received);
+        let work = incoming.work(fields, &entry.service, service, received);
         if entry.closed.get() && !work.begun {
             return Some(Returned::refused(Reason::Draining).come_back(CLOSED_RETURN));
         }
@@ -207,7 +281,7 @@
             Either::Left((Err(_), _)) => Returned::unknown(Reason::Deadline),
             Either::Right(_) => return None,
         };
-        if let Some(parent) = parent {
+        if let Some(parent) = &incoming.parent {
             parent.note(&returned);
         }
         Some(returned)
@@ -292,7 +366,7 @@
         match refusal {
             None if returned.is_success() => {}
             None => events.note_bad_answer(&end),
-            Some(Refusal::NotRun) => events.note_refused_end(&end),
+            Some(Refusal::NotRun | Refusal::OverQuota) => events.note_refused_end(&end),
             Some(Refusal::Harmful) => {
                 events.note_refused_end(&end);
                 if let Some(identity) = trail.identity() {
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Where the clients on this instance and the own upstream bring their requests.
 
 mod answer;
+mod caller;
 mod connection;
 mod request;
 mod room;
@@ -18,7 +19,10 @@
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
 use crate::events::Events;
+use crate::freshness::Freshness;
 use crate::metrics::Metrics;
+use crate::quota::Quotas;
+pub(crate) use caller::KeyRefusal;
 pub(crate) use room::Room;
 
 /// The most client connections open at once: each has a descriptor, of which an instance has some
@@ -40,6 +44,8 @@
     pub(crate) current: Rc<Current>,
     pub(crate) splitter: Rc<Splitter>,
     pub(crate) contexts: Rc<Contexts>,
+    pub(crate) freshness: Rc<Freshness>,
+    pub(crate) quotas: Rc<Quotas>,
     pub(crate) dispatcher: Rc<Dispatcher>,
     pub(crate) events: Rc<Events>,
     pub(crate) metrics: Rc<Metrics>,
--- a/crates/mesh/src/entry/request.rs
+++ b/crates/mesh/src/entry/request.rs
@@ -5,26 +5,27 @@
 
 use bytes::{Bytes, BytesMut};
 use sailtrack_net::transparent::{Field, Framing, HeadError, RequestHead, request_framing};
-use sailtrack_quarantine::{Caller, Hasher, Identity};
+use sailtrack_quarantine::{self as quarantine, Hasher, Identity};
 use sailtrack_units::{Moment, Rank, RequestId, ServiceName};
 
 use crate::clock;
-use crate::configuration::{Configuration, Route};
+use crate::configuration::{Configuration, Route, Workspace};
 use crate::contexts::{Context, Contexts};
 use crate::dialect::FieldNames;
 use crate::entry::answer::Refusal;
+use crate::entry::caller::{Caller, KeyRefusal};
 use crate::key::AttemptKey;
 use crate::work::Work;
 
-/// The fields that tell on whose behalf a request is made.
-const BEHALF: [&str; 2] = ["authorization", "cookie"];
-
 /// A request whose body has not been read yet.
 pub(super) struct Incoming {
     pub(super) head: RequestHead,
     pub(super) framing: Framing,
     pub(super) attempt: AttemptKey,
     pub(super) route: Rc<Route>,
+    /// The request that it is made for, if that runs in the own upstream.
+    pub(super) parent: Option<Rc<Context>>,
+    pub(super) caller: Result<Caller, KeyRefusal>,
     pub(super) came: Instant,
     pub(super) deadline: Moment,
 }
@@ -41,6 +42,7 @@
         bytes: &Bytes,
         fields: &FieldNames,
         configuration: &Configuration,
+        contexts: &Contexts,
         came: Instant,
     ) -> Result<Self, Refusal> {
         let head = RequestHead::parse(bytes).map_err(refusal)?;
@@ -55,8 +57,13 @@
             Some(asked) => asked.min(route.timeout),
             None => route.timeout,
         };
+        let attempt = AttemptKey::from(attempt);
+        let parent = contexts.parent(&attempt);
+        let caller = Caller::of(&head, fields, configuration, route, parent.as_deref());
         Ok(Self {
-            attempt: AttemptKey::from(attempt),
+            attempt,
+            parent,
+            caller,
             route: Rc::clone(route),
             came,
             deadline: clock::now() + time,
@@ -68,56 +75,77 @@
     /// Starts the identity of the request; the body is still to come.
     ///
     /// Where it comes in is no part of it: a request that ends upstreams comes again beside any
-    /// service. On whose behalf it is made is: what one user's request does, another's need not.
+    /// service. Its workspace is: what one user's request does, another's need not. By which key
+    /// it is asked is not, so a new key clears nothing.
     pub(super) fn hasher(&self, beside: &ServiceName) -> Hasher {
         let head = &self.head;
         let host = host(head).unwrap_or_default();
-        let behalf = BEHALF.map(|name| head.fields.get(name).unwrap_or_default());
-        let is_named = behalf.iter().any(|value| !value.is_empty());
-        let caller = if is_named {
-            Caller::named(behalf.concat().as_bytes())
-        } else {
-            Caller::named(beside.as_str().as_bytes())
+        let workspace = self
+            .workspace()
+            .map_or("", |workspace| workspace.name.as_str());
+        let caller = match workspace {
+            "" => beside.as_str(),
+            workspace => workspace,
         };
-        let [authorization, cookie] = behalf.map(str::as_bytes);
+        let caller = quarantine::Caller::named(caller.as_bytes());
         let (method, target) = (&head.method[..], &head.target[..]);
-        let parts = [authorization, cookie, method, host.as_bytes(), target];
+        let parts = [workspace.as_bytes(), method, host.as_bytes(), target];
         Hasher::new(&parts, caller)
     }
 
+    /// Returns on whose behalf it is made.
+    pub(super) fn workspace(&self) -> Option<&Rc<Workspace>> {
+        self.caller.as_ref().ok()?.workspace()
+    }
+
+    /// Returns the place of the request in the order of shedding: its workspace decides before its
+    /// route, and a call matters no less than the request that it is made for.
+    fn rank(&self) -> Rank {
+        let id = RequestId::from_key(self.attempt.as_str());
+        let kind = self.route.importance;
+        let workspace = self.workspace().and_then(|workspace| workspace.importance);
+        let own = match workspace {
+            Some(workspace) => Rank::within(workspace, kind, id),
+            None => Rank::new(kind, id),
+        };
+        self.parent
+            .as_ref()
+            .map_or(own, |parent| parent.rank.max(own))
+    }
+
     /// Returns true if the client waits for a word before it sends the body.
     pub(super) fn expects_continue(&self) -> bool {
         self.head.fields.lists("expect", "100-continue")
     }
 
-    /// Returns the request as it is passed on, and the one that it is made for.
+    /// Returns the request as it is passed on.
     pub(super) fn work(
         &self,
         fields: &FieldNames,
         caller: &ServiceName,
         service: ServiceName,
-        contexts: &Contexts,
         Received { body, identity }: Received,
-    ) -> (Work, Option<Rc<Context>>) {
-        let parent = contexts.parent(&self.attempt);
-        let id = RequestId::from_key(self.attempt.as_str());
-        let own = Rank::new(self.route.importance, id);
-        let rank = parent.as_ref().map_or(own, |parent| parent.rank.max(own));
-        let work = Work {
+    ) -> Work {
+        let parent = self.parent.as_ref();
+        let workspace = match self.workspace() {
+            Some(workspace) => Some(workspace.name.clone()),
+            None => parent.and_then(|parent| parent.workspace.clone()),
+        };
+        Work {
             attempt: self.attempt.clone(),
             identity,
             known_crashes: 0,
             service,
             kind: self.route.name.clone(),
             idempotent: self.route.is_idempotent(),
-            rank,
+            rank: self.rank(),
+            workspace,
             begun: parent.is_some(),
-            repeated: parent.as_ref().is_some_and(|parent| parent.repeated),
+            repeated: parent.is_some_and(|parent| parent.repeated),
             deadline: self.deadline,
             head: self.passed_on(fields, caller, body.len()),
             body,
-        };
-        (work, parent)
+        }
     }
 
     /// Returns the request line with the fields that are passed on and those that are set here.
@@ -131,10 +159,16 @@
             field.is(fields.time_left_ms)
                 || field.is(fields.expected_upstream)
                 || field.is(fields.caller)
+                || field.is(fields.credential)
+                || field.is(fields.workspace)
         };
         self.head.fields.pass_on(&mut bytes, replaced);
         let own = format!("{}: {caller}\r\n", fields.caller);
         bytes.extend_from_slice(own.as_bytes());
+        if let Some(workspace) = self.workspace() {
+            let behalf = format!("{}: {}\r\n", fields.workspace, workspace.name);
+            bytes.extend_from_slice(behalf.as_bytes());
+        }
         let states_length = self.head.fields.get("content-length").is_some();
         if length > 0 || states_length {
             bytes.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -19,6 +19,7 @@
 
 use crate::contexts::Context;
 use crate::dispatch::Trail;
+use crate::entry::KeyRefusal;
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::metrics::Stage;
 use crate::work::Returned;
@@ -158,6 +159,27 @@
         );
     }
 
+    /// Notes that a request is not let in for want of a key. The key itself is not known here.
+    pub(crate) fn note_key_refused(
+        &self,
+        attempt: &AttemptKey,
+        kind: &KindName,
+        refusal: KeyRefusal,
+        version: ConfigVersion,
+    ) {
+        write(
+            &self.refusals,
+            attempt,
+            &catalogue::KEY_REFUSED,
+            &[
+                ("request", attempt),
+                ("kind", kind),
+                ("reason", &refusal),
+                ("version", &version),
+            ],
+        );
+    }
+
     /// Notes that a request is sent to another upstream.
     pub(crate) fn note_retry(&self, attempt: &AttemptKey, node: &NodeName, returned: &Returned) {
         let reason = returned.reason.as_str_name();
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -16,6 +16,7 @@
 mod dispatch;
 mod entry;
 mod events;
+mod freshness;
 mod gate;
 mod key;
 mod life;
@@ -24,6 +25,7 @@
 mod node;
 mod peer;
 mod quarantine;
+mod quota;
 mod ready;
 mod retired;
 mod retry;
@@ -40,12 +42,17 @@
 use sailtrack_kernel::Error;
 use sailtrack_log::Destination;
 
-pub use configuration::{ClientLimits, Configuration, Route, RouteBuilder, ServiceRules, Share};
+pub use configuration::{
+    ClientLimits, Configuration, Credential, Route, RouteBuilder, ServiceRules, Share, Workspace,
+    WorkspaceError, Workspaces,
+};
 pub use dialect::{Announcement, Beat, Dialect, DialectError, FieldNames, Load, Readiness};
 pub use key::{AttemptKey, KeyError, UpstreamKey};
 pub use node::Surroundings;
 pub use settings::{Ports, RetryBounds, Settings};
-pub use store::{Content, Operation, Row, Rows, Store, StoreError, StoreVersion, Table};
+pub use store::{
+    Content, Operation, Reading, Row, Rows, Store, StoreError, StoreTime, StoreVersion, Table,
+};
 
 /// Runs a node until it is stopped.
 pub fn run(settings: Settings, surroundings: Surroundings) -> Result<(), Error> {
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -98,6 +98,9 @@
     refused_announcements: Counter<u64, AtomicU64>,
     crashes: Counter<u64, AtomicU64>,
     verdicts: Counter<u64, AtomicU64>,
+    refused_keys: Counter<u64, AtomicU64>,
+    outdated_keys: Counter<u64, AtomicU64>,
+    over_quota: Counter<u64, AtomicU64>,
     times: Family<KindLabels, Histogram>,
     gauges: Gauges,
 }
@@ -121,15 +124,36 @@
         );
         let help = "Requests sent to a service once more";
         registry.register("repeats", help, repeats.clone());
-        let refused_announcements = Counter::default();
-        let help = "Messages about the own upstream that were not its own or could not be read";
-        registry.register("refused_announcements", help, refused_announcements.clone());
-        let crashes = Counter::default();
-        let help = "Ends of the own upstream that it had not announced";
-        registry.register("upstream_crashes", help, crashes.clone());
-        let verdicts = Counter::default();
-        let help = "Requests that were put into quarantine";
-        registry.register("verdicts", help, verdicts.clone());
+        let refused_announcements = counter(
+            &mut registry,
+            "refused_announcements",
+            "Messages about the own upstream that were not its own or could not be read",
+        );
+        let crashes = counter(
+            &mut registry,
+            "upstream_crashes",
+            "Ends of the own upstream that it had not announced",
+        );
+        let verdicts = counter(
+            &mut registry,
+            "verdicts",
+            "Requests that were put into quarantine",
+        );
+        let refused_keys = counter(
+            &mut registry,
+            "refused_keys",
+            "Requests without a key that a workspace has",
+        );
+        let outdated_keys = counter(
+            &mut registry,
+            "outdated_keys",
+            "Times that requests with keys were refused from then on, since too little is known",
+        );
+        let over_quota = counter(
+            &mut registry,
+            "over_quota",
+            "Requests beyond the limits of their workspaces",
+        );
         let help = "Time from a request of a client to its answer";
         registry.register_with_unit("answer", help, Unit::Seconds, times.clone());
         let gauges = register_gauges(&mut registry);
@@ -140,6 +164,9 @@
             refused_announcements,
             crashes,
             verdicts,
+            refused_keys,
+            outdated_keys,
+            over_quota,
             times,
             gauges,
         }
@@ -171,6 +198,21 @@
         self.verdicts.inc();
     }
 
+    /// Notes that a request was not let in for want of a key.
+    pub(crate) fn note_key_refused(&self) {
+        self.refused_keys.inc();
+    }
+
+    /// Notes that requests with keys are refused from now on.
+    pub(crate) fn note_keys_outdated(&self) {
+        self.outdated_keys.inc();
+    }
+
+    /// Notes that a request was refused since its workspace asks more than it may.
+    pub(crate) fn note_over_quota(&self) {
+        self.over_quota.inc();
+    }
+
     /// Notes how a request of a client ended after `time`.
     pub(crate) fn note_answer(&self, kind: &KindName, returned: &Returned, time: Duration) {
         self.note_end(Stage::Entry, kind, returned.outcome, returned.reason);
@@ -209,6 +251,16 @@
     }
 }
 
+fn counter(
+    registry: &mut Registry,
+    name: &'static str,
+    help: &'static str,
+) -> Counter<u64, AtomicU64> {
+    let counter = Counter::default();
+    registry.register(name, help, counter.clone());
+    counter
+}
+
 fn register_gauges(registry: &mut Registry) -> Gauges {
     let mut gauge = |name: &str, help: &str, value: fn(&Snapshot) -> u64| {
         let gauge = Gauge::default();
--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -7,16 +7,19 @@
 use futures::channel::mpsc;
 use monoio::time::sleep;
 use sailtrack_quarantine::Ran;
-use sailtrack_units::{ConfigVersion, NodeName};
+use sailtrack_units::{ConfigVersion, Moment, NodeName};
 use sailtrack_wire::{Evidence, Member as MemberMessage, Presence};
 
+use crate::clock;
 use crate::configuration::{Current, Holder};
 use crate::directory::{Directory, Member};
+use crate::freshness::Freshness;
 use crate::key::UpstreamKey;
 use crate::peer::News;
 use crate::quarantine::Quarantine;
 use crate::retired::Retired;
 use crate::status::Status;
+use crate::store::{Clock, StoreTime};
 
 /// How often nodes say what they are like: a frozen node is noticed after three of these.
 const SHORTEST_INTERVAL: Duration = Duration::from_millis(300);
@@ -30,6 +33,8 @@
     pub(crate) retired: Rc<Retired>,
     pub(crate) status: Rc<Status>,
     pub(crate) quarantine: Rc<Quarantine>,
+    pub(crate) freshness: Rc<Freshness>,
+    pub(crate) clock: Rc<Clock>,
     /// Whom to ask for a newer configuration.
     pub(crate) holders: RefCell<mpsc::Sender<Holder>>,
 }
@@ -57,6 +62,12 @@
             }
         }
         let version = ConfigVersion(presence.config_version);
+        if presence.config_as_of_ms > 0 {
+            let as_of = StoreTime::from_millis(presence.config_as_of_ms);
+            let in_force = self.current.version();
+            self.freshness
+                .confirm(version, as_of, in_force, clock::now());
+        }
         if version > self.current.version() {
             let holder = Holder {
                 name: from.clone(),
@@ -68,6 +79,14 @@
         }
     }
 
+    fn wants_store_time(&self) -> bool {
+        self.freshness.is_wanted() && self.clock.is_old(clock::now())
+    }
+
+    fn take_store_time(&self, at: Moment, at_most: StoreTime) {
+        self.clock.note_at_most(at, at_most);
+    }
+
     fn take_evidence(&self, evidence: &Evidence) {
         self.quarantine.take(evidence);
     }
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -20,6 +20,7 @@
 use crate::dispatch::Dispatcher;
 use crate::entry::{Entry, Room};
 use crate::events::Events;
+use crate::freshness::Freshness;
 use crate::gate::{Builder as GateBuilder, Gate, Records, Upstream};
 use crate::life;
 use crate::metrics::Metrics;
@@ -27,6 +28,7 @@
 use crate::node::{ADMISSION_RULES, Surroundings, store, tasks};
 use crate::peer::{Acceptor, News, Peers};
 use crate::quarantine::Quarantine;
+use crate::quota::{Place as QuotaPlace, Quotas};
 use crate::ready::ReadyPort;
 use crate::retired::Retired;
 use crate::retry::Budget;
@@ -34,7 +36,7 @@
 use crate::scrape::MetricsPort;
 use crate::settings::Settings;
 use crate::status::Status;
-use crate::store::Reach;
+use crate::store::{Clock, Reach};
 use crate::wake::Wake;
 use crate::watch::Watch;
 
@@ -62,10 +64,12 @@
     in_flight: &Rc<Cell<usize>>,
 ) -> Result<(), Error> {
     let sockets = open(settings)?;
-    install_state(table, settings, surroundings, life)?;
+    let (wanted, wishes) = mpsc::channel(1);
+    install_state(table, settings, surroundings, life, wanted)?;
     let holders = install_network(table, settings)?;
     install_path(table, settings, surroundings, life, in_flight)?;
     tasks::listen(table, settings)?;
+    tasks::keep_quotas(table, surroundings, wishes)?;
     tasks::ramp_up_together(table)?;
     store::follow_store(table, settings, surroundings)?;
     tasks::meet_peers(table, holders)?;
@@ -115,6 +119,7 @@
     settings: &Settings,
     surroundings: &Surroundings,
     life: &Life<Joining>,
+    wanted: mpsc::Sender<()>,
 ) -> Result<(), Error> {
     let identity = &settings.identity;
     table.install(Events::default());
@@ -135,8 +140,25 @@
         domain: identity.domain.clone(),
         address: settings.ports.advertise,
     }));
+    table.install(Clock::default());
+    table.install(Freshness::new(
+        table.find()?,
+        table.find()?,
+        settings.revoke_time.map(|time| time.0),
+    ));
+    let life_number = life::begin();
+    table.install(Quotas::new(
+        QuotaPlace {
+            node: identity.name.clone(),
+            life: life_number,
+            domain: identity.domain.clone(),
+        },
+        settings.quota,
+        (table.find()?, table.find()?, table.find()?),
+        wanted,
+    ));
     table.install(Status {
-        life: life::begin(),
+        life: life_number,
         phase: life.watch(),
         directory: table.find()?,
         upstream: table.find()?,
@@ -144,6 +166,8 @@
         current: table.find()?,
         retired: table.find()?,
         reach: table.find()?,
+        freshness: table.find()?,
+        quota_term: Cell::new(0),
         subscribers: RefCell::default(),
     });
     table.install(Quarantine::new(table.find()?, table.find()?, table.find()?));
@@ -158,6 +182,8 @@
         retired: table.find()?,
         status: table.find()?,
         quarantine: table.find()?,
+        freshness: table.find()?,
+        clock: table.find()?,
         holders: RefCell::new(holders),
     });
     let peers = table.install(Peers::new(settings.ports.peer.ip(), listener));
@@ -222,6 +248,8 @@
         current: table.find()?,
         splitter: table.find()?,
         contexts: table.find()?,
+        freshness: table.find()?,
+        quotas: table.find()?,
         dispatcher: table.find()?,
         events: table.find()?,
         metrics: table.find()?,
@@ -237,6 +265,8 @@
         retired: table.find()?,
         current: table.find()?,
         quarantine: table.find()?,
+        quotas: table.find()?,
+        clock: table.find()?,
     });
     table.install(Announcements {
         dialect: Rc::clone(dialect),
--- a/crates/mesh/src/node/stop.rs
+++ b/crates/mesh/src/node/stop.rs
@@ -7,12 +7,14 @@
 use monoio::time::sleep;
 use sailtrack_kernel::{Draining, Error, Life, Table};
 use sailtrack_log::{catalogue, emit};
+use sailtrack_net::task;
 use sailtrack_net::terminate::Signals;
 
 use crate::clock;
 use crate::entry::Entry;
 use crate::gate::Upstream;
 use crate::node::{LOOK, is_stop, start};
+use crate::quota::Keeping;
 use crate::settings::Settings;
 
 /// How long a leaving node goes on taking requests: whoever asks once a second whether it is
@@ -56,6 +58,8 @@
     let began = clock::now();
     let longest = settings.stop_time.0.saturating_sub(RESERVE);
     let mut busy = began;
+    let keeping = table.find::<Keeping>()?;
+    task::spawn("resignation", async move { keeping.resign().await });
     let entry = table.find::<Entry>()?;
     let upstream = table.find::<Upstream>()?;
     let taking = settings.stop_time.0.mul_f64(TAKING_SHARE);
--- a/crates/mesh/src/node/store.rs
+++ b/crates/mesh/src/node/store.rs
@@ -11,15 +11,20 @@
 use sailtrack_kernel::{Error, Table};
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::task;
+use sailtrack_units::Moment;
 
 use crate::announcement::Announcements;
 use crate::cleanup::remove_dead;
+use crate::clock;
 use crate::configuration::{Current, Source};
 use crate::directory::{Directory, Member};
+use crate::freshness::Freshness;
 use crate::node::Surroundings;
 use crate::settings::Settings;
 use crate::status::Status;
-use crate::store::{Content, Follower, Pace, Reach, Row, Store, Table as StoreTable, follow};
+use crate::store::{
+    self, Clock, Content, Follower, Pace, Reach, Row, Store, StoreTime, Table as StoreTable, follow,
+};
 use crate::watch::Watch;
 
 /// How long changes of members are gathered. Nodes that start together write their rows within
@@ -40,6 +45,9 @@
 struct ConfigurationRows {
     current: Rc<Current>,
     watch: Rc<Watch>,
+    freshness: Rc<Freshness>,
+    clock: Rc<Clock>,
+    status: Rc<Status>,
 }
 
 impl Follower for ConfigurationRows {
@@ -47,6 +55,22 @@
         self.watch.is_ours()
     }
 
+    fn wait(&self) -> Duration {
+        self.freshness.renewal().unwrap_or(store::WAIT)
+    }
+
+    fn confirm(&self, asked: Moment, as_of: StoreTime) {
+        self.clock.note(asked, as_of);
+        let version = self.current.version();
+        let is_news = self
+            .freshness
+            .confirm(version, as_of, version, clock::now());
+        if is_news && self.freshness.is_wanted() {
+            // The others count on it at once, and their callers with them.
+            self.status.publish();
+        }
+    }
+
     fn reset(&self, rows: &[Row]) {
         self.change(rows);
     }
@@ -67,6 +91,7 @@
 struct MemberRows {
     directory: Rc<Directory>,
     watch: Rc<Watch>,
+    clock: Rc<Clock>,
 }
 
 impl Follower for MemberRows {
@@ -80,6 +105,10 @@
         PACE
     }
 
+    fn confirm(&self, asked: Moment, as_of: StoreTime) {
+        self.clock.note(asked, as_of);
+    }
+
     fn reset(&self, rows: &[Row]) {
         self.directory.reset(rows);
     }
@@ -119,6 +148,9 @@
     let rows: Rc<dyn Follower> = Rc::new(ConfigurationRows {
         current: table.find()?,
         watch: table.find()?,
+        freshness: table.find()?,
+        clock: table.find()?,
+        status: table.find()?,
     });
     let store = Rc::clone(&surroundings.store);
     let reach = table.find::<Reach>()?;
@@ -136,6 +168,7 @@
     let rows: Rc<dyn Follower> = Rc::new(MemberRows {
         directory: Rc::clone(&directory),
         watch: table.find()?,
+        clock: table.find()?,
     });
     let store = Rc::clone(&surroundings.store);
     let reach = table.find::<Reach>()?;
--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -1,5 +1,6 @@
 //! The tasks that tell the parts of a node, and other nodes, what changes.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,12 +10,16 @@
 use sailtrack_kernel::{Error, Table};
 use sailtrack_net::task;
 
+use crate::clock;
 use crate::configuration::{Current, Fetch, Holder};
 use crate::directory::Directory;
+use crate::freshness::Freshness;
 use crate::gate::{Gate, Upstream};
 use crate::metrics::Metrics;
 use crate::news::keep_telling;
+use crate::node::Surroundings;
 use crate::peer::Peers;
+use crate::quota::{Asker, Keeping, Quotas};
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::wake::Wake;
@@ -57,6 +62,40 @@
     Ok(())
 }
 
+/// Starts what keeps the limits of workspaces.
+pub(super) fn keep_quotas(
+    table: &Table,
+    surroundings: &Surroundings,
+    wishes: mpsc::Receiver<()>,
+) -> Result<(), Error> {
+    let current = table.find::<Current>()?;
+    let quotas = table.find::<Quotas>()?;
+    let freshness = table.find::<Freshness>()?;
+    let changed = Rc::clone(&current);
+    current.listen(move || {
+        quotas.take_limits(changed.get().as_deref());
+        freshness.note_version(changed.version(), clock::now());
+    });
+    let asker = Asker {
+        quotas: table.find()?,
+        peers: table.find()?,
+    };
+    task::spawn("token questions", asker.keep_asking(wishes));
+    let keeping = table.install(Keeping {
+        quotas: table.find()?,
+        peers: table.find()?,
+        watch: table.find()?,
+        status: table.find()?,
+        store: Rc::clone(&surroundings.store),
+        started: Instant::now(),
+        renewed: Cell::default(),
+        missing: Cell::default(),
+        resigned: Cell::new(false),
+    });
+    task::spawn("token keeping", keeping.keep());
+    Ok(())
+}
+
 /// Lets windows begin small while this node and most others have just been started.
 pub(super) fn ramp_up_together(table: &Table) -> Result<(), Error> {
     let windows = table.find::<Windows>()?;
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -17,6 +17,7 @@
 use sailtrack_net::accept::{Bounds, accept};
 use sailtrack_net::frames::{ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, write_frames};
 use sailtrack_net::task;
+use sailtrack_quota::Holder;
 use sailtrack_units::Incarnation;
 use sailtrack_wire::{
     Body, Chunk, Config, Fetch, Forward, Hello, Pong, Reason, Recall, Retire,
@@ -24,6 +25,7 @@
 };
 
 use crate::body::{Body as AnswerBody, Stream};
+use crate::clock;
 use crate::configuration::Current;
 use crate::directory::{Directory, Member};
 use crate::gate::Gate;
@@ -31,8 +33,10 @@
 use crate::peer::convert::{CHUNK, FIRST_GRANT, returned_to_wire, work_from_wire};
 use crate::peer::parts::Parts;
 use crate::quarantine::Quarantine;
+use crate::quota::Quotas;
 use crate::retired::Retired;
 use crate::status::Status;
+use crate::store::{Clock, StoreTime};
 use crate::work::Returned;
 
 /// How long a new connection may take to say hello.
@@ -50,6 +54,8 @@
     pub(crate) retired: Rc<Retired>,
     pub(crate) current: Rc<Current>,
     pub(crate) quarantine: Rc<Quarantine>,
+    pub(crate) quotas: Rc<Quotas>,
+    pub(crate) clock: Rc<Clock>,
 }
 
 impl Service for Acceptor {
@@ -104,7 +110,9 @@
         }
         self.status.subscribers.borrow_mut().push(outgoing.clone());
         let open = Rc::new(Open::default());
-        let ended = self.read(&mut reader, &outgoing, &open).await;
+        let holder = holder(&said);
+        let ended = self.read(&mut reader, &outgoing, &open, holder.as_ref());
+        let ended = ended.await;
         // The other side takes every request without an answer for lost.
         for running in open.running.borrow().values() {
             running.abort();
@@ -130,6 +138,7 @@
         reader: &mut FrameReader,
         outgoing: &mpsc::Sender<Body>,
         open: &Rc<Open>,
+        holder: Option<&Holder>,
     ) -> Result<(), ConnectionError> {
         loop {
             match reader.next().await? {
@@ -151,13 +160,27 @@
                 Body::Retire(retire) => self.remember(&retire, outgoing),
                 Body::Fetch(fetch) => self.give_configuration(fetch, outgoing),
                 // A full channel holds other signs of life.
-                Body::Ping(_) => drop(outgoing.clone().try_send(Body::Pong(Pong {}))),
+                Body::Ping(_) => drop(outgoing.clone().try_send(Body::Pong(self.pong()))),
+                Body::TokenQuestion(question) => {
+                    if let Some(holder) = holder {
+                        let answer = self.quotas.answer(holder, &question);
+                        // Who asks takes silence for a lost question.
+                        let _ = outgoing.clone().try_send(Body::TokenAnswer(answer));
+                    }
+                }
                 // Everything else is for the other direction.
                 _ => {}
             }
         }
     }
 
+    fn pong(&self) -> Pong {
+        let at_most = self.clock.at_most(clock::now());
+        Pong {
+            store_at_most_ms: at_most.map_or(0, StoreTime::millis),
+        }
+    }
+
     /// Takes in the first part of a request.
     fn receive(
         self: &Rc<Self>,
@@ -263,6 +286,16 @@
     }
 }
 
+/// Returns who holds the tokens that are asked for on a connection; who does not say who it is
+/// gets none.
+fn holder(said: &Hello) -> Option<Holder> {
+    let member = said.member.as_ref()?;
+    Some(Holder {
+        node: member.node.parse().ok()?,
+        life: member.incarnation,
+    })
+}
+
 fn refuse(reason: &dyn std::fmt::Display) {
     emit(
         &catalogue::INPUT_REFUSED,
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -44,6 +44,11 @@
         repeated: work.repeated,
         identity: Bytes::copy_from_slice(&work.identity.to_bytes()),
         known_crashes: u32::from(work.known_crashes),
+        workspace: work
+            .workspace
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
     }
 }
 
@@ -53,7 +58,10 @@
     let rank = u8::try_from(message.rank).map_err(|e| error(&e))?;
     let identity = Identity::from_bytes(&message.identity);
     let identity = identity.ok_or_else(|| error(&"its identity has not the right length"))?;
+    let workspace = (!message.workspace.is_empty()).then(|| message.workspace.parse());
+    let workspace = workspace.transpose().map_err(|e| error(&e))?;
     Ok(Work {
+        workspace,
         attempt: AttemptKey::from(message.id.as_str()),
         identity,
         known_crashes: u8::try_from(message.known_crashes).unwrap_or(u8::MAX),
--- a/crates/mesh/src/peer/link/liveness.rs
+++ b/crates/mesh/src/peer/link/liveness.rs
@@ -11,10 +11,11 @@
 use futures::future::{Either, select};
 use monoio::time::sleep;
 use sailtrack_log::{catalogue, emit};
-use sailtrack_wire::{Body, Ping};
+use sailtrack_wire::{Body, Ping, Pong};
 
 use crate::clock;
 use crate::peer::link::Link;
+use crate::store::StoreTime;
 use crate::work::Returned;
 
 /// A node from which nothing came for this many of its intervals gets no new requests.
@@ -44,6 +45,15 @@
         self.unanswered.set(0);
     }
 
+    /// Takes in an answer to a ping, which was sent after the first one that is open.
+    pub(super) fn note_pong(&self, pong: Pong) {
+        self.open_pings.set(self.open_pings.get().saturating_sub(1));
+        if pong.store_at_most_ms > 0 {
+            let at_most = StoreTime::from_millis(pong.store_at_most_ms);
+            self.news.take_store_time(self.first_ping.get(), at_most);
+        }
+    }
+
     /// Waits for a reply, and finds out meanwhile whether the node still works.
     pub(super) async fn await_reply(
         &self,
@@ -83,7 +93,11 @@
 
     /// Asks the node for a sign of life.
     pub(crate) fn ping(&self) {
-        self.pinged.set(clock::now());
+        let now = clock::now();
+        if self.open_pings.replace(self.open_pings.get() + 1) == 0 {
+            self.first_ping.set(now);
+        }
+        self.pinged.set(now);
         // A full channel counts as a ping too: nothing gets through to the node.
         self.send(Body::Ping(Ping {}));
     }
--- a/crates/mesh/src/peer/link/mod.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -20,6 +20,7 @@
 use sailtrack_units::{ConfigVersion, Incarnation, Moment};
 use sailtrack_wire::{
     Body, Cancel, Chunk, Config, Fetch, Grant, Presence, Reason, Recall, Reply, Retire, State,
+    TokenAnswer, TokenQuestion,
 };
 
 use crate::clock;
@@ -76,7 +77,11 @@
     upstream: RefCell<String>,
     slots: Cell<u32>,
     heard: Cell<Moment>,
-    /// When the last ping was sent,
+    /// How many pings on this connection have no answer,
+    open_pings: Cell<u32>,
+    /// when the first of them was sent,
+    first_ping: Cell<Moment>,
+    /// when the last ping was sent,
     pinged: Cell<Moment>,
     /// and how many were sent since anything came.
     unanswered: Cell<u32>,
@@ -88,6 +93,10 @@
     place: Place,
     /// The store does not answer it.
     store_lost: Cell<bool>,
+    /// Its term as the keeper of its failure domain's tokens; zero if it is not.
+    quota_term: Cell<u64>,
+    /// Who waits for tokens, by the number of the question.
+    asking: RefCell<HashMap<u64, oneshot::Sender<TokenAnswer>>>,
     own: Weak<Self>,
 }
 
@@ -112,12 +121,16 @@
             upstream: RefCell::default(),
             slots: Cell::new(0),
             heard: Cell::new(clock::now()),
+            open_pings: Cell::new(0),
+            first_ping: Cell::new(clock::now()),
             pinged: Cell::new(clock::now()),
             unanswered: Cell::new(0),
             lost_since: Cell::new(Some(Instant::now())),
             closed: Cell::new(false),
             strange: Cell::new(false),
             store_lost: Cell::new(false),
+            quota_term: Cell::new(0),
+            asking: RefCell::default(),
         })
     }
 
@@ -148,6 +161,26 @@
         self.is_open() && stays && !self.is_silent()
     }
 
+    /// Returns the node's term as the keeper of its failure domain's tokens; zero if it is not.
+    pub(crate) fn quota_term(&self) -> u64 {
+        self.quota_term.get()
+    }
+
+    /// Asks the node for tokens; returns nothing if the question is lost.
+    pub(crate) async fn ask_tokens(&self, question: TokenQuestion) -> Option<TokenAnswer> {
+        let (sender, receiver) = oneshot::channel();
+        self.asking.borrow_mut().insert(question.exchange, sender);
+        if !self.is_open() || !self.send(Body::TokenQuestion(question)) {
+            return None;
+        }
+        receiver.await.ok()
+    }
+
+    /// Gives up all questions for tokens.
+    pub(crate) fn forget_questions(&self) {
+        self.asking.borrow_mut().clear();
+    }
+
     /// Returns where the node stands among those that follow the store.
     pub(crate) fn place(&self) -> Place {
         self.place
@@ -322,6 +355,13 @@
                     let _ = sender.send(());
                 }
             }
+            Body::Pong(pong) => self.note_pong(pong),
+            Body::TokenAnswer(answer) => {
+                if let Some(waiting) = self.asking.borrow_mut().remove(&answer.exchange) {
+                    // Who asked may have given up.
+                    let _ = waiting.send(answer);
+                }
+            }
             Body::Config(config) => {
                 for waiting in self.fetching.borrow_mut().drain(..) {
                     // The fetch may have timed out.
@@ -343,9 +383,13 @@
             self.slots.set(member.slots);
         }
         self.store_lost.set(presence.store_lost);
+        self.quota_term.set(presence.quota_term);
         let percent = presence.pressure_percent;
         self.load.borrow_mut().note_told(Instant::now(), percent);
         self.news.take(&self.member.name, presence);
+        if self.news.wants_store_time() && self.open_pings.get() == 0 {
+            self.ping();
+        }
         if let Some((upstream, ran)) = self.lost.settle(&presence.upstream) {
             self.news.take_lost(&upstream, &ran);
         }
@@ -354,6 +398,9 @@
     fn disconnect(&self) {
         self.life.set(Incarnation::default());
         self.state.set(State::Joining);
+        self.quota_term.set(0);
+        self.open_pings.set(0);
+        self.forget_questions();
         *self.outgoing.borrow_mut() = None;
         let pending = std::mem::take(&mut *self.pending.borrow_mut());
         let ran = pending.into_values().filter_map(|pending| match pending {
--- a/crates/mesh/src/peer/link/tests.rs
+++ b/crates/mesh/src/peer/link/tests.rs
@@ -13,7 +13,7 @@
 use sailtrack_net::frames::{FrameReader, hello, write_frames};
 use sailtrack_net::{runtime, task};
 use sailtrack_quarantine::{Caller, Hasher, Ran};
-use sailtrack_units::{Incarnation, NodeName, Rank};
+use sailtrack_units::{Incarnation, Moment, NodeName, Rank};
 use sailtrack_wire::{Body, Evidence, Member as MemberMessage, Pong, Presence, State};
 
 use crate::clock;
@@ -22,6 +22,7 @@
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::peer::News;
 use crate::peer::link::{Delivery, Link};
+use crate::store::StoreTime;
 use crate::work::Work;
 
 /// How often the nodes of a small mesh say what they are like.
@@ -42,6 +43,12 @@
 
     fn take(&self, _from: &NodeName, _presence: &Presence) {}
 
+    fn wants_store_time(&self) -> bool {
+        false
+    }
+
+    fn take_store_time(&self, _: Moment, _: StoreTime) {}
+
     fn take_evidence(&self, _evidence: &Evidence) {}
 
     fn take_lost(&self, _upstream: &UpstreamKey, _ran: &[Ran]) {}
@@ -58,6 +65,7 @@
 
 fn work() -> Work {
     Work {
+        workspace: None,
         attempt: AttemptKey::from("a1"),
         identity: Hasher::new(&[b"/"], Caller::default()).finish(),
         known_crashes: 0,
@@ -86,7 +94,7 @@
     while let Ok(message) = reader.next().await {
         if works && matches!(message, Body::Ping(_)) {
             outgoing
-                .send(Body::Pong(Pong {}))
+                .send(Body::Pong(Pong::default()))
                 .await
                 .expect("there is room");
         }
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -7,7 +7,7 @@
 mod source;
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -17,7 +17,7 @@
 use sailtrack_kernel::Service;
 use sailtrack_net::task;
 use sailtrack_quarantine::Ran;
-use sailtrack_units::{DomainName, Incarnation, NodeName, ServiceName};
+use sailtrack_units::{DomainName, Incarnation, Moment, NodeName, ServiceName};
 use sailtrack_wire::{Evidence, Member as MemberMessage, Presence};
 
 pub(crate) use accept::Acceptor;
@@ -26,6 +26,7 @@
 use crate::directory::{Member, Observer};
 use crate::key::UpstreamKey;
 use crate::life;
+use crate::store::StoreTime;
 use crate::watch::Place;
 
 /// A node whose row is gone is kept while it can be reached, and this long after.
@@ -44,6 +45,12 @@
     /// Takes in what another node says.
     fn take(&self, from: &NodeName, presence: &Presence);
 
+    /// Returns true if another node is to be asked what the store's clock shows.
+    fn wants_store_time(&self) -> bool;
+
+    /// Takes in that the store's clock showed at most this at that moment.
+    fn take_store_time(&self, at: Moment, at_most: StoreTime);
+
     /// Takes in what another node knows of requests that may end upstreams.
     fn take_evidence(&self, evidence: &Evidence);
 
@@ -114,6 +121,30 @@
         before.filter(|link| link.can_watch()).count()
     }
 
+    /// Returns the link to the node that keeps the tokens of a failure domain, if it is heard from.
+    pub(crate) fn keeper_of(&self, domain: &DomainName) -> Option<Rc<Link>> {
+        let links = self.links.borrow();
+        let near = links.values().filter(|link| link.member.domain == *domain);
+        let keepers = near.filter(|link| link.quota_term() > 0 && link.is_open());
+        let keeper = keepers.max_by_key(|link| link.quota_term());
+        keeper.filter(|link| !link.is_silent()).cloned()
+    }
+
+    /// Returns how many failure domains the known nodes stand in.
+    pub(crate) fn domains_beside(&self, own: &DomainName) -> usize {
+        let links = self.links.borrow();
+        let domains = links.values().map(|link| &link.member.domain);
+        let others: HashSet<_> = domains.filter(|domain| *domain != own).collect();
+        others.len()
+    }
+
+    /// Returns true if a node is known to run in another life than this.
+    pub(crate) fn is_in_another_life(&self, name: &NodeName, life: Incarnation) -> bool {
+        let links = self.links.borrow();
+        let link = links.get(name).filter(|link| link.is_open());
+        link.is_some_and(|link| link.life() != life)
+    }
+
     /// Asks other nodes to remember that an upstream leaves; returns true once enough do.
     pub(crate) async fn retire(&self, upstream: &UpstreamKey) -> bool {
         let links: Vec<Rc<Link>> = self.links.borrow().values().cloned().collect();
--- /dev/null
+++ b/crates/mesh/src/quota/keeping.rs
@@ -0,0 +1,284 @@
+//! The office of the node that keeps the tokens of its failure domain.
+//!
+//! The first of the nodes that hear from each other takes it, by a lease in
+//! the store, so that there are never two in one domain. With each renewal it
+//! tells the demand there and moves the domain's parts of the limits.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use displaydoc::Display;
+use monoio::time::sleep;
+use rand::Rng as _;
+use sailtrack_kernel::Service;
+use sailtrack_log::{catalogue, emit};
+use sailtrack_quota::{Claim, Keeper, Lease, Now, Parts};
+use sailtrack_units::{Incarnation, WorkspaceName};
+
+use crate::clock;
+use crate::peer::Peers;
+use crate::quota::{Office, Quotas};
+use crate::status::Status;
+use crate::store::{Content, Reading, Store, StoreError, StoreTime, StoreVersion, Table};
+use crate::watch::Watch;
+
+/// The key of the row in its table.
+const ROW: &str = "parts";
+/// How often a node looks whether there is something to do.
+const LOOK: Duration = Duration::from_millis(250);
+/// How often the lease is renewed: a renewal costs two calls of the store and moves the parts.
+const RENEWAL: Duration = Duration::from_millis(1500);
+/// The pause after a renewal that failed, up to twice as long.
+const PAUSE: Duration = Duration::from_millis(200);
+/// How long a node waits after its start before it takes the office: until it has met the others.
+const MEETING_TIME: Duration = Duration::from_millis(1200);
+/// How much longer each further node waits, in the order of their places.
+const ORDER_PAUSE: Duration = Duration::from_millis(500);
+
+/// Why the office could not be taken or kept.
+#[derive(Debug, Display)]
+enum OfficeError {
+    /// the store failed: {0}
+    Store(StoreError),
+    /// another node of the domain has it: {0}
+    Held(sailtrack_units::NodeName),
+    /// the row cannot be read: {0}
+    Row(String),
+    /// the store does not tell its time
+    NoTime,
+}
+
+impl std::error::Error for OfficeError {}
+
+/// Takes and keeps the office, for as long as the task lives.
+pub(crate) struct Keeping {
+    pub(crate) quotas: Rc<Quotas>,
+    pub(crate) peers: Rc<Peers>,
+    pub(crate) watch: Rc<Watch>,
+    pub(crate) status: Rc<Status>,
+    pub(crate) store: Rc<dyn Store>,
+    pub(crate) started: Instant,
+    /// When the lease was renewed last.
+    pub(crate) renewed: Cell<Option<Instant>>,
+    /// Since when no keeper is heard of.
+    pub(crate) missing: Cell<Option<Instant>>,
+    /// The node stops and takes the office no more.
+    pub(crate) resigned: Cell<bool>,
+}
+
+impl Service for Keeping {
+    const NAME: &'static str = "quota-keeping";
+}
+
+impl Keeping {
+    /// Takes the office when nobody has it, and renews the lease in time.
+    pub(crate) async fn keep(self: Rc<Self>) {
+        loop {
+            sleep(LOOK).await;
+            if !self.is_due() {
+                continue;
+            }
+            match self.claim().await {
+                Ok(lease) => self.note_lease(&lease),
+                Err(error) => {
+                    self.note_error(&error);
+                    sleep(PAUSE.mul_f64(rand::rng().random_range(1.0..2.0))).await;
+                }
+            }
+        }
+    }
+
+    /// Gives the office up, so that another node can take it at once.
+    pub(crate) async fn resign(&self) {
+        self.resigned.set(true);
+        let was_keeper = self.quotas.is_keeper();
+        self.leave();
+        if !was_keeper {
+            return;
+        }
+        if let Err(error) = self.release().await {
+            self.note_error(&error);
+        }
+    }
+
+    fn is_due(&self) -> bool {
+        if self.resigned.get() || !self.quotas.is_needed() {
+            return false;
+        }
+        if self.quotas.is_keeper() {
+            let renewed = self.renewed.get();
+            return renewed.is_none_or(|renewed| renewed.elapsed() >= RENEWAL);
+        }
+        self.leave();
+        let domain = &self.quotas.place.domain;
+        if self.peers.keeper_of(domain).is_some() {
+            self.missing.set(None);
+            return false;
+        }
+        let missing = self.missing.get().unwrap_or_else(Instant::now);
+        self.missing.set(Some(missing));
+        let before = u32::try_from(self.watch.before()).unwrap_or(u32::MAX);
+        self.started.elapsed() >= MEETING_TIME
+            && missing.elapsed() >= ORDER_PAUSE.saturating_mul(before)
+    }
+
+    /// Stops to give tokens; it is told at once.
+    fn leave(&self) {
+        let office = self.quotas.office.take();
+        if let Some(office) = office {
+            self.renewed.set(None);
+            self.status.quota_term.set(0);
+            self.status.publish();
+            emit(&catalogue::QUOTA_KEEPER_ENDED, &[("term", &office.term)]);
+        }
+    }
+
+    async fn claim(&self) -> Result<Lease, OfficeError> {
+        let (mut parts, version, now) = self.read().await?;
+        let claim = self.say();
+        let own = &self.quotas.place;
+        let is_gone = |lease: &Lease| {
+            let is_own = lease.holder == own.node && lease.life != own.life.0;
+            is_own
+                || self
+                    .peers
+                    .is_in_another_life(&lease.holder, Incarnation(lease.life))
+        };
+        let before = parts.clone();
+        let Some(lease) = parts.claim(&claim, now, is_gone) else {
+            let holder = before.domains.get(&own.domain);
+            let holder = holder.map_or_else(|| own.node.clone(), |one| one.lease.holder.clone());
+            return Err(OfficeError::Held(holder));
+        };
+        // What is lowered is given up before it is written: somebody else may take it then.
+        self.set_parts(&parts, f64::min);
+        let text =
+            serde_json::to_string(&parts).map_err(|error| OfficeError::Row(error.to_string()))?;
+        let written = self.store.replace(Table::Quotas, ROW, &text, version);
+        written.await.map_err(OfficeError::Store)?;
+        self.enter(&lease);
+        self.set_parts(&parts, |next, _| next);
+        Ok(lease)
+    }
+
+    async fn read(&self) -> Result<(Parts, StoreVersion, Now), OfficeError> {
+        let asked = clock::now();
+        let reading = self.store.row(Table::Quotas, ROW).await;
+        let Reading { row, now } = reading.map_err(OfficeError::Store)?;
+        let told = now.ok_or(OfficeError::NoTime)?;
+        self.quotas.clock.note(asked, told);
+        let at_most = self.quotas.clock.at_most(clock::now());
+        let now = Now {
+            at_least_ms: told.millis(),
+            at_most_ms: at_most.unwrap_or(told).millis(),
+        };
+        let Some(row) = row else {
+            return Ok((Parts::default(), StoreVersion::default(), now));
+        };
+        let parts = match &row.content {
+            Content::Text(text) => {
+                serde_json::from_str(text).map_err(|error| OfficeError::Row(error.to_string()))
+            }
+            Content::Unreadable(reason) => Err(OfficeError::Row(reason.clone())),
+            Content::Removed => Ok(Parts::default()),
+        };
+        // What cannot be read was not written by a node. It is written anew once the leases of
+        // before have ended for sure; until then the error is logged at each try.
+        Ok((parts?, row.version, now))
+    }
+
+    fn say(&self) -> Claim {
+        let place = &self.quotas.place;
+        let office = self.quotas.office.borrow();
+        let demand = office
+            .as_ref()
+            .map(|office| office.keeper.demand(clock::now()))
+            .unwrap_or_default();
+        let limited = self.quotas.limits.borrow().keys().cloned().collect();
+        Claim {
+            domain: place.domain.clone(),
+            node: place.node.clone(),
+            life: place.life.0,
+            domains: self.peers.domains_beside(&place.domain) + 1,
+            demand: rounded(demand),
+            limited,
+        }
+    }
+
+    fn enter(&self, lease: &Lease) {
+        let now = clock::now();
+        let until = StoreTime::from_millis(lease.until_ms);
+        let mut office = self.quotas.office.borrow_mut();
+        match office.as_mut() {
+            Some(office) if office.term == lease.term => office.until = until,
+            _ => {
+                let mut keeper = Keeper::new(self.quotas.tolerance, now);
+                keeper.set_limits(&self.quotas.limits.borrow(), now);
+                *office = Some(Office {
+                    keeper,
+                    term: lease.term,
+                    until,
+                });
+            }
+        }
+    }
+
+    /// Sets each part to what `choose` makes of the next and the present one.
+    fn set_parts(&self, parts: &Parts, choose: impl Fn(f64, f64) -> f64) {
+        let now = clock::now();
+        let domain = &self.quotas.place.domain;
+        let mut office = self.quotas.office.borrow_mut();
+        let Some(office) = office.as_mut() else {
+            return;
+        };
+        for workspace in self.quotas.limits.borrow().keys() {
+            let next = parts.part(domain, workspace);
+            let present = office.keeper.part(workspace);
+            office
+                .keeper
+                .set_part(workspace, choose(next, present), now);
+        }
+    }
+
+    async fn release(&self) -> Result<(), OfficeError> {
+        let (mut parts, version, _) = self.read().await?;
+        let place = &self.quotas.place;
+        if !parts.release(&place.domain, &place.node, place.life.0) {
+            return Ok(());
+        }
+        let text =
+            serde_json::to_string(&parts).map_err(|error| OfficeError::Row(error.to_string()))?;
+        let written = self.store.replace(Table::Quotas, ROW, &text, version);
+        written.await.map_err(OfficeError::Store)
+    }
+
+    fn note_lease(&self, lease: &Lease) {
+        self.renewed.set(Some(Instant::now()));
+        self.missing.set(None);
+        if self.status.quota_term.replace(lease.term) != lease.term {
+            self.status.publish();
+            emit(&catalogue::QUOTA_KEEPER_BEGAN, &[("term", &lease.term)]);
+        }
+    }
+
+    #[allow(clippy::unused_self, reason = "events are written through one service")]
+    fn note_error(&self, error: &OfficeError) {
+        // Nodes write in turn, and the one that comes second tries again.
+        if matches!(error, OfficeError::Store(StoreError::Conflict)) {
+            return;
+        }
+        emit(
+            &catalogue::STORE_FAILED,
+            &[("operation", &"keep tokens"), ("reason", error)],
+        );
+    }
+}
+
+/// Returns demands in tenths, which is close enough and short to write.
+fn rounded(demand: std::collections::HashMap<WorkspaceName, f64>) -> BTreeMap<WorkspaceName, f64> {
+    let demand = demand.into_iter();
+    let demand = demand.map(|(name, demand)| (name, (demand * 10.0).round() / 10.0));
+    demand.collect()
+}
--- /dev/null
+++ b/crates/mesh/src/quota/mod.rs
@@ -0,0 +1,299 @@
+//! Lets requests in by the limits of their workspaces, which all nodes keep together.
+//!
+//! A node takes a token for each request out of its purse and fetches more
+//! from the keeper of its failure domain. What is decided is in
+//! `sailtrack-quota`; here it meets links, the store and the clock.
+
+mod asker;
+mod keeping;
+mod wire;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::channel::{mpsc, oneshot};
+use monoio::time::timeout;
+use sailtrack_kernel::Service;
+use sailtrack_log::{catalogue, emit};
+use sailtrack_quota::{Grant, Holder, Keeper, Limit, Purse, Taken, Tolerance, Want};
+use sailtrack_units::{DomainName, Incarnation, Moment, NodeName, WorkspaceName};
+use sailtrack_wire::{TokenAnswer, TokenQuestion};
+
+pub(crate) use asker::Asker;
+pub(crate) use keeping::Keeping;
+
+use crate::clock;
+use crate::configuration::{Configuration, Current, Workspaces};
+use crate::metrics::Metrics;
+use crate::store::{Clock, StoreTime};
+
+/// How long a request waits for a token: some hundred times the way to the keeper and back, and
+/// little beside the second or so within which callers hope for an answer.
+const ASK_TIME: Duration = Duration::from_millis(250);
+/// A token whose request was refused is given back if it was taken this lately. Until then the
+/// keeper takes it for used, so it is one more; what is refused by a full upstream is refused
+/// within the 0.2 s for which calls wait.
+const GIVE_BACK_TIME: Duration = Duration::from_millis(400);
+/// A workspace that goes on being over its limit is logged this often.
+const LOG_PAUSE: Duration = Duration::from_secs(5);
+
+/// Why a request gets no token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Shortage {
+    /// Its workspace asks more than it may; there is a token after this time.
+    Over(Duration),
+    /// The keeper cannot be reached.
+    NoKeeper,
+}
+
+/// Who this node is among those that keep and fetch tokens.
+#[derive(Debug, Clone)]
+pub(crate) struct Place {
+    pub(crate) node: NodeName,
+    pub(crate) life: Incarnation,
+    pub(crate) domain: DomainName,
+}
+
+/// The office of this node as the keeper of its domain.
+struct Office {
+    keeper: Keeper,
+    term: u64,
+    /// When its lease ends, by the store's clock.
+    until: StoreTime,
+}
+
+/// Lets requests in by the limits of their workspaces.
+pub(crate) struct Quotas {
+    place: Place,
+    tolerance: Tolerance,
+    clock: Rc<Clock>,
+    current: Rc<Current>,
+    metrics: Rc<Metrics>,
+    purse: RefCell<Purse>,
+    limits: RefCell<HashMap<WorkspaceName, Limit>>,
+    office: RefCell<Option<Office>>,
+    /// Who waits for the next answer of the keeper.
+    waiting: RefCell<Vec<oneshot::Sender<()>>>,
+    /// Tells the asker that something waits.
+    wanted: RefCell<mpsc::Sender<()>>,
+    logged: RefCell<HashMap<WorkspaceName, Moment>>,
+    questions: Cell<u64>,
+}
+
+impl Service for Quotas {
+    const NAME: &'static str = "quotas";
+}
+
+impl Quotas {
+    pub(crate) fn new(
+        place: Place,
+        tolerance: Tolerance,
+        (clock, current, metrics): (Rc<Clock>, Rc<Current>, Rc<Metrics>),
+        wanted: mpsc::Sender<()>,
+    ) -> Self {
+        Self {
+            place,
+            tolerance,
+            clock,
+            current,
+            metrics,
+            purse: RefCell::default(),
+            limits: RefCell::default(),
+            office: RefCell::default(),
+            waiting: RefCell::default(),
+            wanted: RefCell::new(wanted),
+            logged: RefCell::default(),
+            questions: Cell::new(0),
+        }
+    }
+
+    /// Takes a token for a request of a workspace that has a limit.
+    pub(crate) async fn admit(
+        self: &Rc<Self>,
+        workspace: &WorkspaceName,
+    ) -> Result<Token, Shortage> {
+        let taken = self.purse.borrow_mut().take(workspace, clock::now());
+        let taken = match taken {
+            Taken::Ask => self.wait_for_token(workspace).await,
+            taken => Ok(taken),
+        };
+        match taken {
+            Ok(Taken::Token) => Ok(Token::new(self, workspace)),
+            Ok(Taken::Dry(wait)) => {
+                self.note_over(workspace);
+                Err(Shortage::Over(wait))
+            }
+            Ok(Taken::Ask) | Err(_) => Err(Shortage::NoKeeper),
+        }
+    }
+
+    async fn wait_for_token(
+        &self,
+        workspace: &WorkspaceName,
+    ) -> Result<Taken, monoio::time::error::Elapsed> {
+        let _waiting = Waiting::new(self, workspace);
+        let waiting = async {
+            loop {
+                let (sender, answered) = oneshot::channel();
+                self.waiting.borrow_mut().push(sender);
+                // A full channel holds the same wish.
+                let _ = self.wanted.borrow_mut().try_send(());
+                // The asker lives as long as the node.
+                let _ = answered.await;
+                let taken = self.purse.borrow_mut().take_again(workspace, clock::now());
+                if taken != Taken::Ask {
+                    return taken;
+                }
+            }
+        };
+        timeout(ASK_TIME, waiting).await
+    }
+
+    /// Takes the limits of a configuration into force.
+    pub(crate) fn take_limits(&self, configuration: Option<&Configuration>) {
+        let workspaces = configuration.and_then(|known| known.workspaces.as_ref());
+        let all = workspaces.into_iter().flat_map(Workspaces::all);
+        let limits = all.filter_map(|one| Some((one.name.clone(), one.limit?)));
+        let limits: HashMap<_, _> = limits.collect();
+        let before = self.limits.replace(limits);
+        let limits = self.limits.borrow();
+        let mut purse = self.purse.borrow_mut();
+        for name in before.keys() {
+            if before.get(name) != limits.get(name) {
+                purse.void(name);
+            }
+        }
+        if let Some(office) = self.office.borrow_mut().as_mut() {
+            office.keeper.set_limits(&limits, clock::now());
+        }
+    }
+
+    /// Answers a question of another node, or of this one, if it keeps the tokens.
+    pub(crate) fn answer(&self, holder: &Holder, question: &TokenQuestion) -> TokenAnswer {
+        let exchange = question.exchange;
+        let now = clock::now();
+        let mut office = self.office.borrow_mut();
+        let office = office.as_mut().filter(|office| self.is_valid(office, now));
+        let Some(office) = office else {
+            return TokenAnswer {
+                exchange,
+                not_keeper: true,
+                grants: Vec::new(),
+            };
+        };
+        let grants = question.wants.iter().map(|want| {
+            let grant = wire::want(want).and_then(|(workspace, want)| {
+                office.keeper.ask((holder, exchange), &workspace, want, now)
+            });
+            wire::grant(grant)
+        });
+        TokenAnswer {
+            exchange,
+            not_keeper: false,
+            grants: grants.collect(),
+        }
+    }
+
+    /// Returns true if this node keeps the tokens of its domain.
+    pub(crate) fn is_keeper(&self) -> bool {
+        let office = self.office.borrow();
+        office
+            .as_ref()
+            .is_some_and(|office| self.is_valid(office, clock::now()))
+    }
+
+    /// Returns true if a workspace has a limit.
+    pub(crate) fn is_needed(&self) -> bool {
+        !self.limits.borrow().is_empty()
+    }
+
+    fn is_valid(&self, office: &Office, now: Moment) -> bool {
+        let at_most = self.clock.at_most(now);
+        at_most.is_some_and(|at_most| at_most < office.until)
+    }
+
+    fn receive(&self, wants: &[(WorkspaceName, Want)], answer: &TokenAnswer, asked: Moment) {
+        let mut purse = self.purse.borrow_mut();
+        for ((workspace, want), grant) in wants.iter().zip(&answer.grants) {
+            let grant = wire::granted(grant).unwrap_or(Grant {
+                // The keeper has an older configuration, or a newer one, without this limit.
+                tokens: want.needed,
+                wait: Duration::ZERO,
+            });
+            purse.receive(workspace, grant, asked);
+        }
+    }
+
+    fn wake_all(&self) {
+        for waiting in self.waiting.borrow_mut().drain(..) {
+            // Who waited may have given up.
+            let _ = waiting.send(());
+        }
+    }
+
+    fn note_over(&self, workspace: &WorkspaceName) {
+        self.metrics.note_over_quota();
+        let now = clock::now();
+        let mut logged = self.logged.borrow_mut();
+        let last = logged.get(workspace).copied();
+        if last.is_some_and(|last| now.since(last) < LOG_PAUSE) {
+            return;
+        }
+        logged.insert(workspace.clone(), now);
+        let limit = self.limits.borrow().get(workspace).copied();
+        let rate = limit.map_or(0.0, |limit| limit.rate);
+        emit(
+            &catalogue::WORKSPACE_OVER_LIMIT,
+            &[
+                ("workspace", workspace),
+                ("rate", &rate),
+                ("version", &self.current.version()),
+            ],
+        );
+    }
+}
+
+/// Tells the keeper, while it lives, that a request waits for a token.
+struct Waiting<'a> {
+    quotas: &'a Quotas,
+    workspace: &'a WorkspaceName,
+}
+
+impl<'a> Waiting<'a> {
+    fn new(quotas: &'a Quotas, workspace: &'a WorkspaceName) -> Self {
+        quotas.purse.borrow_mut().wait(workspace, true);
+        Self { quotas, workspace }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.quotas.purse.borrow_mut().wait(self.workspace, false);
+    }
+}
+
+/// The right to run one request.
+pub(crate) struct Token {
+    quotas: Rc<Quotas>,
+    workspace: WorkspaceName,
+    taken: Moment,
+}
+
+impl Token {
+    fn new(quotas: &Rc<Quotas>, workspace: &WorkspaceName) -> Self {
+        Self {
+            quotas: Rc::clone(quotas),
+            workspace: workspace.clone(),
+            taken: clock::now(),
+        }
+    }
+
+    /// Gives it back, since its request did not run and never will.
+    pub(crate) fn give_back(self) {
+        if clock::now().since(self.taken) < GIVE_BACK_TIME {
+            self.quotas.purse.borrow_mut().give_back(&self.workspace);
+        }
+    }
+}
--- a/crates/mesh/src/retry/tests.rs
+++ b/crates/mesh/src/retry/tests.rs
@@ -20,6 +20,7 @@
 
 fn work(rank: Rank, repeated: bool) -> Work {
     Work {
+        workspace: None,
         attempt: AttemptKey::from("a"),
         identity: Hasher::new(&[b"/"], Caller::default()).finish(),
         known_crashes: 0,
--- a/crates/mesh/src/returns.rs
+++ b/crates/mesh/src/returns.rs
@@ -8,6 +8,10 @@
 /// at most. Cuts and restarts take seconds; objectives of a second and a half leave this much.
 const ABSENCE_RETURN: Duration = Duration::from_millis(900);
 const ABSENCE_SPREAD: Duration = Duration::from_millis(600);
+/// The time after which a caller comes back to a node that lacks news, and by how much more at most.
+/// A keeper of tokens is replaced within 0.3 s to some seconds, and callers try once more only.
+const OUTAGE_RETURN: Duration = Duration::from_millis(500);
+const OUTAGE_SPREAD: Duration = Duration::from_millis(500);
 /// The time after which a caller comes back to a request on trial, and by how much more at most:
 /// one and two runs of middle length.
 const TRIAL_RETURN: Duration = Duration::from_millis(250);
@@ -15,6 +19,12 @@
 /// The shortest time after which a caller comes back to a full upstream.
 const SHORTEST_RETURN: Duration = Duration::from_millis(200);
 
+/// Returns when a caller is to come back whose node lacks what the store or a neighbour has to
+/// tell it: about when another node has been found that does.
+pub(crate) fn after_outage() -> Duration {
+    OUTAGE_RETURN + OUTAGE_SPREAD.mul_f64(rand::rng().random())
+}
+
 /// Returns when a caller is to come back whose path has no upstream somewhere.
 ///
 /// Nobody knows for how long, and most callers try once more only: a late try finds the path
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 
 use log::LevelFilter;
+use sailtrack_quota::Tolerance;
 use sailtrack_settings::{Document, Identity, Problems, Section};
 use sailtrack_units::{ByteSize, Period, Ratio};
 
@@ -19,6 +20,11 @@
 /// After how long a node is taken for gone for good: longer than a reboot takes.
 const DEFAULT_FORGET: Period = Period::from_millis(300_000);
 
+/// In which time limits of workspaces are measured if nothing is set, and which share of them may
+/// run beside them: none.
+const DEFAULT_QUOTA_WINDOW: Period = Period::from_millis(5_000);
+const DEFAULT_QUOTA_OVERAGE: Ratio = Ratio(0.0);
+
 /// The addresses on which the node listens.
 #[derive(Debug, Clone, Copy)]
 pub struct Ports {
@@ -68,6 +74,11 @@
     pub forget_after: Period,
     /// What may be sent once more.
     pub retry: RetryBounds,
+    /// How long a key that was taken away may go on to be served by a node that cannot hear of it;
+    /// without it, until it hears.
+    pub revoke_time: Option<Period>,
+    /// How far workspaces may go beyond their limits.
+    pub quota: Tolerance,
     /// What is logged.
     pub log_level: LevelFilter,
 }
@@ -96,6 +107,8 @@
         let stop_time = bounds.required("stop-time", PERIOD);
         let forget_after = bounds.or("forget-after", DEFAULT_FORGET, PERIOD);
         let retry = read_retry(&bounds);
+        let revoke_time = bounds.optional("revoke-time", PERIOD);
+        let quota = read_quota(&bounds);
         drop(bounds);
         let log = document.optional_section("log");
         let log_level = log.or("level", LevelFilter::Info, LEVEL);
@@ -112,6 +125,8 @@
                 stop_time: stop_time?,
                 forget_after,
                 retry: retry?,
+                revoke_time,
+                quota,
                 log_level,
             })
         };
@@ -135,6 +150,17 @@
     })
 }
 
+fn read_quota(section: &Section<'_>) -> Tolerance {
+    let window = section.or("quota-window", DEFAULT_QUOTA_WINDOW, PERIOD);
+    let overage = section.or("quota-overage", DEFAULT_QUOTA_OVERAGE, RATIO);
+    let slack = section.or("quota-slack", 0.0, "a number of requests");
+    Tolerance {
+        window: window.0,
+        overage: overage.0,
+        slack,
+    }
+}
+
 fn read_retry(section: &Section<'_>) -> Option<RetryBounds> {
     let ratio = section.required("retry-ratio", RATIO);
     let slack = section.required("retry-slack", "a number of requests");
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -13,9 +13,10 @@
 
 use crate::configuration::Current;
 use crate::directory::Directory;
+use crate::freshness::Freshness;
 use crate::gate::Upstream;
 use crate::retired::Retired;
-use crate::store::Reach;
+use crate::store::{Reach, StoreTime};
 
 /// The most other nodes of which a node that connects is told. With all of them, a start of 300
 /// nodes at once moved 7 MB to and from each; some of each node that one meets make all known.
@@ -31,6 +32,9 @@
     pub(crate) current: Rc<Current>,
     pub(crate) retired: Rc<Retired>,
     pub(crate) reach: Rc<Reach>,
+    pub(crate) freshness: Rc<Freshness>,
+    /// The term of this node as the keeper of its failure domain's tokens; zero if it is not.
+    pub(crate) quota_term: Cell<u64>,
     pub(crate) subscribers: RefCell<Vec<mpsc::Sender<Body>>>,
 }
 
@@ -64,6 +68,8 @@
             retired: Vec::new(),
             known: Vec::new(),
             store_lost: self.reach.is_lost(),
+            config_as_of_ms: self.freshness.as_of().map_or(0, StoreTime::millis),
+            quota_term: self.quota_term.get(),
         }
     }
 
--- a/crates/mesh/src/store/mirror.rs
+++ b/crates/mesh/src/store/mirror.rs
@@ -8,11 +8,13 @@
 use rand::Rng as _;
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
+use sailtrack_units::Moment;
 
-use crate::store::{Row, Rows, Store, StoreError, StoreVersion, Table};
+use crate::clock;
+use crate::store::{Row, Store, StoreError, StoreTime, StoreVersion, Table};
 
 /// How long one call waits for changes; the store allows 30 s, and every call has its price.
-const WAIT: Duration = Duration::from_secs(29);
+pub(crate) const WAIT: Duration = Duration::from_secs(29);
 /// The first pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// The longest pause after failed calls: entries are to be back two seconds after the store is.
@@ -47,6 +49,14 @@
         Pace::default()
     }
 
+    /// Returns how long one call waits for changes.
+    fn wait(&self) -> Duration {
+        WAIT
+    }
+
+    /// Everything up to a time of the store's clock was told; the call was made at `asked`.
+    fn confirm(&self, _asked: Moment, _as_of: StoreTime) {}
+
     /// All rows of the table as of one moment.
     fn reset(&self, rows: &[Row]);
 
@@ -146,14 +156,23 @@
     at: Option<StoreVersion>,
     follower: &dyn Follower,
 ) -> Result<StoreVersion, StoreError> {
-    let Some(after) = at else {
-        let Rows { rows, version } = store.rows(table).await?;
-        follower.reset(&rows);
-        return Ok(version);
+    let asked = clock::now();
+    let told = match at {
+        None => {
+            let told = store.rows(table).await?;
+            follower.reset(&told.rows);
+            told
+        }
+        Some(after) => {
+            let told = store.changes(table, after, follower.wait()).await?;
+            if !told.rows.is_empty() {
+                follower.change(&told.rows);
+            }
+            told
+        }
     };
-    let Rows { rows, version } = store.changes(table, after, WAIT).await?;
-    if !rows.is_empty() {
-        follower.change(&rows);
+    if let Some(as_of) = told.now.filter(|_| told.is_whole) {
+        follower.confirm(asked, as_of);
     }
-    Ok(version.max(after))
+    Ok(told.version.max(at.unwrap_or_default()))
 }
--- a/crates/mesh/src/store/mod.rs
+++ b/crates/mesh/src/store/mod.rs
@@ -1,5 +1,6 @@
 //! The store in which everything lives that must outlast a node.
 
+mod clock;
 mod mirror;
 
 use std::time::Duration;
@@ -7,7 +8,9 @@
 use displaydoc::Display;
 use futures::future::LocalBoxFuture;
 
-pub(crate) use mirror::{Follower, Pace, Reach, follow};
+pub(crate) use clock::Clock;
+pub use clock::StoreTime;
+pub(crate) use mirror::{Follower, Pace, Reach, WAIT, follow};
 
 /// The tables that the mesh uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -18,6 +21,8 @@
     Members,
     /// retired upstreams
     Retired,
+    /// quotas
+    Quotas,
 }
 
 /// The version of the whole store after a transaction.
@@ -53,6 +58,19 @@
     pub rows: Vec<Row>,
     /// The version of the store at that moment.
     pub version: StoreVersion,
+    /// What the clock of the store showed then, if it tells that.
+    pub now: Option<StoreTime>,
+    /// Whether these are all rows that were asked for.
+    pub is_whole: bool,
+}
+
+/// One row as of one moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reading {
+    /// The row, if it is there.
+    pub row: Option<Row>,
+    /// What the clock of the store showed then, if it tells that.
+    pub now: Option<StoreTime>,
 }
 
 /// Why an operation on the store failed.
@@ -82,8 +100,8 @@
     /// Returns all rows of a table.
     fn rows(&self, table: Table) -> Operation<'_, Rows>;
 
-    /// Returns one row of a table, if it is there.
-    fn row<'a>(&'a self, table: Table, key: &'a str) -> Operation<'a, Option<Row>>;
+    /// Returns one row of a table.
+    fn row<'a>(&'a self, table: Table, key: &'a str) -> Operation<'a, Reading>;
 
     /// Returns the rows that changed after a version, as soon as there is one or `wait` is over.
     fn changes(&self, table: Table, after: StoreVersion, wait: Duration) -> Operation<'_, Rows>;
@@ -91,6 +109,15 @@
     /// Writes a row, whatever stands there.
     fn put<'a>(&'a self, table: Table, key: &'a str, value: &'a str) -> Operation<'a, ()>;
 
+    /// Writes a row if it still has this version; zero stands for one that is not there.
+    fn replace<'a>(
+        &'a self,
+        table: Table,
+        key: &'a str,
+        value: &'a str,
+        version: StoreVersion,
+    ) -> Operation<'a, ()>;
+
     /// Removes a row if it still has this version.
     fn remove<'a>(&'a self, table: Table, key: &'a str, version: StoreVersion)
     -> Operation<'a, ()>;
--- a/crates/mesh/src/wake/tests.rs
+++ b/crates/mesh/src/wake/tests.rs
@@ -6,13 +6,14 @@
 
 use sailtrack_net::runtime;
 use sailtrack_quarantine::Ran;
-use sailtrack_units::NodeName;
+use sailtrack_units::{Moment, NodeName};
 use sailtrack_wire::{Evidence, Member as MemberMessage, Presence};
 
 use crate::clock::suspend;
 use crate::clock::tests::SUSPENSIONS;
 use crate::key::UpstreamKey;
 use crate::peer::{News, Peers};
+use crate::store::StoreTime;
 use crate::wake::{NEWS_TIME, Wake};
 
 struct Quiet;
@@ -28,6 +29,12 @@
 
     fn take(&self, _from: &NodeName, _presence: &Presence) {}
 
+    fn wants_store_time(&self) -> bool {
+        false
+    }
+
+    fn take_store_time(&self, _: Moment, _: StoreTime) {}
+
     fn take_evidence(&self, _evidence: &Evidence) {}
 
     fn take_lost(&self, _upstream: &UpstreamKey, _ran: &[Ran]) {}
--- a/crates/mesh/src/watch.rs
+++ b/crates/mesh/src/watch.rs
@@ -60,10 +60,15 @@
         }
     }
 
+    /// Returns how many nodes of the failure domain stand before this one and reach the store.
+    pub(crate) fn before(&self) -> usize {
+        self.peers.watchers_before(self.place, &self.domain)
+    }
+
     /// Returns true while this node follows the store.
     ///
     /// One that has lost it goes on asking, and the others do not count on it meanwhile.
     pub(crate) fn is_ours(&self) -> bool {
-        self.reach.is_lost() || self.peers.watchers_before(self.place, &self.domain) < WATCHERS
+        self.reach.is_lost() || self.before() < WATCHERS
     }
 }
--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -171,5 +171,8 @@
         Reason::UpstreamCrashed => "upstream-crashed",
         Reason::Quarantined => "quarantined",
         Reason::OnTrial => "on-trial",
+        Reason::OverQuota => "over-quota",
+        Reason::QuotaNotKnown => "quota-not-known",
+        Reason::KeysOutdated => "keys-outdated",
     }
 }
--- /dev/null
+++ b/crates/quota/src/keeper.rs
@@ -0,0 +1,243 @@
+//! The tokens of one failure domain, kept by one node.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sailtrack_units::{Moment, NodeName, WorkspaceName};
+
+use crate::limit::{Limit, Tolerance};
+use crate::meter::Meter;
+use crate::purse::HOLD;
+
+/// How long tokens of a node are counted after it was last heard of: longer than it holds them,
+/// which it counts from an earlier moment, and by the slower of two clocks.
+const COUNTED: Duration = HOLD.saturating_add(Duration::from_millis(500));
+/// For how long a new keeper keeps only what comes in: nodes may still hold tokens of the keeper
+/// before it that it has not heard of.
+const YOUNG: Duration = COUNTED;
+/// What a new keeper may have in its pool, as a share of a second's tokens and in tokens besides.
+const YOUNG_SHARE: f64 = 0.1;
+const YOUNG_TOKENS: f64 = 2.0;
+/// Tokens that are not needed at once are handed out from above this share of the capacity only,
+/// so that the first node that asks does not take those that others need.
+const SPARE_FROM: f64 = 0.3;
+/// Over how long demand is averaged: a workspace with four requests a second in a domain is seen
+/// some thirty times in it, so that its part does not follow chance.
+const DEMAND_SPAN: Duration = Duration::from_secs(8);
+/// The shortest and the longest time after which tokens are asked for again.
+const SHORTEST_WAIT: Duration = Duration::from_millis(20);
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
+
+/// What a node says and asks about the tokens of one workspace.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Want {
+    /// The tokens that it has,
+    pub held: u32,
+    /// how many more are needed at once,
+    pub needed: u32,
+    /// and how many more would save it from asking again soon.
+    pub spare: u32,
+    /// The requests that it has seen since its last question, let in or not.
+    pub seen: u32,
+}
+
+/// What a node gets.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Grant {
+    /// The tokens that it gets.
+    pub tokens: u32,
+    /// If that is less than needed, the time after which there are more.
+    pub wait: Duration,
+}
+
+/// Who holds tokens: one life of a node. What an earlier life held counts until it lapses.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Holder {
+    /// The node,
+    pub node: NodeName,
+    /// and its life.
+    pub life: u64,
+}
+
+/// What a node holds, as far as the keeper knows.
+#[derive(Debug, Clone, Copy, Default)]
+struct Account {
+    /// The number of its last question; one that comes late is older.
+    question: u64,
+    held: u32,
+    heard: Moment,
+}
+
+/// The tokens of one workspace.
+#[derive(Debug)]
+struct Pool {
+    limit: Limit,
+    part: f64,
+    tokens: f64,
+    at: Moment,
+    demand: Meter,
+    accounts: HashMap<Holder, Account>,
+}
+
+/// The tokens of one failure domain.
+#[derive(Debug)]
+pub struct Keeper {
+    tolerance: Tolerance,
+    began: Moment,
+    pools: HashMap<WorkspaceName, Pool>,
+}
+
+impl Keeper {
+    /// Begins with no tokens at all: what was there before may still be in use.
+    #[must_use]
+    pub fn new(tolerance: Tolerance, now: Moment) -> Self {
+        Self {
+            tolerance,
+            began: now,
+            pools: HashMap::new(),
+        }
+    }
+
+    /// Takes the limits of all workspaces in force; one that is not named has none.
+    pub fn set_limits(&mut self, limits: &HashMap<WorkspaceName, Limit>, now: Moment) {
+        self.pools.retain(|name, _| limits.contains_key(name));
+        for (name, limit) in limits {
+            let pool = self.pools.entry(name.clone()).or_insert_with(|| Pool {
+                limit: *limit,
+                part: 0.0,
+                tokens: 0.0,
+                at: now,
+                demand: Meter::over(DEMAND_SPAN),
+                accounts: HashMap::new(),
+            });
+            // Until now the earlier limit held.
+            pool.fill(&self.tolerance, self.began, now);
+            pool.limit = *limit;
+            pool.fill(&self.tolerance, self.began, now);
+        }
+    }
+
+    /// Sets the part of a workspace's limit that this domain has, from 0 to 1.
+    pub fn set_part(&mut self, workspace: &WorkspaceName, part: f64, now: Moment) {
+        if let Some(pool) = self.pools.get_mut(workspace) {
+            pool.fill(&self.tolerance, self.began, now);
+            pool.part = part;
+            pool.fill(&self.tolerance, self.began, now);
+        }
+    }
+
+    /// Takes in what a node says and gives it tokens; nothing for a workspace without a limit.
+    ///
+    /// The questions of a life are numbered from 1 on, and each is asked once all earlier ones are
+    /// answered or given up.
+    pub fn ask(
+        &mut self,
+        (holder, question): (&Holder, u64),
+        workspace: &WorkspaceName,
+        want: Want,
+        now: Moment,
+    ) -> Option<Grant> {
+        let pool = self.pools.get_mut(workspace)?;
+        let account = pool.accounts.entry(holder.clone()).or_default();
+        if question <= account.question {
+            return Some(Grant {
+                tokens: 0,
+                wait: SHORTEST_WAIT,
+            });
+        }
+        *account = Account {
+            question,
+            held: want.held,
+            heard: now,
+        };
+        pool.demand.note(want.seen, now);
+        pool.fill(&self.tolerance, self.began, now);
+        let capacity = pool.capacity(&self.tolerance);
+        let needed = whole(pool.tokens).min(want.needed);
+        let left = pool.tokens - f64::from(needed) - capacity * SPARE_FROM;
+        let tokens = needed + whole(left).min(want.spare);
+        pool.tokens -= f64::from(tokens);
+        if let Some(account) = pool.accounts.get_mut(holder) {
+            account.held += tokens;
+        }
+        Some(Grant {
+            tokens,
+            wait: pool.wait(&self.tolerance, want.needed - needed, now),
+        })
+    }
+
+    /// Returns the part of a workspace's limit that this domain has.
+    #[must_use]
+    pub fn part(&self, workspace: &WorkspaceName) -> f64 {
+        self.pools.get(workspace).map_or(0.0, |pool| pool.part)
+    }
+
+    /// Returns the requests a second that all nodes of the domain see, by workspace.
+    #[must_use]
+    pub fn demand(&self, now: Moment) -> HashMap<WorkspaceName, f64> {
+        let demands = self.pools.iter();
+        let demands = demands.map(|(name, pool)| (name.clone(), pool.demand.rate(now)));
+        demands.filter(|(_, demand)| *demand > 0.0).collect()
+    }
+
+    /// Returns the tokens of a workspace that are here or with nodes.
+    #[must_use]
+    pub fn total(&self, workspace: &WorkspaceName) -> f64 {
+        let pool = self.pools.get(workspace);
+        pool.map_or(0.0, |pool| pool.tokens + pool.handed_out())
+    }
+}
+
+impl Pool {
+    fn rate(&self, tolerance: &Tolerance) -> f64 {
+        self.limit.refill(tolerance) * self.part
+    }
+
+    fn capacity(&self, tolerance: &Tolerance) -> f64 {
+        self.limit.capacity(tolerance) * self.part
+    }
+
+    fn handed_out(&self) -> f64 {
+        let held = self.accounts.values().map(|account| account.held);
+        held.map(f64::from).sum()
+    }
+
+    /// Adds what came in since the last time, up to what may be there.
+    fn fill(&mut self, tolerance: &Tolerance, began: Moment, now: Moment) {
+        self.accounts
+            .retain(|_, account| now.since(account.heard) <= COUNTED);
+        let mut room = self.capacity(tolerance) - self.handed_out();
+        if now.since(began) < YOUNG {
+            room = room.min(self.rate(tolerance) * YOUNG_SHARE + YOUNG_TOKENS * self.part);
+        }
+        let came = self.rate(tolerance) * now.since(self.at).as_secs_f64();
+        self.tokens = (self.tokens + came).min(room.max(0.0));
+        self.at = now;
+    }
+
+    /// Returns the time after which a node that lacks tokens finds some.
+    fn wait(&self, tolerance: &Tolerance, missing: u32, now: Moment) -> Duration {
+        let rate = self.rate(tolerance);
+        if missing == 0 || rate <= 0.0 {
+            return if missing == 0 {
+                Duration::ZERO
+            } else {
+                LONGEST_WAIT
+            };
+        }
+        // The more is asked beyond the rate, the longer until it is somebody's turn.
+        let excess = (self.demand.rate(now) / rate).max(1.0);
+        let first = (1.0 - self.tokens).max(0.0) / rate;
+        let wait = Duration::try_from_secs_f64(first * excess).unwrap_or(LONGEST_WAIT);
+        wait.clamp(SHORTEST_WAIT, LONGEST_WAIT)
+    }
+}
+
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a number below 0 is none, and no limit comes near the greatest"
+)]
+fn whole(tokens: f64) -> u32 {
+    tokens.max(0.0) as u32
+}
--- /dev/null
+++ b/crates/quota/src/parts.rs
@@ -0,0 +1,202 @@
+//! Which failure domain has which part of the limits, and which node keeps it.
+//!
+//! One row of the store holds it, written under the condition that nobody
+//! else wrote it meanwhile. A domain lowers only its own part and raises it
+//! only by what nobody has, so the parts of a workspace never add up to more
+//! than one.
+
+use std::collections::{BTreeMap, HashSet};
+use std::time::Duration;
+
+use sailtrack_units::{DomainName, NodeName, WorkspaceName};
+use serde::{Deserialize, Serialize};
+
+use crate::purse::HOLD;
+
+/// How long a keeper may go without renewing its lease: two lost renewals, and no longer than
+/// callers of a node that has lost the store are served on its behalf.
+const LEASE: Duration = Duration::from_secs(4);
+/// How long after the end of a lease the parts of a domain are left alone: its nodes may still
+/// use tokens.
+const LAPSED: Duration = HOLD.saturating_add(Duration::from_secs(1));
+/// The demand of a workspace is taken for that of this many requests a second more, divided as
+/// the demand of all workspaces is: of few requests, how they divide is mostly chance, and a domain
+/// where a workspace was quiet has something for its first requests.
+const COMMON_DEMAND: f64 = 3.0;
+/// A part is lowered when it is this much too large, so that parts do not follow each wave.
+const LOWER_FROM: f64 = 1.1;
+/// The most by which a part is lowered at once: what nodes hold must fit into the rest.
+const LOWEST_STEP: f64 = 0.5;
+/// Parts are written in steps of one in so many.
+const STEPS: f64 = 10_000.0;
+
+/// Which node keeps the tokens of a failure domain.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// The keeper,
+    pub holder: NodeName,
+    /// and its life.
+    pub life: u64,
+    /// Grows with each keeper of the domain.
+    pub term: u64,
+    /// When it ends, in milliseconds of the store's clock.
+    pub until_ms: u64,
+}
+
+/// One failure domain.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Domain {
+    /// Who keeps its tokens.
+    pub lease: Lease,
+    /// The requests a second that its nodes see.
+    pub demand: BTreeMap<WorkspaceName, f64>,
+    /// Its parts of the limits, from 0 to 1.
+    pub parts: BTreeMap<WorkspaceName, f64>,
+}
+
+/// All failure domains.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Parts {
+    /// The domains that had a keeper lately.
+    pub domains: BTreeMap<DomainName, Domain>,
+}
+
+/// What a keeper, or a node that wants to be one, says of itself.
+#[derive(Debug, Clone)]
+pub struct Claim {
+    /// Where it is.
+    pub domain: DomainName,
+    /// Who it is,
+    pub node: NodeName,
+    /// and its life.
+    pub life: u64,
+    /// How many failure domains it knows, its own included.
+    pub domains: usize,
+    /// The requests a second that nodes of its domain see.
+    pub demand: BTreeMap<WorkspaceName, f64>,
+    /// The workspaces that have limits.
+    pub limited: Vec<WorkspaceName>,
+}
+
+/// What the clock of the store shows at present, at least and at most, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Now {
+    /// At least.
+    pub at_least_ms: u64,
+    /// At most.
+    pub at_most_ms: u64,
+}
+
+impl Parts {
+    /// Renews the lease of a domain or takes it over, and moves its parts towards the demand;
+    /// returns the lease, or nothing if another node has it.
+    ///
+    /// `is_gone` tells of a life of a node that it surely has ended.
+    pub fn claim(
+        &mut self,
+        claim: &Claim,
+        now: Now,
+        is_gone: impl Fn(&Lease) -> bool,
+    ) -> Option<Lease> {
+        self.forget_lapsed(claim, now);
+        let before = self.domains.get(&claim.domain);
+        let term = match before.map(|domain| &domain.lease) {
+            None => 1,
+            Some(lease) if lease.holder == claim.node && lease.life == claim.life => lease.term,
+            Some(lease) if lease.until_ms <= now.at_least_ms || is_gone(lease) => lease.term + 1,
+            Some(_) => return None,
+        };
+        let lease = Lease {
+            holder: claim.node.clone(),
+            life: claim.life,
+            term,
+            until_ms: now.at_most_ms + millis(LEASE),
+        };
+        let parts = claim.limited.iter().map(|workspace| {
+            let part = self.next_part(claim, workspace);
+            (workspace.clone(), part)
+        });
+        let domain = Domain {
+            lease: lease.clone(),
+            parts: parts.collect(),
+            demand: claim.demand.clone(),
+        };
+        self.domains.insert(claim.domain.clone(), domain);
+        Some(lease)
+    }
+
+    /// Ends the lease of a node that stops, so that another one can take it over at once.
+    pub fn release(&mut self, domain: &DomainName, node: &NodeName, life: u64) -> bool {
+        let known = self.domains.get_mut(domain);
+        let own = known.filter(|known| known.lease.holder == *node && known.lease.life == life);
+        let is_own = own.is_some();
+        if let Some(domain) = own {
+            domain.lease.until_ms = 0;
+        }
+        is_own
+    }
+
+    /// Returns the part of a workspace's limit that a domain has.
+    #[must_use]
+    pub fn part(&self, domain: &DomainName, workspace: &WorkspaceName) -> f64 {
+        let domain = self.domains.get(domain);
+        let part = domain.and_then(|domain| domain.parts.get(workspace));
+        part.copied().unwrap_or(0.0)
+    }
+
+    fn forget_lapsed(&mut self, claim: &Claim, now: Now) {
+        self.domains.retain(|name, domain| {
+            let end = domain.lease.until_ms + millis(LAPSED);
+            *name == claim.domain || end > now.at_least_ms
+        });
+    }
+
+    /// Returns the part that the domain is to have next: lowered at once, raised by what is free.
+    fn next_part(&self, claim: &Claim, workspace: &WorkspaceName) -> f64 {
+        let part = self.part(&claim.domain, workspace);
+        let others = self.domains.keys().filter(|name| **name != claim.domain);
+        let taken: f64 = others.map(|name| self.part(name, workspace)).sum();
+        let free = (1.0 - taken - part).max(0.0);
+        let wanted = self.wanted_part(claim, workspace);
+        let next = if wanted * LOWER_FROM < part {
+            wanted.max(part * LOWEST_STEP)
+        } else if wanted <= part {
+            return part;
+        } else {
+            wanted.min(part + free)
+        };
+        (next * STEPS).floor() / STEPS
+    }
+
+    /// Returns the part that the demand in the domain stands for.
+    fn wanted_part(&self, claim: &Claim, workspace: &WorkspaceName) -> f64 {
+        let own = claim.demand.get(workspace).copied().unwrap_or(0.0);
+        let others = self.others(claim);
+        let others = others.filter_map(|domain| domain.demand.get(workspace));
+        let all = own + others.sum::<f64>();
+        let common = COMMON_DEMAND * self.common_part(claim);
+        (own + common) / (all + COMMON_DEMAND)
+    }
+
+    /// Returns the part of the demand of all workspaces that is in the domain.
+    #[allow(clippy::cast_precision_loss, reason = "domains are few")]
+    fn common_part(&self, claim: &Claim) -> f64 {
+        let own: f64 = claim.demand.values().sum();
+        let others = self.others(claim).flat_map(|domain| domain.demand.values());
+        let all = own + others.sum::<f64>();
+        let names = self.domains.keys().chain([&claim.domain]);
+        let names = names.collect::<HashSet<_>>().len().max(claim.domains) as f64;
+        // A little for each, since a domain may have had no demand yet.
+        (own + COMMON_DEMAND) / (all + COMMON_DEMAND * names)
+    }
+
+    fn others<'a>(&'a self, claim: &'a Claim) -> impl Iterator<Item = &'a Domain> {
+        let others = self.domains.iter();
+        let others = others.filter(|(name, _)| **name != claim.domain);
+        others.map(|(_, domain)| domain)
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -16,7 +16,9 @@
 pub use ident::{ConfigVersion, Incarnation, RequestId};
 pub use importance::Importance;
 pub use moment::Moment;
-pub use name::{DomainName, EventName, KindName, NameError, NodeName, OperatorName, ServiceName};
+pub use name::{
+    DomainName, EventName, KindName, NameError, NodeName, OperatorName, ServiceName, WorkspaceName,
+};
 pub use quantity::{Allowance, ByteSize, Period, QuantityError, Rate, Ratio};
 pub use rank::Rank;
 pub use ticket::{Ticket, TicketError};
--- a/crates/units/src/name.rs
+++ b/crates/units/src/name.rs
@@ -110,3 +110,7 @@
     /// The name of an operator, as given with a command.
     OperatorName
 );
+name!(
+    /// The name of a workspace.
+    WorkspaceName
+);
--- a/crates/units/src/rank.rs
+++ b/crates/units/src/rank.rs
@@ -8,6 +8,13 @@
 
 /// Bits of the rank that come from the hash of the root request.
 const HASH_BITS: u32 = 6;
+/// The bits of the hash.
+const HASH_MASK: u8 = (1 << HASH_BITS) - 1;
+/// Bits in place of the first ones of the hash that come from the kind, where a workspace decides
+/// first.
+const SECOND_BITS: u32 = 2;
+/// Where those bits begin.
+const SECOND_SHIFT: u32 = HASH_BITS - SECOND_BITS;
 
 /// The place of a request in the order of shedding; the smallest is shed first.
 ///
@@ -32,6 +39,16 @@
         Self(class | hash)
     }
 
+    /// Returns the rank of a root request that matters this much on behalf of its workspace, and
+    /// among those of equal workspaces this much by its kind.
+    #[must_use]
+    pub fn within(workspace: Importance, kind: Importance, request: RequestId) -> Self {
+        let Self(by_hash) = Self::new(workspace, request);
+        let second = (kind as u8) << SECOND_SHIFT;
+        let hash = (by_hash & HASH_MASK) >> SECOND_BITS;
+        Self((by_hash & !HASH_MASK) | second | hash)
+    }
+
     /// Returns the rank with this place in the order, counted from zero.
     #[must_use]
     pub fn from_index(index: u8) -> Self {
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -67,3 +67,13 @@
         Ok(units::Rank::from_index(index))
     }
 }
+
+/// The text holds the keys of workspaces and is not shown.
+impl std::fmt::Debug for generated::Config {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let config = &mut f.debug_struct("Config");
+        config
+            .field("version", &self.version)
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -4,7 +4,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Body",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
     )]
     pub body: ::core::option::Option<frame::Body>,
 }
@@ -50,6 +50,10 @@
         Pong(super::Pong),
         #[prost(message, tag = "19")]
         Evidence(super::Evidence),
+        #[prost(message, tag = "20")]
+        TokenQuestion(super::TokenQuestion),
+        #[prost(message, tag = "21")]
+        TokenAnswer(super::TokenAnswer),
     }
 }
 /// The first frame in each direction.
@@ -168,6 +172,7 @@
 }
 /// A whole accepted configuration.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[prost(skip_debug)]
 pub struct Config {
     #[prost(uint64, tag = "1")]
     pub version: u64,
@@ -238,6 +243,9 @@
     /// How many crashes that followed each other under it the sender knows of.
     #[prost(uint32, tag = "14")]
     pub known_crashes: u32,
+    /// The workspace on whose behalf it is made, empty if there is none.
+    #[prost(string, tag = "15")]
+    pub workspace: ::prost::alloc::string::String,
 }
 /// What became of a forwarded request.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -343,7 +351,11 @@
 pub struct Ping {}
 /// The answer to a ping.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Pong {}
+pub struct Pong {
+    /// What the store's clock shows at most, in milliseconds; zero if that is not known.
+    #[prost(uint64, tag = "1")]
+    pub store_at_most_ms: u64,
+}
 /// Asks what became of a request that must not run twice. If it never ran it never will.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Recall {
@@ -377,6 +389,13 @@
     /// The store did not answer the last call of the sender.
     #[prost(bool, tag = "7")]
     pub store_lost: bool,
+    /// When that version was surely the newest, in milliseconds of the store's clock; zero if that is
+    /// not known.
+    #[prost(uint64, tag = "8")]
+    pub config_as_of_ms: u64,
+    /// The term of the sender as the keeper of its failure domain's tokens; zero if it is not.
+    #[prost(uint64, tag = "9")]
+    pub quota_term: u64,
 }
 /// Asks the receiver to remember that an upstream leaves, also on behalf of a later life of the sender.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -431,6 +450,53 @@
     #[prost(message, repeated, tag = "7")]
     pub members: ::prost::alloc::vec::Vec<Member>,
 }
+/// Asks the keeper of a failure domain for tokens.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TokenQuestion {
+    #[prost(uint64, tag = "1")]
+    pub exchange: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub wants: ::prost::alloc::vec::Vec<TokenWant>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TokenWant {
+    #[prost(string, tag = "1")]
+    pub workspace: ::prost::alloc::string::String,
+    /// The tokens that the sender has,
+    #[prost(uint32, tag = "2")]
+    pub held: u32,
+    /// how many more are needed at once,
+    #[prost(uint32, tag = "3")]
+    pub needed: u32,
+    /// and how many more would save it from asking again soon.
+    #[prost(uint32, tag = "4")]
+    pub spare: u32,
+    /// The requests that it has seen since its last question.
+    #[prost(uint32, tag = "5")]
+    pub seen: u32,
+}
+/// The tokens for what was asked, in the same order.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct TokenAnswer {
+    #[prost(uint64, tag = "1")]
+    pub exchange: u64,
+    /// The sender keeps no tokens, so nothing is given.
+    #[prost(bool, tag = "2")]
+    pub not_keeper: bool,
+    #[prost(message, repeated, tag = "3")]
+    pub grants: ::prost::alloc::vec::Vec<TokenGrant>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct TokenGrant {
+    #[prost(uint32, tag = "1")]
+    pub tokens: u32,
+    /// If that is less than needed, the time after which there are more.
+    #[prost(uint32, tag = "2")]
+    pub wait_ms: u32,
+    /// The workspace has no limit here.
+    #[prost(bool, tag = "3")]
+    pub unlimited: bool,
+}
 /// What is known about the execution of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
@@ -485,6 +551,9 @@
     UpstreamCrashed = 17,
     Quarantined = 18,
     OnTrial = 19,
+    OverQuota = 20,
+    QuotaNotKnown = 21,
+    KeysOutdated = 22,
 }
 impl Reason {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -513,6 +582,9 @@
             Self::UpstreamCrashed => "REASON_UPSTREAM_CRASHED",
             Self::Quarantined => "REASON_QUARANTINED",
             Self::OnTrial => "REASON_ON_TRIAL",
+            Self::OverQuota => "REASON_OVER_QUOTA",
+            Self::QuotaNotKnown => "REASON_QUOTA_NOT_KNOWN",
+            Self::KeysOutdated => "REASON_KEYS_OUTDATED",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -538,6 +610,9 @@
             "REASON_UPSTREAM_CRASHED" => Some(Self::UpstreamCrashed),
             "REASON_QUARANTINED" => Some(Self::Quarantined),
             "REASON_ON_TRIAL" => Some(Self::OnTrial),
+            "REASON_OVER_QUOTA" => Some(Self::OverQuota),
+            "REASON_QUOTA_NOT_KNOWN" => Some(Self::QuotaNotKnown),
+            "REASON_KEYS_OUTDATED" => Some(Self::KeysOutdated),
             _ => None,
         }
     }
--- a/crates/wire/tests/generated_code.rs
+++ b/crates/wire/tests/generated_code.rs
@@ -9,6 +9,7 @@
     prost_build::Config::new()
         .out_dir(into)
         .bytes(["."])
+        .skip_debug(["sailtrack.wire.Config"])
         .compile_fds(set)
         .expect("code can be generated");
     std::fs::read_to_string(into.join("sailtrack.wire.rs")).expect("code was generated")
