--- a/crates/quota/src/keeper.rs
+++ b/crates/quota/src/keeper.rs
@@ -184,11 +184,10 @@
         demands.filter(|(_, demand)| *demand > 0.0).collect()
     }
 
-    /// Returns the tokens of a workspace that are here or with nodes.
+    /// Returns the tokens of a workspace that nobody has been given.
     #[must_use]
-    pub fn total(&self, workspace: &WorkspaceName) -> f64 {
-        let pool = self.pools.get(workspace);
-        pool.map_or(0.0, |pool| pool.tokens + pool.handed_out())
+    pub fn free(&self, workspace: &WorkspaceName) -> f64 {
+        self.pools.get(workspace).map_or(0.0, |pool| pool.tokens)
     }
 }
 
