--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -83,12 +83,17 @@
     pub(crate) quarantined: usize,
     /// 1 while this node follows the store on behalf of its failure domain.
     pub(crate) watching: usize,
+    /// How many milliseconds ago, at most, the configuration in force was surely the newest; zero
+    /// if that is not known.
+    pub(crate) key_age_ms: u64,
+    /// The term of this node as the keeper of its failure domain's tokens, zero if it is not.
+    pub(crate) quota_term: u64,
 }
 
 type Count<L> = Family<L, Counter<u64, AtomicU64>>;
 
 /// The gauges, each with the value that it shows.
-type Gauges = [(Gauge, fn(&Snapshot) -> u64); 13];
+type Gauges = [(Gauge, fn(&Snapshot) -> u64); 15];
 
 /// What the node counts.
 pub(crate) struct Metrics {
@@ -312,6 +317,16 @@
             "1 while the node follows the store for its failure domain",
             |now| now.watching as u64,
         ),
+        gauge(
+            "key_age_ms",
+            "Milliseconds since the configuration was surely the newest, at most; 0 if not known",
+            |now| now.key_age_ms,
+        ),
+        gauge(
+            "quota_term",
+            "Term of the node as keeper of its domain's tokens, 0 if it is not",
+            |now| now.quota_term,
+        ),
         gauge(
             "suspects",
             "Requests remembered since they ran when upstreams ended",
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -309,6 +309,8 @@
             watch: table.find()?,
             quarantine: table.find()?,
             entry: table.find()?,
+            freshness: table.find()?,
+            status: table.find()?,
         });
         task::spawn("metrics port", serve(port, metrics));
     }
--- a/crates/mesh/src/scrape.rs
+++ b/crates/mesh/src/scrape.rs
@@ -7,14 +7,17 @@
 use sailtrack_net::http::{Handler, Request, Response};
 use sailtrack_quarantine::Identity;
 
+use crate::clock;
 use crate::configuration::Current;
 use crate::contexts::Contexts;
 use crate::directory::Directory;
 use crate::entry::Entry;
+use crate::freshness::Freshness;
 use crate::gate::{Records, Upstream};
 use crate::metrics::{Metrics, Snapshot};
 use crate::peer::Peers;
 use crate::quarantine::Quarantine;
+use crate::status::Status;
 use crate::watch::Watch;
 
 /// Where the counters are.
@@ -38,6 +41,8 @@
     pub(crate) watch: Rc<Watch>,
     pub(crate) quarantine: Rc<Quarantine>,
     pub(crate) entry: Rc<Entry>,
+    pub(crate) freshness: Rc<Freshness>,
+    pub(crate) status: Rc<Status>,
 }
 
 impl Handler for MetricsPort {
@@ -54,6 +59,7 @@
 impl MetricsPort {
     fn counters(&self) -> String {
         let (suspects, quarantined) = self.quarantine.counts();
+        let age = self.freshness.age(clock::now());
         let snapshot = Snapshot {
             suspects,
             quarantined,
@@ -68,6 +74,8 @@
             connections: self.entry.connections.get(),
             watching: usize::from(self.watch.is_ours()),
             foreign_rows: self.directory.foreign_row_count(),
+            key_age_ms: age.map_or(0, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            quota_term: self.status.quota_term.get(),
         };
         self.metrics.text(&snapshot)
     }
