--- a/crates/mesh/src/contexts.rs
+++ b/crates/mesh/src/contexts.rs
@@ -43,6 +43,8 @@
     pub(crate) repeated: bool,
     /// The greatest pressure that a call made for it met.
     pub(crate) pressure: Cell<Pressure>,
+    /// How many calls made for it were answered well.
+    pub(crate) answered: Cell<u32>,
     /// Whether a call made for it failed,
     pub(crate) failed_below: Cell<bool>,
     /// and whether one found no upstream of its service, there or further down.
@@ -72,6 +74,7 @@
             workspace: work.workspace.clone(),
             repeated: work.repeated,
             pressure: Cell::default(),
+            answered: Cell::new(0),
             failed_below: Cell::new(false),
             absent_below: Cell::new(false),
         });
@@ -126,7 +129,9 @@
     pub(crate) fn note(&self, returned: &Returned) {
         let met = returned.met_pressure();
         self.pressure.set(self.pressure.get().greater(met));
-        if !returned.is_success() {
+        if returned.is_success() {
+            self.answered.set(self.answered.get() + 1);
+        } else {
             self.failed_below.set(true);
         }
         if returned.found_nobody() {
--- a/crates/mesh/src/contexts/tests.rs
+++ b/crates/mesh/src/contexts/tests.rs
@@ -16,6 +16,7 @@
 fn work(id: &str) -> Work {
     Work {
         workspace: None,
+        progress: 0,
         class: Class::default(),
         attempt: AttemptKey::from(id),
         identity: Hasher::new(&[b"/"], Caller::default()).finish(),
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -74,6 +74,8 @@
         idempotent: message.idempotent,
         rank: Rank::from_index(rank),
         class: class.ok_or_else(|| error(&"there is no such class"))?,
+        // Only the node where a call comes in repeats it.
+        progress: 0,
         begun: message.begun,
         repeated: message.repeated,
         deadline: clock::now() + Duration::from_micros(message.time_left_us),
--- a/crates/mesh/src/peer/link/tests.rs
+++ b/crates/mesh/src/peer/link/tests.rs
@@ -66,6 +66,7 @@
 fn work() -> Work {
     Work {
         workspace: None,
+        progress: 0,
         class: Class::default(),
         attempt: AttemptKey::from("a1"),
         identity: Hasher::new(&[b"/"], Caller::default()).finish(),
--- a/crates/mesh/src/retry.rs
+++ b/crates/mesh/src/retry.rs
@@ -35,6 +35,11 @@
 /// upstream of three fails would otherwise go without. Three services above the deepest one may
 /// all do so, and what they repeat is made of calls down there, so it is below a third.
 const COMMON_PART: f64 = 0.3;
+/// The part that a call may use for each one before it that was answered well for the same request:
+/// a repeat of the fourth of four calls completes the whole request more often than one of the
+/// first. Where four calls are made to a service that turns away four in ten, 29 of a hundred
+/// requests get through, and 17 without (a load played by the tests of this module).
+const PROGRESS_PART: f64 = 0.45;
 /// The wanted repeats, as a share of those allowed, from which they begin to be scarce, and by how
 /// much more they are so fully.
 const SCARCE_FROM: f64 = 0.5;
@@ -127,7 +132,7 @@
         let allowed = requests * self.bounds.ratio.0 * share + slack;
         let place = f64::from(work.rank.index()) / f64::from(Rank::HIGHEST.index());
         let common = COMMON_PART * (1.0 - scarcity(wanted, allowed));
-        let part = place.powi(RANK_POWER).max(common);
+        let part = place.powi(RANK_POWER).max(common).max(progress_part(work));
         let whole = (allowed * part + self.draw(&work.service, now)).floor();
         if repeats + 1.0 > whole {
             return false;
@@ -227,3 +232,8 @@
         }
     }
 }
+
+/// Returns the part of the budget that a call may use for what its request has come to already.
+fn progress_part(work: &Work) -> f64 {
+    (PROGRESS_PART * f64::from(work.progress)).min(1.0)
+}
--- a/crates/mesh/src/retry/tests.rs
+++ b/crates/mesh/src/retry/tests.rs
@@ -21,6 +21,7 @@
 fn work(rank: Rank, repeated: bool) -> Work {
     Work {
         workspace: None,
+        progress: 0,
         class: Class::default(),
         attempt: AttemptKey::from("a"),
         identity: Hasher::new(&[b"/"], Caller::default()).finish(),
@@ -216,3 +217,55 @@
     let after = drain(&budget, Rank::HIGHEST, clock::now());
     assert!(after <= 1, "{after} repeats without requests");
 }
+
+/// Plays requests that each make four calls, one after the other, to a service that turns away so
+/// many of a hundred; returns how many of a hundred get through all four.
+fn chains_through(turned_away: u32, sees_progress: bool) -> u32 {
+    const MOST_TRIES: u32 = 5;
+    let budget = Budget::new(BOUNDS);
+    let start = clock::now();
+    tell(&budget, start);
+    // The same turns for both ways.
+    let mut state = 0x2545_f491_4f6c_dd1d_u64;
+    let mut draw = move || {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        u32::try_from(state % 100).expect("it is below 100")
+    };
+    let (mut through, mut begun) = (0, 0);
+    for hundredth in 0..3000 {
+        let now = start + Duration::from_millis(10 * hundredth);
+        let rank = Rank::from_index(u8::try_from(128 + draw() % 64).expect("it fits"));
+        let mut answered = 0;
+        while answered < 4 {
+            let call = Work {
+                progress: if sees_progress { answered } else { 0 },
+                begun: true,
+                ..work(rank, false)
+            };
+            budget.note_request(&call, now);
+            let is_in = (0..MOST_TRIES).any(|number| {
+                let may_try = number == 0 || budget.take(&call, now, 15);
+                may_try && draw() >= turned_away
+            });
+            if !is_in {
+                break;
+            }
+            answered += 1;
+        }
+        if hundredth >= 1000 {
+            begun += 1;
+            through += u32::from(answered == 4);
+        }
+    }
+    through * 100 / begun
+}
+
+/// While a service turns away four of ten calls, repeats go to those that complete a request.
+#[test]
+fn nearly_through_first() {
+    let (with, without) = (chains_through(40, true), chains_through(40, false));
+    println!("{with} of 100 requests get through, {without} without a look at their progress");
+    assert!(with > without, "{with} and {without}");
+}
