An upstream whose port is kept open while it is away is seen to have crashed by its next life

Cause: a crash was told by a port that refuses connections, or by a later life while the request still waits. Something that holds the port (a supervisor, a proxy) closes what comes without an answer, so every loss looked like a lost answer and nobody was told.

Ruled out: taking a connection that is closed at once for a sign; upstreams at the bound of their connections do that too.

Change: what ran at such losses is remembered for 3 s; a later life that begins within that time shows them to have been a crash.

--- a/crates/mesh/src/gate/crash.rs
+++ b/crates/mesh/src/gate/crash.rs
@@ -1,7 +1,8 @@
 //! Tells a crash of the own upstream from everything else that breaks connections to it.
 //!
 //! An upstream that crashed refuses connections, or another life of it
-//! announces itself. One that leaves has said so before; one that resets its
+//! announces itself, also where something else holds its port and closes what
+//! comes. One that leaves has said so before; one that resets its
 //! connections, turns wrong bytes out or is slow accepts a new one.
 
 use std::cell::{Cell, RefCell};
@@ -13,7 +14,9 @@
 use futures::future::{LocalBoxFuture, Shared};
 use monoio::time::sleep;
 use sailtrack_net::dial::{DialError, dial};
+use sailtrack_units::Moment;
 
+use crate::contexts::Context;
 use crate::key::UpstreamKey;
 
 /// How long an upstream on the same instance may take to accept or refuse a connection. One with a
@@ -24,6 +27,13 @@
 /// ends are closed one after the other, its port may be among the last.
 const SECOND_LOOK: Duration = Duration::from_millis(30);
 
+/// For how long a loss may turn out to have been a crash. Whatever holds the port of an upstream
+/// starts it again within a second or two, and connections that are closed at once keep the doubt
+/// alive meanwhile.
+const DOUBT_TIME: Duration = Duration::from_secs(3);
+/// The most requests that are doubted at once: as many as the event of a crash names.
+const MOST_DOUBTED: usize = 200;
+
 /// Finds out whether the own upstream has crashed.
 pub(super) struct Watcher {
     target: SocketAddr,
@@ -33,6 +43,16 @@
     is_looking: Cell<bool>,
     /// The last life that crashed.
     crashed: RefCell<Option<Rc<UpstreamKey>>>,
+    /// What ran when connections of the present life broke, although its port took new ones.
+    doubt: RefCell<Option<Doubt>>,
+}
+
+/// Losses that a later life may show to have been a crash.
+struct Doubt {
+    upstream: UpstreamKey,
+    ran: Vec<Rc<Context>>,
+    /// When the last one was.
+    at: Moment,
 }
 
 impl Watcher {
@@ -42,6 +62,7 @@
             probe: RefCell::default(),
             is_looking: Cell::new(false),
             crashed: RefCell::default(),
+            doubt: RefCell::default(),
         }
     }
 
@@ -59,6 +80,31 @@
         true
     }
 
+    /// Notes what ran when a connection broke whose upstream still takes new ones.
+    pub(super) fn doubt(&self, upstream: &UpstreamKey, ran: &[Rc<Context>], now: Moment) {
+        let mut doubt = self.doubt.borrow_mut();
+        let known = doubt.take();
+        let known = known.filter(|known| known.upstream == *upstream && known.is_fresh(now));
+        let mut all = known.map(|known| known.ran).unwrap_or_default();
+        for one in ran {
+            let is_known = all.iter().any(|known| Rc::ptr_eq(known, one));
+            if !is_known && all.len() < MOST_DOUBTED {
+                all.push(Rc::clone(one));
+            }
+        }
+        *doubt = Some(Doubt {
+            upstream: upstream.clone(),
+            ran: all,
+            at: now,
+        });
+    }
+
+    /// Returns the life and what ran there whose connections broke just before the present one.
+    pub(super) fn take_doubt(&self, now: Moment) -> Option<(UpstreamKey, Vec<Rc<Context>>)> {
+        let doubt = self.doubt.take().filter(|doubt| doubt.is_fresh(now))?;
+        Some((doubt.upstream, doubt.ran))
+    }
+
     /// Returns true if nothing listens at the address of the upstream.
     pub(super) async fn is_gone(&self) -> bool {
         let known = self.probe.borrow().clone();
@@ -91,3 +137,9 @@
         probe
     }
 }
+
+impl Doubt {
+    fn is_fresh(&self, now: Moment) -> bool {
+        now.since(self.at) < DOUBT_TIME
+    }
+}
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -304,9 +304,17 @@
         self.pool.bound(connections);
     }
 
-    /// Closes the unused connections: they lead to an earlier life of the upstream.
-    pub(crate) fn forget_connections(&self) {
+    /// Takes in that another life of the upstream begins: unused connections lead to an earlier
+    /// one, and what broke its connections just before may have ended it.
+    pub(crate) fn note_new_life(&self) {
         self.pool.clear();
+        let Some((upstream, ran)) = self.watcher.take_doubt(clock::now()) else {
+            return;
+        };
+        // The present life is there; only the earlier one is told of.
+        if self.upstream.was_replaced(&upstream) && self.watcher.note(&upstream) {
+            self.quarantine.note_crash(&upstream, &ran);
+        }
     }
 
     /// Returns what became of a request whose caller lost the answer.
@@ -443,6 +451,7 @@
         if has_ended {
             return self.note_crash(upstream, &ran);
         }
+        self.watcher.doubt(upstream, &ran, clock::now());
         if self.watcher.wants_second_look() {
             self.look_again(upstream.clone(), ran);
         }
--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -49,7 +49,7 @@
     });
     let gate = table.find::<Gate>()?;
     let upstream = table.find::<Upstream>()?;
-    upstream.listen_to_new(move || gate.forget_connections());
+    upstream.listen_to_new(move || gate.note_new_life());
     let metrics = table.find::<Metrics>()?;
     let counted = Rc::clone(&current);
     current.listen(move || {
