The row that says who keeps tokens is written anew if somebody else spoils it; a store whose clock begins anew blocks no lease

Cause, by reading: a row that cannot be read kept every node from the office for good, and a lease that ends far ahead by an earlier clock could not be taken over, while its holder believed it. Change: after the time in which anything of before can hold the row counts as empty; a lease that ends later than any is given has ended; a keeper's lease is bounded by its own clock too.

--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -90,6 +90,7 @@
         started: Instant::now(),
         renewed: Cell::default(),
         missing: Cell::default(),
+        unreadable: Cell::default(),
         resigned: Cell::new(false),
     });
     task::spawn("token keeping", keeping.keep());
--- a/crates/mesh/src/quota/keeping.rs
+++ b/crates/mesh/src/quota/keeping.rs
@@ -14,8 +14,8 @@
 use rand::Rng as _;
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
-use sailtrack_quota::{Claim, Keeper, Lease, Now, Parts};
-use sailtrack_units::{Incarnation, WorkspaceName};
+use sailtrack_quota::{Claim, Keeper, LAPSED, LEASE, Lease, Now, Parts};
+use sailtrack_units::{Incarnation, Moment, WorkspaceName};
 
 use crate::clock;
 use crate::peer::Peers;
@@ -64,6 +64,8 @@
     pub(crate) renewed: Cell<Option<Instant>>,
     /// Since when no keeper is heard of.
     pub(crate) missing: Cell<Option<Instant>>,
+    /// Since when the row cannot be read.
+    pub(crate) unreadable: Cell<Option<Instant>>,
     /// The node stops and takes the office no more.
     pub(crate) resigned: Cell<bool>,
 }
@@ -137,6 +139,7 @@
     }
 
     async fn claim(&self) -> Result<Lease, OfficeError> {
+        let asked = clock::now();
         let (mut parts, version, now) = self.read().await?;
         let claim = self.say();
         let own = &self.quotas.place;
@@ -159,7 +162,7 @@
             serde_json::to_string(&parts).map_err(|error| OfficeError::Row(error.to_string()))?;
         let written = self.store.replace(Table::Quotas, ROW, &text, version);
         written.await.map_err(OfficeError::Store)?;
-        self.enter(&lease, &parts);
+        self.enter(&lease, &parts, asked);
         self.set_parts(&parts, |next, _| next);
         Ok(lease)
     }
@@ -178,16 +181,31 @@
         let Some(row) = row else {
             return Ok((Parts::default(), StoreVersion::default(), now));
         };
-        let parts = match &row.content {
+        let parts: Result<Parts, OfficeError> = match &row.content {
             Content::Text(text) => {
                 serde_json::from_str(text).map_err(|error| OfficeError::Row(error.to_string()))
             }
             Content::Unreadable(reason) => Err(OfficeError::Row(reason.clone())),
             Content::Removed => Ok(Parts::default()),
         };
-        // What cannot be read was not written by a node. It is written anew once the leases of
-        // before have ended for sure; until then the error is logged at each try.
-        Ok((parts?, row.version, now))
+        // What cannot be read was not written by a node, and is written anew once nobody can hold a
+        // lease or tokens of before; until then the error is logged at each try.
+        let parts = match parts {
+            Err(_) if self.is_unreadable_for_long() => Parts::default(),
+            parts => {
+                self.unreadable
+                    .set(self.unreadable.get().filter(|_| parts.is_err()));
+                parts?
+            }
+        };
+        Ok((parts, row.version, now))
+    }
+
+    /// Returns true if the row could not be read for longer than anything of before holds.
+    fn is_unreadable_for_long(&self) -> bool {
+        let since = self.unreadable.get().unwrap_or_else(Instant::now);
+        self.unreadable.set(Some(since));
+        since.elapsed() >= LEASE + LAPSED
     }
 
     fn say(&self) -> Claim {
@@ -209,12 +227,15 @@
         }
     }
 
-    fn enter(&self, lease: &Lease, parts: &Parts) {
+    fn enter(&self, lease: &Lease, parts: &Parts, asked: Moment) {
         let now = clock::now();
         let until = StoreTime::from_millis(lease.until_ms);
         let mut office = self.quotas.office.borrow_mut();
         match office.as_mut() {
-            Some(office) if office.term == lease.term => office.until = until,
+            Some(office) if office.term == lease.term => {
+                office.until = until;
+                office.until_here = asked + LEASE;
+            }
             _ => {
                 let mut keeper = Keeper::new(self.quotas.tolerance, now);
                 keeper.set_limits(&self.quotas.limits.borrow(), now);
@@ -226,6 +247,7 @@
                     keeper,
                     term: lease.term,
                     until,
+                    until_here: asked + LEASE,
                 });
             }
         }
--- a/crates/mesh/src/quota/mod.rs
+++ b/crates/mesh/src/quota/mod.rs
@@ -60,8 +60,10 @@
 struct Office {
     keeper: Keeper,
     term: u64,
-    /// When its lease ends, by the store's clock.
+    /// When its lease ends, by the store's clock
     until: StoreTime,
+    /// and by the own one, should that of the store begin anew.
+    until_here: Moment,
 }
 
 /// Lets requests in by the limits of their workspaces.
@@ -217,7 +219,7 @@
 
     fn is_valid(&self, office: &Office, now: Moment) -> bool {
         let at_most = self.clock.at_most(now);
-        at_most.is_some_and(|at_most| at_most < office.until)
+        now < office.until_here && at_most.is_some_and(|at_most| at_most < office.until)
     }
 
     fn receive(&self, wants: &[(WorkspaceName, Want)], answer: &TokenAnswer, asked: Moment) {
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -20,5 +20,5 @@
 
 pub use keeper::{Grant, Holder, Keeper, Want};
 pub use limit::{Limit, Tolerance};
-pub use parts::{Claim, Domain, Lease, Now, Parts};
+pub use parts::{Claim, Domain, LAPSED, LEASE, Lease, Now, Parts};
 pub use purse::{Purse, Taken};
--- a/crates/quota/src/parts.rs
+++ b/crates/quota/src/parts.rs
@@ -15,10 +15,10 @@
 
 /// How long a keeper may go without renewing its lease: two lost renewals, and no longer than
 /// callers of a node that has lost the store are served on its behalf.
-const LEASE: Duration = Duration::from_secs(4);
+pub const LEASE: Duration = Duration::from_secs(4);
 /// How long after the end of a lease the parts of a domain are left alone: its nodes may still
 /// use tokens.
-const LAPSED: Duration = HOLD.saturating_add(Duration::from_secs(1));
+pub const LAPSED: Duration = HOLD.saturating_add(Duration::from_secs(1));
 /// The demand of a workspace is taken for that of this many requests a second more, divided as
 /// the demand of all workspaces is: of few requests, how they divide is mostly chance, and a domain
 /// where a workspace was quiet has something for its first requests.
@@ -43,6 +43,15 @@
     pub until_ms: u64,
 }
 
+impl Lease {
+    /// Returns true if it has ended, or ends later than any lease that is given now: the clock of
+    /// the store has begun anew since then.
+    fn has_ended(&self, now: Now) -> bool {
+        let longest = now.at_most_ms + 2 * millis(LEASE);
+        self.until_ms <= now.at_least_ms || self.until_ms > longest
+    }
+}
+
 /// One failure domain.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Domain {
@@ -106,7 +115,7 @@
         let term = match before.map(|domain| &domain.lease) {
             None => 1,
             Some(lease) if lease.holder == claim.node && lease.life == claim.life => lease.term,
-            Some(lease) if lease.until_ms <= now.at_least_ms || is_gone(lease) => lease.term + 1,
+            Some(lease) if lease.has_ended(now) || is_gone(lease) => lease.term + 1,
             Some(_) => return None,
         };
         let lease = Lease {
