--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -37,7 +37,7 @@
     /// it has not run: {workspace} asked for more than its limit over all nodes lets in, in version {version}
     OverQuota { workspace: String, version: String },
     /// it has not run: {node} found no node that keeps tokens for {workspace}, its own or of another failure domain{detail}
-    NoKeeper {
+    NoAllocator {
         node: String,
         workspace: String,
         detail: String,
@@ -105,7 +105,7 @@
             | Self::ConnectionLost { node, .. }
             | Self::LostSomewhere { node }
             | Self::OnTrial { node }
-            | Self::NoKeeper { node, .. }
+            | Self::NoAllocator { node, .. }
             | Self::KeysOutdated { node, .. }
             | Self::UpstreamFailed { node, .. }
             | Self::CallUntold { node, .. }
@@ -132,7 +132,7 @@
             Self::OnTrial { .. } => "on_trial",
             Self::NoKey { .. } => "no_key",
             Self::OverQuota { .. } => "over_quota",
-            Self::NoKeeper { .. } => "no_keeper",
+            Self::NoAllocator { .. } => "no_allocator",
             Self::KeysOutdated { .. } => "keys_outdated",
             Self::NotRun { .. } => "not_run",
             Self::Late { .. } => "late",
@@ -192,7 +192,7 @@
                 workspace: end.field("workspace").to_owned(),
                 version: end.field("version").to_owned(),
             },
-            "REASON_QUOTA_NOT_KNOWN" => Self::NoKeeper {
+            "REASON_QUOTA_NOT_KNOWN" => Self::NoAllocator {
                 node: end.node.clone(),
                 workspace: end.field("workspace").to_owned(),
                 detail: detail(trail, &end.node),
--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -102,9 +102,9 @@
     /// A workspace asks more than it may; the event is written every 5 s at most.
     WORKSPACE_OVER_LIMIT = 440 Info "workspace over its limit" ["workspace", "rate", "version"];
     /// This node keeps the tokens of its failure domain from now on.
-    QUOTA_KEEPER_BEGAN = 441 Info "keeps the tokens of its failure domain" ["term"];
+    QUOTA_ALLOCATOR_BEGAN = 441 Info "keeps the tokens of its failure domain" ["term"];
     /// This node no longer keeps them.
-    QUOTA_KEEPER_ENDED = 442 Info "keeps no tokens any more" ["term"];
+    QUOTA_ALLOCATOR_ENDED = 442 Info "keeps no tokens any more" ["term"];
     /// The limit of the own upstream changed by a quarter or more.
     LIMIT_CHANGED = 500 Info "concurrency limit changed" ["limit", "reason"];
     /// Requests are being shed.
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -202,7 +202,7 @@
         match self.entry.quotas.admit(&limited.name).await {
             Ok(token) => Ok(Some(token)),
             Err(Shortage::Over(after)) => refused(Reason::OverQuota, after),
-            Err(Shortage::NoKeeper) => refused(Reason::QuotaNotKnown, returns::after_outage()),
+            Err(Shortage::NoAllocator) => refused(Reason::QuotaNotKnown, returns::after_outage()),
         }
     }
 
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -86,7 +86,7 @@
     /// How many milliseconds ago, at most, the configuration in force was surely the newest; zero
     /// if that is not known.
     pub(crate) key_age_ms: u64,
-    /// The term of this node as the keeper of its failure domain's tokens, zero if it is not.
+    /// The term of this node as the allocator of its failure domain's tokens, zero if it is not.
     pub(crate) quota_term: u64,
 }
 
@@ -324,7 +324,7 @@
         ),
         gauge(
             "quota_term",
-            "Term of the node as keeper of its domain's tokens, 0 if it is not",
+            "Term of the node as allocator of its domain's tokens, 0 if it is not",
             |now| now.quota_term,
         ),
         gauge(
--- a/crates/mesh/src/node/stop.rs
+++ b/crates/mesh/src/node/stop.rs
@@ -14,7 +14,7 @@
 use crate::entry::Entry;
 use crate::gate::Upstream;
 use crate::node::{LOOK, is_stop, start};
-use crate::quota::Keeping;
+use crate::quota::Allocation;
 use crate::settings::Settings;
 
 /// How long a leaving node goes on taking requests: whoever asks once a second whether it is
@@ -58,8 +58,8 @@
     let began = clock::now();
     let longest = settings.stop_time.0.saturating_sub(RESERVE);
     let mut busy = began;
-    let keeping = table.find::<Keeping>()?;
-    task::spawn("resignation", async move { keeping.resign().await });
+    let allocation = table.find::<Allocation>()?;
+    task::spawn("resignation", async move { allocation.resign().await });
     let entry = table.find::<Entry>()?;
     let upstream = table.find::<Upstream>()?;
     let taking = settings.stop_time.0.mul_f64(TAKING_SHARE);
--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -19,7 +19,7 @@
 use crate::news::keep_telling;
 use crate::node::Surroundings;
 use crate::peer::Peers;
-use crate::quota::{Asker, Keeping, Quotas};
+use crate::quota::{Allocation, Asker, Quotas};
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::wake::Wake;
@@ -81,7 +81,7 @@
         peers: table.find()?,
     };
     task::spawn("token questions", asker.keep_asking(wishes));
-    let keeping = table.install(Keeping {
+    let allocation = table.install(Allocation {
         quotas: table.find()?,
         peers: table.find()?,
         watch: table.find()?,
@@ -93,7 +93,7 @@
         unreadable: Cell::default(),
         resigned: Cell::new(false),
     });
-    task::spawn("token keeping", keeping.keep());
+    task::spawn("token allocation", allocation.keep());
     Ok(())
 }
 
--- a/crates/mesh/src/peer/link/mod.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -93,7 +93,7 @@
     place: Place,
     /// The store does not answer it.
     store_lost: Cell<bool>,
-    /// Its term as the keeper of its failure domain's tokens; zero if it is not.
+    /// Its term as the allocator of its failure domain's tokens; zero if it is not.
     quota_term: Cell<u64>,
     /// Who waits for tokens, by the number of the question.
     asking: RefCell<HashMap<u64, oneshot::Sender<TokenAnswer>>>,
@@ -161,7 +161,7 @@
         self.is_open() && stays && !self.is_silent()
     }
 
-    /// Returns the node's term as the keeper of its failure domain's tokens; zero if it is not.
+    /// Returns the node's term as the allocator of its failure domain's tokens; zero if it is not.
     pub(crate) fn quota_term(&self) -> u64 {
         self.quota_term.get()
     }
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -123,19 +123,19 @@
     }
 
     /// Returns the link to the node that keeps the tokens of a failure domain, if it is heard from.
-    pub(crate) fn keeper_of(&self, domain: &DomainName) -> Option<Rc<Link>> {
+    pub(crate) fn allocator_of(&self, domain: &DomainName) -> Option<Rc<Link>> {
         let links = self.links.borrow();
         let near = links.values().filter(|link| link.member.domain == *domain);
-        let keepers = near.filter(|link| link.quota_term() > 0 && link.is_open());
-        let keeper = keepers.max_by_key(|link| link.quota_term());
-        keeper.filter(|link| !link.is_silent()).cloned()
+        let allocators = near.filter(|link| link.quota_term() > 0 && link.is_open());
+        let allocator = allocators.max_by_key(|link| link.quota_term());
+        allocator.filter(|link| !link.is_silent()).cloned()
     }
 
     /// Returns a link to a node that keeps the tokens of some failure domain, drawn at random.
-    pub(crate) fn any_keeper(&self) -> Option<Rc<Link>> {
+    pub(crate) fn any_allocator(&self) -> Option<Rc<Link>> {
         let links = self.links.borrow();
-        let keepers = links.values().filter(|link| link.quota_term() > 0);
-        let heard = keepers.filter(|link| link.is_open() && !link.is_silent());
+        let allocators = links.values().filter(|link| link.quota_term() > 0);
+        let heard = allocators.filter(|link| link.is_open() && !link.is_silent());
         heard.cloned().choose(&mut rand::rng())
     }
 
--- a/crates/mesh/src/quota/keeping.rs
+++ b/crates/mesh/src/quota/allocation.rs
@@ -1,4 +1,4 @@
-//! The office of the node that keeps the tokens of its failure domain.
+//! The term of the node that keeps the tokens of its failure domain.
 //!
 //! The first of the nodes that hear from each other takes it, by a lease in
 //! the store, so that there are never two in one domain. With each renewal it
@@ -14,12 +14,12 @@
 use rand::Rng as _;
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
-use sailtrack_quota::{Claim, Keeper, LAPSED, LEASE, Lease, Now, Parts};
+use sailtrack_quota::{Allocator, Claim, LAPSED, LEASE, Lease, Now, Parts};
 use sailtrack_units::{Incarnation, Moment, WorkspaceName};
 
 use crate::clock;
 use crate::peer::Peers;
-use crate::quota::{Office, Quotas};
+use crate::quota::{Quotas, Term};
 use crate::status::Status;
 use crate::store::{Content, Reading, Store, StoreError, StoreTime, StoreVersion, Table};
 use crate::watch::Watch;
@@ -32,14 +32,14 @@
 const RENEWAL: Duration = Duration::from_millis(1500);
 /// The pause after a renewal that failed, up to twice as long.
 const PAUSE: Duration = Duration::from_millis(200);
-/// How long a node waits after its start before it takes the office: until it has met the others.
+/// How long a node waits after its start before it takes the role: until it has met the others.
 const MEETING_TIME: Duration = Duration::from_millis(1200);
 /// How much longer each further node waits, in the order of their places.
 const ORDER_PAUSE: Duration = Duration::from_millis(500);
 
-/// Why the office could not be taken or kept.
+/// Why a node could not become the allocator, or stay it.
 #[derive(Debug, Display)]
-enum OfficeError {
+enum RoleError {
     /// the store failed: {0}
     Store(StoreError),
     /// another node of the domain has it: {0}
@@ -48,12 +48,14 @@
     Row(String),
     /// the store does not tell its time
     NoTime,
+    /// the node stops
+    Stopping,
 }
 
-impl std::error::Error for OfficeError {}
+impl std::error::Error for RoleError {}
 
-/// Takes and keeps the office, for as long as the task lives.
-pub(crate) struct Keeping {
+/// Takes and keeps the role, for as long as the task lives.
+pub(crate) struct Allocation {
     pub(crate) quotas: Rc<Quotas>,
     pub(crate) peers: Rc<Peers>,
     pub(crate) watch: Rc<Watch>,
@@ -62,20 +64,20 @@
     pub(crate) started: Instant,
     /// When the lease was renewed last.
     pub(crate) renewed: Cell<Option<Instant>>,
-    /// Since when no keeper is heard of.
+    /// Since when no allocator is heard of.
     pub(crate) missing: Cell<Option<Instant>>,
     /// Since when the row cannot be read.
     pub(crate) unreadable: Cell<Option<Instant>>,
-    /// The node stops and takes the office no more.
+    /// The node stops and takes the role no more.
     pub(crate) resigned: Cell<bool>,
 }
 
-impl Service for Keeping {
-    const NAME: &'static str = "quota-keeping";
+impl Service for Allocation {
+    const NAME: &'static str = "quota-allocation";
 }
 
-impl Keeping {
-    /// Takes the office when nobody has it, and renews the lease in time.
+impl Allocation {
+    /// Takes the role when nobody has it, and renews the lease in time.
     pub(crate) async fn keep(self: Rc<Self>) {
         loop {
             sleep(LOOK).await;
@@ -92,12 +94,12 @@
         }
     }
 
-    /// Gives the office up, so that another node can take it at once.
+    /// Gives the role up, so that another node can take it at once.
     pub(crate) async fn resign(&self) {
         self.resigned.set(true);
-        let was_keeper = self.quotas.is_keeper();
+        let was_allocator = self.quotas.is_allocator();
         self.leave();
-        if !was_keeper {
+        if !was_allocator {
             return;
         }
         if let Err(error) = self.release().await {
@@ -109,14 +111,14 @@
         if self.resigned.get() || !self.quotas.is_needed() {
             return false;
         }
-        if self.quotas.is_keeper() {
+        if self.quotas.is_allocator() {
             let renewed = self.renewed.get();
             let is_old = renewed.is_none_or(|renewed| renewed.elapsed() >= RENEWAL);
             return is_old || self.quotas.is_part_missing.get();
         }
         self.leave();
         let domain = &self.quotas.place.domain;
-        if self.peers.keeper_of(domain).is_some() {
+        if self.peers.allocator_of(domain).is_some() {
             self.missing.set(None);
             return false;
         }
@@ -129,16 +131,16 @@
 
     /// Stops to give tokens; it is told at once.
     fn leave(&self) {
-        let office = self.quotas.office.take();
-        if let Some(office) = office {
+        let term = self.quotas.term.take();
+        if let Some(term) = term {
             self.renewed.set(None);
             self.status.quota_term.set(0);
             self.status.publish();
-            emit(&catalogue::QUOTA_KEEPER_ENDED, &[("term", &office.term)]);
+            emit(&catalogue::QUOTA_ALLOCATOR_ENDED, &[("term", &term.number)]);
         }
     }
 
-    async fn claim(&self) -> Result<Lease, OfficeError> {
+    async fn claim(&self) -> Result<Lease, RoleError> {
         let asked = clock::now();
         let (mut parts, version, now) = self.read().await?;
         let claim = self.say();
@@ -154,24 +156,29 @@
         let Some(lease) = parts.claim(&claim, now, is_gone) else {
             let holder = before.domains.get(&own.domain);
             let holder = holder.map_or_else(|| own.node.clone(), |one| one.lease.holder.clone());
-            return Err(OfficeError::Held(holder));
+            return Err(RoleError::Held(holder));
         };
         // What is lowered is given up before it is written: somebody else may take it then.
         self.set_parts(&parts, f64::min);
         let text =
-            serde_json::to_string(&parts).map_err(|error| OfficeError::Row(error.to_string()))?;
+            serde_json::to_string(&parts).map_err(|error| RoleError::Row(error.to_string()))?;
         let written = self.store.replace(Table::Quotas, ROW, &text, version);
-        written.await.map_err(OfficeError::Store)?;
+        written.await.map_err(RoleError::Store)?;
+        if self.resigned.get() {
+            // The node has begun to stop meanwhile.
+            self.release().await?;
+            return Err(RoleError::Stopping);
+        }
         self.enter(&lease, &parts, asked);
         self.set_parts(&parts, |next, _| next);
         Ok(lease)
     }
 
-    async fn read(&self) -> Result<(Parts, StoreVersion, Now), OfficeError> {
+    async fn read(&self) -> Result<(Parts, StoreVersion, Now), RoleError> {
         let asked = clock::now();
         let reading = self.store.row(Table::Quotas, ROW).await;
-        let Reading { row, now } = reading.map_err(OfficeError::Store)?;
-        let told = now.ok_or(OfficeError::NoTime)?;
+        let Reading { row, now } = reading.map_err(RoleError::Store)?;
+        let told = now.ok_or(RoleError::NoTime)?;
         self.quotas.clock.note(asked, told);
         let at_most = self.quotas.clock.at_most(clock::now());
         let now = Now {
@@ -181,11 +188,11 @@
         let Some(row) = row else {
             return Ok((Parts::default(), StoreVersion::default(), now));
         };
-        let parts: Result<Parts, OfficeError> = match &row.content {
+        let parts: Result<Parts, RoleError> = match &row.content {
             Content::Text(text) => {
-                serde_json::from_str(text).map_err(|error| OfficeError::Row(error.to_string()))
+                serde_json::from_str(text).map_err(|error| RoleError::Row(error.to_string()))
             }
-            Content::Unreadable(reason) => Err(OfficeError::Row(reason.clone())),
+            Content::Unreadable(reason) => Err(RoleError::Row(reason.clone())),
             Content::Removed => Ok(Parts::default()),
         };
         // What cannot be read was not written by a node, and is written anew once nobody can hold a
@@ -210,17 +217,17 @@
 
     fn say(&self) -> Claim {
         let place = &self.quotas.place;
-        let office = self.quotas.office.borrow();
-        let demand = office
+        let term = self.quotas.term.borrow();
+        let demand = term
             .as_ref()
-            .map(|office| office.keeper.demand(clock::now()))
+            .map(|term| term.allocator.demand(clock::now()))
             .unwrap_or_default();
         let limited = self.quotas.limits.borrow().keys().cloned().collect();
         Claim {
             domain: place.domain.clone(),
             node: place.node.clone(),
             life: place.life.0,
-            is_new: office.is_none(),
+            is_new: term.is_none(),
             domains: self.peers.domains_beside(&place.domain) + 1,
             demand: rounded(demand),
             limited,
@@ -230,22 +237,22 @@
     fn enter(&self, lease: &Lease, parts: &Parts, asked: Moment) {
         let now = clock::now();
         let until = StoreTime::from_millis(lease.until_ms);
-        let mut office = self.quotas.office.borrow_mut();
-        match office.as_mut() {
-            Some(office) if office.term == lease.term => {
-                office.until = until;
-                office.until_here = asked + LEASE;
+        let mut term = self.quotas.term.borrow_mut();
+        match term.as_mut() {
+            Some(term) if term.number == lease.term => {
+                term.until = until;
+                term.until_here = asked + LEASE;
             }
             _ => {
-                let mut keeper = Keeper::new(self.quotas.tolerance, now);
-                keeper.set_limits(&self.quotas.limits.borrow(), now);
+                let mut allocator = Allocator::new(self.quotas.tolerance, now);
+                allocator.set_limits(&self.quotas.limits.borrow(), now);
                 let domain = parts.domains.get(&self.quotas.place.domain);
                 for (workspace, demand) in domain.iter().flat_map(|domain| &domain.demand) {
-                    keeper.set_demand(workspace, *demand, now);
+                    allocator.set_demand(workspace, *demand, now);
                 }
-                *office = Some(Office {
-                    keeper,
-                    term: lease.term,
+                *term = Some(Term {
+                    allocator,
+                    number: lease.term,
                     until,
                     until_here: asked + LEASE,
                 });
@@ -257,29 +264,28 @@
     fn set_parts(&self, parts: &Parts, choose: impl Fn(f64, f64) -> f64) {
         let now = clock::now();
         let domain = &self.quotas.place.domain;
-        let mut office = self.quotas.office.borrow_mut();
-        let Some(office) = office.as_mut() else {
+        let mut term = self.quotas.term.borrow_mut();
+        let Some(term) = term.as_mut() else {
             return;
         };
         for workspace in self.quotas.limits.borrow().keys() {
             let next = parts.part(domain, workspace);
-            let present = office.keeper.part(workspace);
-            office
-                .keeper
+            let present = term.allocator.part(workspace);
+            term.allocator
                 .set_part(workspace, choose(next, present), now);
         }
     }
 
-    async fn release(&self) -> Result<(), OfficeError> {
+    async fn release(&self) -> Result<(), RoleError> {
         let (mut parts, version, now) = self.read().await?;
         let place = &self.quotas.place;
         if !parts.release(&place.domain, &place.node, place.life.0, now) {
             return Ok(());
         }
         let text =
-            serde_json::to_string(&parts).map_err(|error| OfficeError::Row(error.to_string()))?;
+            serde_json::to_string(&parts).map_err(|error| RoleError::Row(error.to_string()))?;
         let written = self.store.replace(Table::Quotas, ROW, &text, version);
-        written.await.map_err(OfficeError::Store)
+        written.await.map_err(RoleError::Store)
     }
 
     fn note_lease(&self, lease: &Lease) {
@@ -288,14 +294,14 @@
         self.missing.set(None);
         if self.status.quota_term.replace(lease.term) != lease.term {
             self.status.publish();
-            emit(&catalogue::QUOTA_KEEPER_BEGAN, &[("term", &lease.term)]);
+            emit(&catalogue::QUOTA_ALLOCATOR_BEGAN, &[("term", &lease.term)]);
         }
     }
 
     #[allow(clippy::unused_self, reason = "events are written through one service")]
-    fn note_error(&self, error: &OfficeError) {
+    fn note_error(&self, error: &RoleError) {
         // Nodes write in turn, and the one that comes second tries again.
-        if matches!(error, OfficeError::Store(StoreError::Conflict)) {
+        if matches!(error, RoleError::Store(StoreError::Conflict)) {
             return;
         }
         emit(
--- a/crates/mesh/src/quota/asker.rs
+++ b/crates/mesh/src/quota/asker.rs
@@ -1,4 +1,4 @@
-//! Fetches tokens from the keeper of the own failure domain.
+//! Fetches tokens from the allocator of the own failure domain.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,7 +16,7 @@
 
 /// How often tokens are fetched before they are needed.
 const LOOK: Duration = Duration::from_millis(100);
-/// How long the keeper may take to answer: many times the way there and back.
+/// How long the allocator may take to answer: many times the way there and back.
 const ANSWER_TIME: Duration = Duration::from_millis(150);
 /// The pause after a question that was not answered.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -30,7 +30,7 @@
 impl Asker {
     pub(crate) async fn keep_asking(self, mut wanted: mpsc::Receiver<()>) {
         loop {
-            if self.quotas.purse.borrow().is_empty() {
+            if self.quotas.cache.borrow().is_empty() {
                 // Nothing is fetched ahead for nobody.
                 if wanted.next().await.is_none() {
                     return;
@@ -40,7 +40,7 @@
                 let _ = timeout(LOOK, wanted.next()).await;
             }
             let asked = clock::now();
-            let wants = self.quotas.purse.borrow_mut().wants(asked);
+            let wants = self.quotas.cache.borrow_mut().wants(asked);
             if wants.is_empty() {
                 continue;
             }
@@ -64,21 +64,21 @@
             exchange,
             wants: messages.collect(),
         };
-        if quotas.is_keeper() {
+        if quotas.is_allocator() {
             let own = Holder {
                 node: quotas.place.node.clone(),
                 life: quotas.place.life.0,
             };
-            return Some(quotas.answer(&own, &question)).filter(|answer| !answer.not_keeper);
+            return Some(quotas.answer(&own, &question)).filter(|answer| !answer.not_allocator);
         }
-        // Tokens of another domain count as much, until there is a keeper in the own one.
-        let link = self.peers.keeper_of(&quotas.place.domain);
-        let link = link.or_else(|| self.peers.any_keeper())?;
+        // Tokens of another domain count as much, until there is an allocator in the own one.
+        let link = self.peers.allocator_of(&quotas.place.domain);
+        let link = link.or_else(|| self.peers.any_allocator())?;
         let answer = timeout(ANSWER_TIME, link.ask_tokens(question)).await;
         if answer.is_err() {
             // An answer that comes later must not count: what it gives is not asked for any more.
             link.forget_questions();
         }
-        answer.ok()?.filter(|answer| !answer.not_keeper)
+        answer.ok()?.filter(|answer| !answer.not_allocator)
     }
 }
--- a/crates/mesh/src/quota/mod.rs
+++ b/crates/mesh/src/quota/mod.rs
@@ -1,11 +1,11 @@
 //! Lets requests in by the limits of their workspaces, which all nodes keep together.
 //!
-//! A node takes a token for each request out of its purse and fetches more
-//! from the keeper of its failure domain. What is decided is in
+//! A node takes a token for each request out of its cache and fetches more
+//! from the allocator of its failure domain. What is decided is in
 //! `sailtrack-quota`; here it meets links, the store and the clock.
 
+mod allocation;
 mod asker;
-mod keeping;
 mod wire;
 
 use std::cell::{Cell, RefCell};
@@ -17,23 +17,23 @@
 use monoio::time::timeout;
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
-use sailtrack_quota::{Grant, Holder, Keeper, Limit, Purse, Taken, Tolerance, Want};
+use sailtrack_quota::{Allocator, Cache, Grant, Holder, Limit, Taken, Tolerance, Want};
 use sailtrack_units::{DomainName, Incarnation, Moment, NodeName, WorkspaceName};
 use sailtrack_wire::{TokenAnswer, TokenQuestion};
 
+pub(crate) use allocation::Allocation;
 pub(crate) use asker::Asker;
-pub(crate) use keeping::Keeping;
 
 use crate::clock;
 use crate::configuration::{Configuration, Current, Workspaces};
 use crate::metrics::Metrics;
 use crate::store::{Clock, StoreTime};
 
-/// How long a request waits for a token: some hundred times the way to the keeper and back, and
+/// How long a request waits for a token: some hundred times the way to the allocator and back, and
 /// little beside the second or so within which callers hope for an answer.
 const ASK_TIME: Duration = Duration::from_millis(250);
 /// A token whose request was refused is given back if it was taken this lately. Until then the
-/// keeper takes it for used, so it is one more; what is refused by a full upstream is refused
+/// allocator takes it for used, so it is one more; what is refused by a full upstream is refused
 /// within the 0.2 s for which calls wait.
 const GIVE_BACK_TIME: Duration = Duration::from_millis(400);
 /// A workspace that goes on being over its limit is logged this often.
@@ -44,8 +44,8 @@
 pub(crate) enum Shortage {
     /// Its workspace asks more than it may; there is a token after this time.
     Over(Duration),
-    /// The keeper cannot be reached.
-    NoKeeper,
+    /// The allocator cannot be reached.
+    NoAllocator,
 }
 
 /// Who this node is among those that keep and fetch tokens.
@@ -56,10 +56,10 @@
     pub(crate) domain: DomainName,
 }
 
-/// The office of this node as the keeper of its domain.
-struct Office {
-    keeper: Keeper,
-    term: u64,
+/// The term of this node as the allocator of its domain.
+struct Term {
+    allocator: Allocator,
+    number: u64,
     /// When its lease ends, by the store's clock
     until: StoreTime,
     /// and by the own one, should that of the store begin anew.
@@ -73,10 +73,10 @@
     clock: Rc<Clock>,
     current: Rc<Current>,
     metrics: Rc<Metrics>,
-    purse: RefCell<Purse>,
+    cache: RefCell<Cache>,
     limits: RefCell<HashMap<WorkspaceName, Limit>>,
-    office: RefCell<Option<Office>>,
-    /// Who waits for the next answer of the keeper.
+    term: RefCell<Option<Term>>,
+    /// Who waits for the next answer of the allocator.
     waiting: RefCell<Vec<oneshot::Sender<()>>>,
     /// Tells the asker that something waits.
     wanted: RefCell<mpsc::Sender<()>>,
@@ -103,9 +103,9 @@
             clock,
             current,
             metrics,
-            purse: RefCell::default(),
+            cache: RefCell::default(),
             limits: RefCell::default(),
-            office: RefCell::default(),
+            term: RefCell::default(),
             waiting: RefCell::default(),
             wanted: RefCell::new(wanted),
             logged: RefCell::default(),
@@ -119,7 +119,7 @@
         self: &Rc<Self>,
         workspace: &WorkspaceName,
     ) -> Result<Token, Shortage> {
-        let taken = self.purse.borrow_mut().take(workspace, clock::now());
+        let taken = self.cache.borrow_mut().take(workspace, clock::now());
         let taken = match taken {
             Taken::Ask => self.wait_for_token(workspace).await,
             taken => Ok(taken),
@@ -130,7 +130,7 @@
                 self.note_over(workspace);
                 Err(Shortage::Over(wait))
             }
-            Ok(Taken::Ask) | Err(_) => Err(Shortage::NoKeeper),
+            Ok(Taken::Ask) | Err(_) => Err(Shortage::NoAllocator),
         }
     }
 
@@ -147,7 +147,7 @@
                 let _ = self.wanted.borrow_mut().try_send(());
                 // The asker lives as long as the node.
                 let _ = answered.await;
-                let taken = self.purse.borrow_mut().take_again(workspace, clock::now());
+                let taken = self.cache.borrow_mut().take_again(workspace, clock::now());
                 if taken != Taken::Ask {
                     return taken;
                 }
@@ -167,14 +167,14 @@
         if limits.keys().any(|name| !before.contains_key(name)) {
             self.is_part_missing.set(true);
         }
-        let mut purse = self.purse.borrow_mut();
+        let mut cache = self.cache.borrow_mut();
         for name in before.keys() {
             if before.get(name) != limits.get(name) {
-                purse.void(name);
+                cache.void(name);
             }
         }
-        if let Some(office) = self.office.borrow_mut().as_mut() {
-            office.keeper.set_limits(&limits, clock::now());
+        if let Some(term) = self.term.borrow_mut().as_mut() {
+            term.allocator.set_limits(&limits, clock::now());
         }
     }
 
@@ -182,34 +182,34 @@
     pub(crate) fn answer(&self, holder: &Holder, question: &TokenQuestion) -> TokenAnswer {
         let exchange = question.exchange;
         let now = clock::now();
-        let mut office = self.office.borrow_mut();
-        let office = office.as_mut().filter(|office| self.is_valid(office, now));
-        let Some(office) = office else {
+        let mut term = self.term.borrow_mut();
+        let term = term.as_mut().filter(|term| self.is_valid(term, now));
+        let Some(term) = term else {
             return TokenAnswer {
                 exchange,
-                not_keeper: true,
+                not_allocator: true,
                 grants: Vec::new(),
             };
         };
         let grants = question.wants.iter().map(|want| {
             let grant = wire::want(want).and_then(|(workspace, want)| {
-                office.keeper.ask((holder, exchange), &workspace, want, now)
+                term.allocator
+                    .ask((holder, exchange), &workspace, want, now)
             });
             wire::grant(grant)
         });
         TokenAnswer {
             exchange,
-            not_keeper: false,
+            not_allocator: false,
             grants: grants.collect(),
         }
     }
 
     /// Returns true if this node keeps the tokens of its domain.
-    pub(crate) fn is_keeper(&self) -> bool {
-        let office = self.office.borrow();
-        office
-            .as_ref()
-            .is_some_and(|office| self.is_valid(office, clock::now()))
+    pub(crate) fn is_allocator(&self) -> bool {
+        let term = self.term.borrow();
+        term.as_ref()
+            .is_some_and(|term| self.is_valid(term, clock::now()))
     }
 
     /// Returns true if a workspace has a limit.
@@ -217,20 +217,20 @@
         !self.limits.borrow().is_empty()
     }
 
-    fn is_valid(&self, office: &Office, now: Moment) -> bool {
+    fn is_valid(&self, term: &Term, now: Moment) -> bool {
         let at_most = self.clock.at_most(now);
-        now < office.until_here && at_most.is_some_and(|at_most| at_most < office.until)
+        now < term.until_here && at_most.is_some_and(|at_most| at_most < term.until)
     }
 
     fn receive(&self, wants: &[(WorkspaceName, Want)], answer: &TokenAnswer, asked: Moment) {
-        let mut purse = self.purse.borrow_mut();
+        let mut cache = self.cache.borrow_mut();
         for ((workspace, want), grant) in wants.iter().zip(&answer.grants) {
             let grant = wire::granted(grant).unwrap_or(Grant {
-                // The keeper has an older configuration, or a newer one, without this limit.
+                // The allocator has an older configuration, or a newer one, without this limit.
                 tokens: want.needed,
                 wait: Duration::ZERO,
             });
-            purse.receive(workspace, grant, asked);
+            cache.receive(workspace, grant, asked);
         }
     }
 
@@ -263,7 +263,7 @@
     }
 }
 
-/// Tells the keeper, while it lives, that a request waits for a token.
+/// Tells the allocator, while it lives, that a request waits for a token.
 struct Waiting<'a> {
     quotas: &'a Quotas,
     workspace: &'a WorkspaceName,
@@ -271,14 +271,14 @@
 
 impl<'a> Waiting<'a> {
     fn new(quotas: &'a Quotas, workspace: &'a WorkspaceName) -> Self {
-        quotas.purse.borrow_mut().wait(workspace, true);
+        quotas.cache.borrow_mut().wait(workspace, true);
         Self { quotas, workspace }
     }
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        self.quotas.purse.borrow_mut().wait(self.workspace, false);
+        self.quotas.cache.borrow_mut().wait(self.workspace, false);
     }
 }
 
@@ -301,7 +301,7 @@
     /// Gives it back, since its request did not run and never will.
     pub(crate) fn give_back(self) {
         if clock::now().since(self.taken) < GIVE_BACK_TIME {
-            self.quotas.purse.borrow_mut().give_back(&self.workspace);
+            self.quotas.cache.borrow_mut().give_back(&self.workspace);
         }
     }
 }
--- a/crates/mesh/src/returns.rs
+++ b/crates/mesh/src/returns.rs
@@ -9,7 +9,7 @@
 const ABSENCE_RETURN: Duration = Duration::from_millis(900);
 const ABSENCE_SPREAD: Duration = Duration::from_millis(600);
 /// The time after which a caller comes back to a node that lacks news, and by how much more at most.
-/// A keeper of tokens is replaced within 0.3 s to some seconds, and callers try once more only.
+/// An allocator of tokens is replaced within 0.3 s to some seconds, and callers try once more only.
 const OUTAGE_RETURN: Duration = Duration::from_millis(500);
 const OUTAGE_SPREAD: Duration = Duration::from_millis(500);
 /// The time after which a caller comes back to a request on trial, and by how much more at most:
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -33,7 +33,7 @@
     pub(crate) retired: Rc<Retired>,
     pub(crate) reach: Rc<Reach>,
     pub(crate) freshness: Rc<Freshness>,
-    /// The term of this node as the keeper of its failure domain's tokens; zero if it is not.
+    /// The term of this node as the allocator of its failure domain's tokens; zero if it is not.
     pub(crate) quota_term: Cell<u64>,
     pub(crate) subscribers: RefCell<Vec<mpsc::Sender<Body>>>,
 }
--- a/crates/quota/benches/decision.rs
+++ b/crates/quota/benches/decision.rs
@@ -4,7 +4,7 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
-use sailtrack_quota::{Grant, Holder, Keeper, Limit, Purse, Tolerance, Want};
+use sailtrack_quota::{Allocator, Cache, Grant, Holder, Limit, Tolerance, Want};
 use sailtrack_units::{Moment, WorkspaceName};
 
 const ROUNDS: u32 = 1_000_000;
@@ -27,18 +27,18 @@
 fn take(workspaces: usize) -> Duration {
     let names = names(workspaces);
     let now = Moment::since_boot(Duration::from_secs(10));
-    let mut purse = Purse::default();
+    let mut cache = Cache::default();
     for name in &names {
-        purse.take(name, now);
+        cache.take(name, now);
         let grant = Grant {
             tokens: ROUNDS,
             wait: Duration::ZERO,
         };
-        purse.receive(name, grant, now);
+        cache.receive(name, grant, now);
     }
     let began = Instant::now();
     for round in 0..ROUNDS as usize {
-        black_box(purse.take(&names[round % names.len()], now));
+        black_box(cache.take(&names[round % names.len()], now));
     }
     began.elapsed() / ROUNDS
 }
@@ -47,11 +47,11 @@
 fn ask(workspaces: usize, nodes: usize) -> Duration {
     let names = names(workspaces);
     let now = Moment::since_boot(Duration::from_secs(10));
-    let mut keeper = Keeper::new(TOLERANCE, now);
+    let mut allocator = Allocator::new(TOLERANCE, now);
     let limits: HashMap<_, _> = names.iter().map(|name| (name.clone(), LIMIT)).collect();
-    keeper.set_limits(&limits, now);
+    allocator.set_limits(&limits, now);
     for name in &names {
-        keeper.set_part(name, 1.0, now);
+        allocator.set_part(name, 1.0, now);
     }
     let holders = (0..nodes).map(|number| Holder {
         node: format!("n{number}").parse().expect("a sound name"),
@@ -68,7 +68,7 @@
         let holder = &holders[round % nodes];
         let question = u64::try_from(round + 1).expect("it fits");
         let now = now + Duration::from_micros(10) * u32::try_from(round).expect("it fits");
-        black_box(keeper.ask((holder, question), &names[round % names.len()], want, now));
+        black_box(allocator.ask((holder, question), &names[round % names.len()], want, now));
     }
     began.elapsed() / rounds
 }
--- a/crates/quota/src/keeper.rs
+++ b/crates/quota/src/allocator.rs
@@ -5,14 +5,14 @@
 
 use sailtrack_units::{Moment, NodeName, WorkspaceName};
 
+use crate::cache::HOLD;
 use crate::limit::{Limit, Tolerance};
 use crate::meter::Meter;
-use crate::purse::HOLD;
 
 /// How long tokens of a node are counted after it was last heard of: longer than it holds them,
 /// which it counts from an earlier moment, and by the slower of two clocks.
 const COUNTED: Duration = HOLD.saturating_add(Duration::from_millis(500));
-/// For how long a new keeper keeps less: nodes may still hold tokens of the keeper
+/// For how long a new allocator keeps less: nodes may still hold tokens of the allocator
 /// before it that it has not heard of.
 const YOUNG: Duration = COUNTED;
 /// Tokens that are not needed at once are handed out from above this share of the room only,
@@ -56,7 +56,7 @@
     pub life: u64,
 }
 
-/// What a node holds, as far as the keeper knows.
+/// What a node holds, as far as the allocator knows.
 #[derive(Debug, Clone, Copy, Default)]
 struct Account {
     /// The number of its last question; one that comes late is older.
@@ -78,13 +78,13 @@
 
 /// The tokens of one failure domain.
 #[derive(Debug)]
-pub struct Keeper {
+pub struct Allocator {
     tolerance: Tolerance,
     began: Moment,
     pools: HashMap<WorkspaceName, Pool>,
 }
 
-impl Keeper {
+impl Allocator {
     /// Begins with no tokens at all: what was there before may still be in use.
     #[must_use]
     pub fn new(tolerance: Tolerance, now: Moment) -> Self {
@@ -163,7 +163,7 @@
         })
     }
 
-    /// Takes over the requests a second that the keeper before saw.
+    /// Takes over the requests a second that the allocator before saw.
     pub fn set_demand(&mut self, workspace: &WorkspaceName, demand: f64, now: Moment) {
         if let Some(pool) = self.pools.get_mut(workspace) {
             pool.demand.set(demand, now);
--- a/crates/quota/src/purse.rs
+++ b/crates/quota/src/cache.rs
@@ -5,13 +5,13 @@
 
 use sailtrack_units::{Moment, WorkspaceName};
 
-use crate::keeper::{Grant, Want};
+use crate::allocator::{Grant, Want};
 use crate::meter::Meter;
 
 /// How long tokens are good after they were asked for. As long as a cut that is worth bridging
-/// lasts; a keeper that hears nothing counts them for longer.
+/// lasts; an allocator that hears nothing counts them for longer.
 pub(crate) const HOLD: Duration = Duration::from_secs(5);
-/// For how long the tokens last that a node tries to have: many times the way to the keeper, so
+/// For how long the tokens last that a node tries to have: many times the way to the allocator, so
 /// that few requests wait, and little enough to leave most tokens where all nodes can fetch them.
 const STOCK_TIME: Duration = Duration::from_millis(300);
 /// Over how long the demand is averaged for that.
@@ -28,7 +28,7 @@
     Token,
     /// There is none, and more come after this time.
     Dry(Duration),
-    /// There is none here; the keeper is to be asked.
+    /// There is none here; the allocator is to be asked.
     Ask,
 }
 
@@ -36,7 +36,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Stock {
     held: u32,
-    /// What the keeper takes it to hold. Used tokens that it does not hear of keep new ones from
+    /// What the allocator takes it to hold. Used tokens that it does not hear of keep new ones from
     /// coming: without telling them soon, 5 % of the requests of workspaces that asked three
     /// quarters of their limits were refused.
     counted: u32,
@@ -69,11 +69,11 @@
 
 /// The tokens that one node has fetched.
 #[derive(Debug, Default)]
-pub struct Purse {
+pub struct Cache {
     stocks: HashMap<WorkspaceName, Stock>,
 }
 
-impl Purse {
+impl Cache {
     /// Takes a token for a request that has just come.
     pub fn take(&mut self, workspace: &WorkspaceName, now: Moment) -> Taken {
         if !self.stocks.contains_key(workspace) {
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -1,24 +1,24 @@
 //! Limits of workspaces, kept by all nodes together without a coordinator.
 //!
 //! What a workspace may ask is a bucket of tokens. Each failure domain has a
-//! part of it ([`Parts`]), looked after by one node there, the keeper
-//! ([`Keeper`]), from which the other nodes of the domain fetch tokens as
-//! they need them ([`Purse`]). A token is in one place at a time: in the
-//! keeper's pool, in the purse of one node, or used. The keeper counts what
+//! part of it ([`Parts`]), looked after by one node there, the allocator
+//! ([`Allocator`]), from which the other nodes of the domain fetch tokens as
+//! they need them ([`Cache`]). A token is in one place at a time: in the
+//! allocator's pool, in the cache of one node, or used. The allocator counts what
 //! it has handed out as still there until it hears that it is not, and what
-//! is in a purse becomes void before the keeper stops counting it. So the sum
+//! is in a cache becomes void before the allocator stops counting it. So the sum
 //! holds whoever is cut off, lost or restarted, and nobody has to be asked
 //! but a node nearby.
 //!
 //! Nothing here knows a network or reads a clock.
 
-mod keeper;
+mod allocator;
+mod cache;
 mod limit;
 mod meter;
 mod parts;
-mod purse;
 
-pub use keeper::{Grant, Holder, Keeper, Want};
+pub use allocator::{Allocator, Grant, Holder, Want};
+pub use cache::{Cache, Taken};
 pub use limit::{Limit, Tolerance};
 pub use parts::{Claim, Domain, LAPSED, LEASE, Lease, Now, Parts};
-pub use purse::{Purse, Taken};
--- a/crates/quota/src/limit.rs
+++ b/crates/quota/src/limit.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 /// The part of what may run beyond a limit that is used on purpose, as room for tokens, and the
-/// part that a new keeper uses while nodes may hold tokens of the one before that it has not heard
+/// part that a new allocator uses while nodes may hold tokens of the one before that it has not heard
 /// of. Together they leave a twentieth for the clocks. With 0.8 and 0.1 seven in a hundred requests
-/// were refused after a change of keepers at nine tenths of the limits, with these two.
+/// were refused after a change of allocators at nine tenths of the limits, with these two.
 const ROOM_SHARE: f64 = 0.55;
 const YOUNG_ROOM_SHARE: f64 = 0.4;
 
@@ -46,7 +46,7 @@
         ROOM_SHARE * self.surplus(tolerance)
     }
 
-    /// Returns the same for those of new keepers.
+    /// Returns the same for those of new allocators.
     #[must_use]
     pub fn young_room(&self, tolerance: &Tolerance) -> f64 {
         YOUNG_ROOM_SHARE * self.surplus(tolerance)
--- a/crates/quota/src/parts.rs
+++ b/crates/quota/src/parts.rs
@@ -11,9 +11,9 @@
 use sailtrack_units::{DomainName, NodeName, WorkspaceName};
 use serde::{Deserialize, Serialize};
 
-use crate::purse::HOLD;
+use crate::cache::HOLD;
 
-/// How long a keeper may go without renewing its lease: two lost renewals, and no longer than
+/// How long an allocator may go without renewing its lease: two lost renewals, and no longer than
 /// callers of a node that has lost the store are served on its behalf.
 pub const LEASE: Duration = Duration::from_secs(4);
 /// How long after the end of a lease the parts of a domain are left alone: its nodes may still
@@ -33,11 +33,11 @@
 /// Which node keeps the tokens of a failure domain.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lease {
-    /// The keeper,
+    /// The allocator,
     pub holder: NodeName,
     /// and its life.
     pub life: u64,
-    /// Grows with each keeper of the domain.
+    /// Grows with each allocator of the domain.
     pub term: u64,
     /// When it ends, in milliseconds of the store's clock.
     pub until_ms: u64,
@@ -66,11 +66,11 @@
 /// All failure domains.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Parts {
-    /// The domains that had a keeper lately.
+    /// The domains that had an allocator lately.
     pub domains: BTreeMap<DomainName, Domain>,
 }
 
-/// What a keeper, or a node that wants to be one, says of itself.
+/// What an allocator, or a node that wants to be one, says of itself.
 #[derive(Debug, Clone)]
 pub struct Claim {
     /// Where it is.
@@ -81,7 +81,7 @@
     pub life: u64,
     /// How many failure domains it knows, its own included.
     pub domains: usize,
-    /// It is not the keeper yet, so it knows no demand.
+    /// It is not the allocator yet, so it knows no demand.
     pub is_new: bool,
     /// The requests a second that nodes of its domain see.
     pub demand: BTreeMap<WorkspaceName, f64>,
@@ -159,8 +159,8 @@
 
     /// Returns a claim with the demand that was known before, if its node has seen none yet.
     ///
-    /// A node that has just become the keeper has heard of no requests. Its domain would give up
-    /// half of its parts at once: on a day on which five of six keepers were lost or turned away,
+    /// A node that has just become the allocator has heard of no requests. Its domain would give up
+    /// half of its parts at once: on a day on which five of six allocators were lost or turned away,
     /// a third of all requests was refused, by the domains' limits alone.
     fn complete(&self, claim: &Claim) -> Claim {
         let mut claim = claim.clone();
--- a/crates/quota/tests/interleavings.rs
+++ b/crates/quota/tests/interleavings.rs
@@ -1,10 +1,10 @@
-//! Messages that are lost, late or doubled, keepers that change and nodes that stand still: what
+//! Messages that are lost, late or doubled, allocators that change and nodes that stand still: what
 //! runs keeps to the limit in every order of events.
 
 use std::time::Duration;
 
 use proptest::prelude::*;
-use sailtrack_quota::{Grant, Holder, Keeper, Limit, Purse, Taken, Tolerance, Want};
+use sailtrack_quota::{Allocator, Cache, Grant, Holder, Limit, Taken, Tolerance, Want};
 use sailtrack_units::{Moment, WorkspaceName};
 
 const NODES: usize = 3;
@@ -18,8 +18,8 @@
     slack: 20.0,
 };
 
-/// Keepers of this test change no sooner than this: after it nobody holds tokens of the one before.
-const KEEPERS_APART: Duration = Duration::from_secs(6);
+/// Allocators of this test change no sooner than this: after it nobody holds tokens of the one before.
+const ALLOCATORS_APART: Duration = Duration::from_secs(6);
 
 /// What may happen next.
 #[derive(Debug, Clone, Copy)]
@@ -36,7 +36,7 @@
     Answer(usize),
     /// An answer under way is lost.
     Lose(usize),
-    /// The keeper is lost; another one takes its place.
+    /// The allocator is lost; another one takes its place.
     Replace,
 }
 
@@ -63,7 +63,7 @@
 
 struct Node {
     holder: Holder,
-    purse: Purse,
+    cache: Cache,
     /// The number of the last question, and whether its answer is awaited.
     question: u64,
     awaits: bool,
@@ -72,7 +72,7 @@
 struct World {
     now: Moment,
     workspace: WorkspaceName,
-    keeper: Keeper,
+    allocator: Allocator,
     nodes: Vec<Node>,
     questions: Vec<Question>,
     answers: Vec<(Question, Grant)>,
@@ -87,14 +87,14 @@
                 node: format!("n{number}").parse().expect("a sound name"),
                 life: 1,
             },
-            purse: Purse::default(),
+            cache: Cache::default(),
             question: 0,
             awaits: false,
         });
         let mut world = Self {
             now,
             workspace: "mills".parse().expect("a sound name"),
-            keeper: Keeper::new(TOLERANCE, now),
+            allocator: Allocator::new(TOLERANCE, now),
             nodes: nodes.collect(),
             questions: Vec::new(),
             answers: Vec::new(),
@@ -106,9 +106,9 @@
 
     fn replace(&mut self) {
         let limits = [(self.workspace.clone(), LIMIT)].into();
-        self.keeper = Keeper::new(TOLERANCE, self.now);
-        self.keeper.set_limits(&limits, self.now);
-        self.keeper.set_part(&self.workspace, 1.0, self.now);
+        self.allocator = Allocator::new(TOLERANCE, self.now);
+        self.allocator.set_limits(&limits, self.now);
+        self.allocator.set_part(&self.workspace, 1.0, self.now);
     }
 
     fn play(&mut self, step: Step) {
@@ -116,7 +116,7 @@
             Step::Wait(millis) => self.now = self.now + Duration::from_millis(millis),
             Step::Requests(node, count) => {
                 for _ in 0..count {
-                    let taken = self.nodes[node].purse.take(&self.workspace, self.now);
+                    let taken = self.nodes[node].cache.take(&self.workspace, self.now);
                     if taken == Taken::Token {
                         self.ran.push(self.now);
                     }
@@ -137,9 +137,9 @@
 
     fn ask(&mut self, number: usize) {
         let node = &mut self.nodes[number];
-        node.purse.wait(&self.workspace, true);
-        let wants = node.purse.wants(self.now);
-        node.purse.wait(&self.workspace, false);
+        node.cache.wait(&self.workspace, true);
+        let wants = node.cache.wants(self.now);
+        node.cache.wait(&self.workspace, false);
         node.question += 1;
         node.awaits = true;
         for (_, want) in wants {
@@ -167,7 +167,7 @@
         let holder = &self.nodes[question.node].holder;
         let asked = (holder, question.number);
         let grant = self
-            .keeper
+            .allocator
             .ask(asked, &self.workspace, question.want, self.now);
         self.answers
             .push((question, grant.expect("it has a limit")));
@@ -183,14 +183,14 @@
         // Only the answer to the last question counts, and only once.
         if node.awaits && node.question == question.number {
             node.awaits = false;
-            node.purse.receive(&self.workspace, grant, question.asked);
+            node.cache.receive(&self.workspace, grant, question.asked);
         }
     }
 
-    /// Returns the tokens that are somewhere: free, in purses, or in answers that would be taken.
+    /// Returns the tokens that are somewhere: free, in caches, or in answers that would be taken.
     fn tokens(&self) -> f64 {
         let held = self.nodes.iter();
-        let held = held.map(|node| node.purse.held(&self.workspace, self.now));
+        let held = held.map(|node| node.cache.held(&self.workspace, self.now));
         let coming = self.answers.iter().filter(|(question, _)| {
             let node = &self.nodes[question.node];
             node.awaits && node.question == question.number
@@ -203,7 +203,7 @@
             }
         }
         let all = held.sum::<u32>() + given.iter().sum::<u32>();
-        self.keeper.free(&self.workspace) + f64::from(all)
+        self.allocator.free(&self.workspace) + f64::from(all)
     }
 
     /// Returns the most requests that ran in any window.
@@ -221,8 +221,8 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(3000))]
 
-    /// There are never more tokens than there is room for; beside those of a new keeper there may
-    /// be some of the one before. One change of keepers falls into a window.
+    /// There are never more tokens than there is room for; beside those of a new allocator there may
+    /// be some of the one before. One change of allocators falls into a window.
     #[test]
     fn limit_holds(steps in prop::collection::vec(step(), 1..250)) {
         let mut world = World::new();
@@ -232,13 +232,13 @@
         for step in steps {
             let since = world.now.since(replaced);
             if matches!(step, Step::Replace) {
-                if since < KEEPERS_APART {
+                if since < ALLOCATORS_APART {
                     continue;
                 }
                 replaced = world.now;
             }
             world.play(step);
-            let is_alone = world.now.since(replaced) >= KEEPERS_APART;
+            let is_alone = world.now.since(replaced) >= ALLOCATORS_APART;
             let allowed = if is_alone { room } else { room + young };
             prop_assert!(world.tokens() <= allowed + 1e-6, "{} tokens", world.tokens());
         }
--- a/crates/quota/tests/whole_domains.rs
+++ b/crates/quota/tests/whole_domains.rs
@@ -27,15 +27,15 @@
     }
 }
 
-/// Keepers are replaced one after the other under demand near the limits: each begins with the
+/// Allocators are replaced one after the other under demand near the limits: each begins with the
 /// part that its domain had, and the demand of before.
 #[test]
-fn keepers_replaced() {
+fn allocators_replaced() {
     let mut world = World::new(limits(76, 330.0), &NODES, 5);
     world.play(Duration::from_secs(6), |_| 0.9, anywhere);
     world.let_in();
     for domain in [0, 1, 2, 0] {
-        world.lose_keeper(domain);
+        world.lose_allocator(domain);
         // The next renewal brings another one.
         world.play(Duration::from_millis(1500), |_| 0.9, anywhere);
         world.let_in();
@@ -80,12 +80,12 @@
     assert!(others >= 0.99, "{others}");
 }
 
-/// In each domain a keeper is lost again and again while all ask for twice what they may.
+/// In each domain an allocator is lost again and again while all ask for twice what they may.
 #[test]
 fn bound_under_loss() {
     let mut world = World::new(limits(30, 100.0), &[8, 8, 8], 8);
     for round in 0..12 {
-        world.lose_keeper(round % 3);
+        world.lose_allocator(round % 3);
         world.play(Duration::from_millis(1700), |_| 2.0, anywhere);
     }
     world.check_bounds();
--- a/crates/quota/tests/world/mod.rs
+++ b/crates/quota/tests/world/mod.rs
@@ -9,20 +9,20 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
-use sailtrack_quota::{Claim, Holder, Keeper, Limit, Now, Parts, Purse, Taken, Tolerance};
+use sailtrack_quota::{Allocator, Cache, Claim, Holder, Limit, Now, Parts, Taken, Tolerance};
 use sailtrack_units::{DomainName, Moment, WorkspaceName};
 
-/// How often nodes fetch ahead, and keepers renew their leases.
+/// How often nodes fetch ahead, and allocators renew their leases.
 const LOOK: Duration = Duration::from_millis(100);
 const RENEWAL: Duration = Duration::from_millis(1500);
-/// How long keepers work before the first request comes.
+/// How long allocators work before the first request comes.
 pub const LEAD: Duration = Duration::from_secs(8);
 
 /// One node.
 struct Node {
     domain: usize,
     holder: Holder,
-    purse: Purse,
+    cache: Cache,
     questions: u64,
 }
 
@@ -43,7 +43,7 @@
     tolerance: Tolerance,
     pub limits: HashMap<WorkspaceName, Limit>,
     nodes: Vec<Node>,
-    keepers: Vec<Option<Keeper>>,
+    allocators: Vec<Option<Allocator>>,
     parts: Parts,
     pub ends: BTreeMap<WorkspaceName, Ends>,
     looked: Duration,
@@ -80,7 +80,7 @@
                     node: format!("n{domain}-{number}").parse().expect("a sound name"),
                     life: 1,
                 },
-                purse: Purse::default(),
+                cache: Cache::default(),
                 questions: 0,
             })
         });
@@ -88,7 +88,7 @@
             now,
             tolerance: TOLERANCE,
             nodes: members.collect(),
-            keepers: nodes.iter().map(|_| None).collect(),
+            allocators: nodes.iter().map(|_| None).collect(),
             parts: Parts::default(),
             ends: limits
                 .keys()
@@ -149,12 +149,12 @@
     /// Lets a request come to a node.
     pub fn request(&mut self, node: usize, name: &WorkspaceName) {
         let now = self.now;
-        let mut taken = self.nodes[node].purse.take(name, now);
+        let mut taken = self.nodes[node].cache.take(name, now);
         if taken == Taken::Ask {
-            self.nodes[node].purse.wait(name, true);
+            self.nodes[node].cache.wait(name, true);
             self.ask(node);
-            taken = self.nodes[node].purse.take_again(name, now);
-            self.nodes[node].purse.wait(name, false);
+            taken = self.nodes[node].cache.take_again(name, now);
+            self.nodes[node].cache.wait(name, false);
         }
         let window = self.tolerance.window;
         let ends = self.ends.get_mut(name).expect("the workspace is known");
@@ -197,9 +197,9 @@
         }
     }
 
-    /// Ends the keeper of a domain; another node takes its place with the next renewal.
-    pub fn lose_keeper(&mut self, domain: usize) {
-        self.keepers[domain] = None;
+    /// Ends the allocator of a domain; another node takes its place with the next renewal.
+    pub fn lose_allocator(&mut self, domain: usize) {
+        self.allocators[domain] = None;
         let name = Self::domain(domain);
         if let Some(domain) = self.parts.domains.get_mut(&name) {
             domain.lease.until_ms = millis(self.now);
@@ -225,7 +225,7 @@
             }
             if self.renewed >= RENEWAL {
                 self.renewed = Duration::ZERO;
-                for domain in 0..self.keepers.len() {
+                for domain in 0..self.allocators.len() {
                     self.renew(domain);
                 }
             }
@@ -235,15 +235,15 @@
     fn ask(&mut self, number: usize) {
         let now = self.now;
         let node = &mut self.nodes[number];
-        let wants = node.purse.wants(now);
-        let Some(keeper) = self.keepers[node.domain].as_mut() else {
+        let wants = node.cache.wants(now);
+        let Some(allocator) = self.allocators[node.domain].as_mut() else {
             return;
         };
         node.questions += 1;
         for (name, want) in wants {
-            let grant = keeper.ask((&node.holder, node.questions), &name, want, now);
+            let grant = allocator.ask((&node.holder, node.questions), &name, want, now);
             if let Some(grant) = grant {
-                node.purse.receive(&name, grant, now);
+                node.cache.receive(&name, grant, now);
             }
         }
     }
@@ -252,14 +252,16 @@
         let now = self.now;
         let name = Self::domain(domain);
         let first = self.nodes.iter().find(|node| node.domain == domain);
-        let demand = self.keepers[domain].as_ref();
-        let demand = demand.map(|keeper| keeper.demand(now)).unwrap_or_default();
+        let demand = self.allocators[domain].as_ref();
+        let demand = demand
+            .map(|allocator| allocator.demand(now))
+            .unwrap_or_default();
         let claim = Claim {
             domain: name.clone(),
             node: first.expect("each domain has a node").holder.node.clone(),
             life: 1,
-            is_new: self.keepers[domain].is_none(),
-            domains: self.keepers.len(),
+            is_new: self.allocators[domain].is_none(),
+            domains: self.allocators.len(),
             demand: demand.into_iter().collect(),
             limited: self.limits.keys().cloned().collect(),
         };
@@ -270,17 +272,17 @@
         };
         let lease = self.parts.claim(&claim, clock, |_| false);
         lease.expect("nobody else wants it");
-        if self.keepers[domain].is_none() {
-            let mut keeper = Keeper::new(self.tolerance, now);
-            keeper.set_limits(&self.limits, now);
+        if self.allocators[domain].is_none() {
+            let mut allocator = Allocator::new(self.tolerance, now);
+            allocator.set_limits(&self.limits, now);
             for (workspace, demand) in &self.parts.domains[&name].demand {
-                keeper.set_demand(workspace, *demand, now);
+                allocator.set_demand(workspace, *demand, now);
             }
-            self.keepers[domain] = Some(keeper);
+            self.allocators[domain] = Some(allocator);
         }
-        let keeper = self.keepers[domain].as_mut().expect("it is there");
+        let allocator = self.allocators[domain].as_mut().expect("it is there");
         for workspace in self.limits.keys() {
-            keeper.set_part(workspace, self.parts.part(&name, workspace), now);
+            allocator.set_part(workspace, self.parts.part(&name, workspace), now);
         }
     }
 }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -396,7 +396,7 @@
     /// not known.
     #[prost(uint64, tag = "8")]
     pub config_as_of_ms: u64,
-    /// The term of the sender as the keeper of its failure domain's tokens; zero if it is not.
+    /// The term of the sender as the allocator of its failure domain's tokens; zero if it is not.
     #[prost(uint64, tag = "9")]
     pub quota_term: u64,
 }
@@ -453,7 +453,7 @@
     #[prost(message, repeated, tag = "7")]
     pub members: ::prost::alloc::vec::Vec<Member>,
 }
-/// Asks the keeper of a failure domain for tokens.
+/// Asks the allocator of a failure domain for tokens.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct TokenQuestion {
     #[prost(uint64, tag = "1")]
@@ -485,7 +485,7 @@
     pub exchange: u64,
     /// The sender keeps no tokens, so nothing is given.
     #[prost(bool, tag = "2")]
-    pub not_keeper: bool,
+    pub not_allocator: bool,
     #[prost(message, repeated, tag = "3")]
     pub grants: ::prost::alloc::vec::Vec<TokenGrant>,
 }
