--- a/crates/mesh/src/quota/allocation.rs
+++ b/crates/mesh/src/quota/allocation.rs
@@ -152,18 +152,14 @@
                     .peers
                     .is_in_another_life(&lease.holder, Incarnation(lease.life))
         };
-        let before = parts.clone();
         let Some(lease) = parts.claim(&claim, now, is_gone) else {
-            let holder = before.domains.get(&own.domain);
+            let holder = parts.domains.get(&own.domain);
             let holder = holder.map_or_else(|| own.node.clone(), |one| one.lease.holder.clone());
             return Err(RoleError::Held(holder));
         };
         // What is lowered is given up before it is written: somebody else may take it then.
         self.set_parts(&parts, f64::min);
-        let text =
-            serde_json::to_string(&parts).map_err(|error| RoleError::Row(error.to_string()))?;
-        let written = self.store.replace(Table::Quotas, ROW, &text, version);
-        written.await.map_err(RoleError::Store)?;
+        self.write(&parts, version).await?;
         if self.resigned.get() {
             // The node has begun to stop meanwhile.
             self.release().await?;
@@ -208,6 +204,14 @@
         Ok((parts, row.version, now))
     }
 
+    /// Writes the row if nobody else has written it since.
+    async fn write(&self, parts: &Parts, version: StoreVersion) -> Result<(), RoleError> {
+        let text =
+            serde_json::to_string(parts).map_err(|error| RoleError::Row(error.to_string()))?;
+        let written = self.store.replace(Table::Quotas, ROW, &text, version);
+        written.await.map_err(RoleError::Store)
+    }
+
     /// Returns true if the row could not be read for longer than anything of before holds.
     fn is_unreadable_for_long(&self) -> bool {
         let since = self.unreadable.get().unwrap_or_else(Instant::now);
@@ -282,10 +286,7 @@
         if !parts.release(&place.domain, &place.node, place.life.0, now) {
             return Ok(());
         }
-        let text =
-            serde_json::to_string(&parts).map_err(|error| RoleError::Row(error.to_string()))?;
-        let written = self.store.replace(Table::Quotas, ROW, &text, version);
-        written.await.map_err(RoleError::Store)
+        self.write(&parts, version).await
     }
 
     fn note_lease(&self, lease: &Lease) {
