Interfaces of the parts against hard load: pace of an instance, era of the store

Change: types and fields only. Pace (units) on answers and presence, Era (units) on presence and pongs; nothing sets or reads them yet.

--- a/crates/mesh/src/dialect.rs
+++ b/crates/mesh/src/dialect.rs
@@ -7,7 +7,7 @@
 
 use displaydoc::Display;
 use sailtrack_net::http::Request;
-use sailtrack_units::ServiceName;
+use sailtrack_units::{Pace, ServiceName};
 
 use crate::configuration::Configuration;
 use crate::key::UpstreamKey;
@@ -99,6 +99,8 @@
     pub waiting: u32,
     /// How many it works on at once.
     pub slots: u32,
+    /// How long work takes on its instance at this moment, if it tells that.
+    pub pace: Option<Pace>,
 }
 
 /// The names and formats of the place where a mesh runs.
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -6,7 +6,7 @@
 use displaydoc::Display;
 use sailtrack_admission::Pressure;
 use sailtrack_quarantine::Identity;
-use sailtrack_units::{Class, Rank};
+use sailtrack_units::{Class, Pace, Rank};
 use sailtrack_wire::{Forward, Reply};
 
 use crate::body::Body;
@@ -105,6 +105,7 @@
         path_pressure_percent: returned.path_pressure.percent(),
         failed_below: returned.failed_below,
         absent_below: returned.absent_below,
+        pace_percent: returned.pace.map_or(0, Pace::percent),
         retry_after_ms: u64::try_from(returned.retry_after.as_millis()).unwrap_or(u64::MAX),
     }
 }
@@ -118,6 +119,8 @@
         offered: message.offered,
         pressure: Pressure::from_percent(message.pressure_percent),
         path_pressure: Pressure::from_percent(message.path_pressure_percent),
+        // Zero, for an upstream that tells none, is no pace either.
+        pace: Pace::from_percent(message.pace_percent).ok(),
         failed_below: message.failed_below,
         absent_below: message.absent_below,
         retry_after: Duration::from_millis(message.retry_after_ms),
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -70,6 +70,8 @@
             store_lost: self.reach.is_lost(),
             config_as_of_ms: self.freshness.as_of().map_or(0, StoreTime::millis),
             quota_term: self.quota_term.get(),
+            store_era: 0,
+            pace_percent: 0,
         }
     }
 
--- a/crates/mesh/src/work.rs
+++ b/crates/mesh/src/work.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use sailtrack_admission::Pressure;
 use sailtrack_quarantine::Identity;
-use sailtrack_units::{Class, KindName, Moment, Rank, ServiceName, WorkspaceName};
+use sailtrack_units::{Class, KindName, Moment, Pace, Rank, ServiceName, WorkspaceName};
 use sailtrack_wire::{Outcome, Reason};
 
 use crate::body::Body;
@@ -63,6 +63,8 @@
     pub(crate) offered: bool,
     /// How full the upstream is.
     pub(crate) pressure: Pressure,
+    /// How long work takes on the instance of the upstream, if it tells that.
+    pub(crate) pace: Option<Pace>,
     /// The greatest pressure that the request met, at the upstream or further down.
     pub(crate) path_pressure: Pressure,
     /// Whether a call that was made for it failed, as far as is known.
@@ -83,6 +85,7 @@
             body: Body::Whole(Bytes::new()),
             offered,
             pressure: Pressure::default(),
+            pace: None,
             path_pressure: Pressure::default(),
             failed_below: false,
             absent_below: false,
--- a/crates/units/src/ident.rs
+++ b/crates/units/src/ident.rs
@@ -76,3 +76,7 @@
     /// The version of an accepted configuration; zero means none yet.
     ConfigVersion
 );
+counter!(
+    /// Rises each time the store comes back from a copy; zero means that the store tells none.
+    Era
+);
--- a/crates/units/tests/round_trips.rs
+++ b/crates/units/tests/round_trips.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use sailtrack_units::{
-    Allowance, ByteSize, Clock, Importance, Incarnation, Period, Rank, Rate, Ratio, RequestId,
-    ServiceName, Ticket, Timestamp,
+    Allowance, ByteSize, Clock, Era, Importance, Incarnation, Pace, Period, Rank, Rate, Ratio,
+    RequestId, ServiceName, Ticket, Timestamp,
 };
 
 fn returns<T: Display + FromStr + PartialEq + std::fmt::Debug>(value: &T)
@@ -25,6 +25,8 @@
     returns(&Rate(12.5));
     returns(&Ratio(0.25));
     returns(&Allowance(3));
+    returns(&Era(4));
+    returns(&Pace::from_percent(250).expect("a pace"));
     returns(&RequestId(0xfeed));
     returns(&Timestamp(1_767_000_000_123));
     returns(&"ledger-1".parse::<ServiceName>().expect("a name"));
@@ -47,6 +49,8 @@
     assert!("-1/s".parse::<Rate>().is_err());
     assert!("1.1".parse::<Ratio>().is_err());
     assert!("101".parse::<Allowance>().is_err());
+    assert!("0".parse::<Pace>().is_err());
+    assert!("10001".parse::<Pace>().is_err());
     assert!("Ledger".parse::<ServiceName>().is_err());
     assert!("".parse::<ServiceName>().is_err());
     assert!("a:1:2".parse::<Ticket>().is_err());
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -289,6 +289,10 @@
     /// A call that was made for the request found no upstream of its service.
     #[prost(bool, tag = "15")]
     pub absent_below: bool,
+    /// How long work takes on the instance of the upstream, in percent of the usual; zero if that is
+    /// not known.
+    #[prost(uint32, tag = "16")]
+    pub pace_percent: u32,
 }
 /// Grants more chunks of a streamed body.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -358,6 +362,9 @@
     /// What the store's clock shows at most, in milliseconds; zero if that is not known.
     #[prost(uint64, tag = "1")]
     pub store_at_most_ms: u64,
+    /// The era of the store to which that belongs; zero if it tells none.
+    #[prost(uint64, tag = "2")]
+    pub store_era: u64,
 }
 /// Asks what became of a request that must not run twice. If it never ran it never will.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -399,6 +406,13 @@
     /// The term of the sender as the allocator of its failure domain's tokens; zero if it is not.
     #[prost(uint64, tag = "9")]
     pub quota_term: u64,
+    /// The newest era of the store that the sender has seen; zero if it tells none.
+    #[prost(uint64, tag = "10")]
+    pub store_era: u64,
+    /// How long work takes on the instance of the upstream, in percent of the usual; zero if that is
+    /// not known.
+    #[prost(uint32, tag = "11")]
+    pub pace_percent: u32,
 }
 /// Asks the receiver to remember that an upstream leaves, also on behalf of a later life of the sender.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
