The bound on the store's clock gives way to what the store shows

Cause: the lowest bound on the store's clock counted for ever, with room for 200 parts in a million. Once the clocks had run further apart every answer of the store lay ahead of the bound, Freshness threw it away, and keys were outdated at every node to the end. Ruled out: more room alone (a jump of 50 ms does the same, and the bound grows looser without end); believing the last answer alone (one late answer makes all ages too old). Change: an answer proves what the clock shows at least, and readings that it contradicts go at once; what another node heard does the same up to a jump. Readings are replaced after 10 s; followers ask to be answered at once each 5 s; nodes tell each other only what the store told themselves. Stated error 50 ms, half of what Freshness keeps back; a lease ends that much sooner here. Before and after: clocks that run 1,000 and 5,000 in a million apart, jump by 50 ms, with answers late by up to 2 s, 80 s each.

--- a/crates/mesh/src/freshness.rs
+++ b/crates/mesh/src/freshness.rs
@@ -18,11 +18,11 @@
 use sailtrack_units::{ConfigVersion, Moment};
 
 use crate::metrics::Metrics;
-use crate::store::{Clock, StoreTime};
+use crate::store::{CLOCK_ERROR, Clock, StoreTime};
 
-/// What is kept back of the allowed age, for the time between the look at it and the moment at
-/// which the request counts as sent, and for clocks.
-const RESERVE: Duration = Duration::from_millis(100);
+/// What is kept back of the allowed age: for the time between the look at it and the moment at
+/// which the request counts as sent, and for an age that looks too young by the error of the clock.
+const RESERVE: Duration = CLOCK_ERROR.saturating_add(Duration::from_millis(50));
 /// Followers of the store ask again after this part of the allowed age, so that a node that is cut
 /// off goes on for the other three quarters. Nine followers make 7 calls a second at 5 s, 0.003 of
 /// what a deployment with 2,100 requests a second earns.
@@ -85,6 +85,7 @@
         in_force: ConfigVersion,
         now: Moment,
     ) -> bool {
+        self.clock.note_shown(now, as_of);
         if version > in_force {
             self.ahead.replace(Some(Confirmation { version, as_of }));
             return false;
--- a/crates/mesh/src/freshness/tests.rs
+++ b/crates/mesh/src/freshness/tests.rs
@@ -5,8 +5,9 @@
 
 use sailtrack_units::{ConfigVersion, Moment};
 
-use super::Freshness;
+use super::{Freshness, RESERVE};
 use crate::metrics::Metrics;
+use crate::store::clock::tests::pair::{Calls, Pair, all};
 use crate::store::{Clock, StoreTime};
 
 const BOUND: Duration = Duration::from_secs(5);
@@ -22,7 +23,7 @@
 /// Returns what a node knows that asked the store at 1 s of its own clock, 51 s of the store's.
 fn known(bound: Option<Duration>) -> Freshness {
     let clock = Rc::new(Clock::default());
-    clock.note(at(1000), told(51_000));
+    clock.note(at(1000), at(1000), told(51_000));
     Freshness::new(clock, Rc::new(Metrics::new()), bound)
 }
 
@@ -94,8 +95,76 @@
     let known = known(Some(BOUND));
     let version = ConfigVersion(3);
     known.confirm(version, told(51_000), version, at(1000));
-    known.clock.note(at(2000), told(500));
+    known.clock.note(at(2000), at(2000), told(500));
     assert!(!known.is_enough(at(2000)));
     assert!(known.confirm(version, told(500), version, at(2000)));
     assert!(known.is_enough(at(2000)));
 }
+
+/// Plays a node that follows the store, and one that hears of it from this one alone.
+///
+/// Returns by how much the age looked too young at either, and whether both served all the time.
+fn follow(pair: Pair, seed: u64) -> (Duration, bool) {
+    let version = ConfigVersion(3);
+    let node = || {
+        let clock = Rc::new(Clock::default());
+        Freshness::new(clock, Rc::new(Metrics::new()), Some(BOUND))
+    };
+    let (follower, peer) = (node(), node());
+    let mut calls = Calls::new(pair, seed);
+    let mut now = at(1000);
+    let mut young = Duration::ZERO;
+    let mut is_served = true;
+    let mut is_known = false;
+    while now < at(80_000) {
+        let answer = calls.ask(&follower.clock, now);
+        while now < answer.answered {
+            for node in [&follower, &peer].into_iter().filter(|_| is_known) {
+                let as_of = node.as_of().expect("it was told");
+                let true_age = pair.shown(now).0.saturating_sub(as_of.0);
+                if let Some(age) = node.age(now) {
+                    young = young.max(true_age.saturating_sub(age));
+                }
+                is_served &= node.is_enough(now);
+            }
+            now = now + Duration::from_millis(10);
+        }
+        now = answer.answered;
+        follower.clock.note(answer.asked, now, answer.told);
+        follower.confirm(version, answer.told, version, now);
+        peer.confirm(version, answer.told, version, now);
+        if peer.clock.is_old(now)
+            && let Some(at_most) = follower.clock.told_at_most(now)
+        {
+            peer.clock.note_at_most(now, at_most);
+            peer.confirm(version, answer.told, version, now);
+        }
+        is_known = true;
+    }
+    (young, is_served)
+}
+
+/// Clocks that run apart by as much as they may make no key run longer than it may.
+#[test]
+fn never_too_young() {
+    for pair in all(&[0.005, 1.0, 2.0]) {
+        for seed in 0..10 {
+            let (young, _) = follow(pair, seed);
+            assert!(
+                young < RESERVE,
+                "{pair:?}, seed {seed}: {young:?} too young"
+            );
+        }
+    }
+}
+
+/// While the store is reached keys are believed, however the clocks run apart.
+#[test]
+fn served_all_along() {
+    for pair in all(&[0.005, 0.5, 0.9]) {
+        for seed in 0..10 {
+            let (_, is_served) = follow(pair, seed);
+            assert!(is_served, "{pair:?}, seed {seed}");
+        }
+    }
+}
--- a/crates/mesh/src/node/store.rs
+++ b/crates/mesh/src/node/store.rs
@@ -1,6 +1,6 @@
 //! The tasks that follow the store.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -48,6 +48,8 @@
     freshness: Rc<Freshness>,
     clock: Rc<Clock>,
     status: Rc<Status>,
+    /// When an answer was asked for at once, to read the clock of the store.
+    read_clock: Cell<Moment>,
 }
 
 impl Follower for ConfigurationRows {
@@ -56,11 +58,21 @@
     }
 
     fn wait(&self) -> Duration {
-        self.freshness.renewal().unwrap_or(store::WAIT)
+        let Some(renewal) = self.freshness.renewal() else {
+            return store::WAIT;
+        };
+        // An answer that waited for changes tells little of what the clock shows by now.
+        let now = clock::now();
+        let was_read = now.since(self.read_clock.get()) < renewal;
+        if was_read || !self.clock.is_due(now) {
+            return renewal;
+        }
+        self.read_clock.set(now);
+        Duration::ZERO
     }
 
     fn confirm(&self, asked: Moment, as_of: StoreTime) {
-        self.clock.note(asked, as_of);
+        self.clock.note(asked, clock::now(), as_of);
         let version = self.current.version();
         let is_news = self
             .freshness
@@ -106,7 +118,7 @@
     }
 
     fn confirm(&self, asked: Moment, as_of: StoreTime) {
-        self.clock.note(asked, as_of);
+        self.clock.note(asked, clock::now(), as_of);
     }
 
     fn reset(&self, rows: &[Row]) {
@@ -151,6 +163,7 @@
         freshness: table.find()?,
         clock: table.find()?,
         status: table.find()?,
+        read_clock: Cell::default(),
     });
     let store = Rc::clone(&surroundings.store);
     let reach = table.find::<Reach>()?;
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -175,7 +175,7 @@
     }
 
     fn pong(&self) -> Pong {
-        let at_most = self.clock.at_most(clock::now());
+        let at_most = self.clock.told_at_most(clock::now());
         Pong {
             store_at_most_ms: at_most.map_or(0, StoreTime::millis),
             store_era: 0,
--- a/crates/mesh/src/quota/allocation.rs
+++ b/crates/mesh/src/quota/allocation.rs
@@ -19,9 +19,10 @@
 
 use crate::clock;
 use crate::peer::Peers;
+use crate::quota::expiry::Expiry;
 use crate::quota::{Quotas, Term};
 use crate::status::Status;
-use crate::store::{Content, Reading, Store, StoreError, StoreTime, StoreVersion, Table};
+use crate::store::{Content, Reading, Store, StoreError, StoreVersion, Table};
 use crate::watch::Watch;
 
 /// The key of the row in its table.
@@ -175,8 +176,9 @@
         let reading = self.store.row(Table::Quotas, ROW).await;
         let Reading { row, now } = reading.map_err(RoleError::Store)?;
         let told = now.ok_or(RoleError::NoTime)?;
-        self.quotas.clock.note(asked, told);
-        let at_most = self.quotas.clock.at_most(clock::now());
+        let answered = clock::now();
+        self.quotas.clock.note(asked, answered, told);
+        let at_most = self.quotas.clock.at_most(answered);
         let now = Now {
             at_least_ms: told.millis(),
             at_most_ms: at_most.unwrap_or(told).millis(),
@@ -240,12 +242,11 @@
 
     fn enter(&self, lease: &Lease, parts: &Parts, asked: Moment) {
         let now = clock::now();
-        let until = StoreTime::from_millis(lease.until_ms);
+        let expiry = Expiry::new(lease, asked);
         let mut term = self.quotas.term.borrow_mut();
         match term.as_mut() {
             Some(term) if term.number == lease.term => {
-                term.until = until;
-                term.until_here = asked + LEASE;
+                term.expiry = expiry;
             }
             _ => {
                 let mut allocator = Allocator::new(self.quotas.tolerance, now);
@@ -257,8 +258,7 @@
                 *term = Some(Term {
                     allocator,
                     number: lease.term,
-                    until,
-                    until_here: asked + LEASE,
+                    expiry,
                 });
             }
         }
--- /dev/null
+++ b/crates/mesh/src/quota/expiry.rs
@@ -0,0 +1,36 @@
+//! Until when a node may use its lease.
+
+#[cfg(test)]
+mod tests;
+
+use sailtrack_quota::{LEASE, Lease};
+use sailtrack_units::Moment;
+
+use crate::store::{CLOCK_ERROR, Clock, StoreTime};
+
+/// The end of a lease.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Expiry {
+    /// By the store's clock,
+    until: StoreTime,
+    /// and by the own one, should that of the store begin anew.
+    until_here: Moment,
+}
+
+impl Expiry {
+    /// Returns the end of a lease that was asked for at this moment.
+    pub(super) fn new(lease: &Lease, asked: Moment) -> Self {
+        Self {
+            until: StoreTime::from_millis(lease.until_ms),
+            until_here: asked + LEASE,
+        }
+    }
+
+    /// Returns true while the lease surely holds, also if the bound on the store's clock is as much
+    /// too low as it may be: another node takes the lease once the store shows its end.
+    pub(super) fn is_ahead(&self, clock: &Clock, now: Moment) -> bool {
+        let at_most = clock.at_most(now);
+        let is_ahead = |at_most: StoreTime| at_most.0 + CLOCK_ERROR < self.until.0;
+        now < self.until_here && at_most.is_some_and(is_ahead)
+    }
+}
--- a/crates/mesh/src/quota/mod.rs
+++ b/crates/mesh/src/quota/mod.rs
@@ -6,6 +6,7 @@
 
 mod allocation;
 mod asker;
+mod expiry;
 mod wire;
 
 use std::cell::{Cell, RefCell};
@@ -27,7 +28,8 @@
 use crate::clock;
 use crate::configuration::{Configuration, Current, Workspaces};
 use crate::metrics::Metrics;
-use crate::store::{Clock, StoreTime};
+use crate::quota::expiry::Expiry;
+use crate::store::Clock;
 
 /// How long a request waits for a token: some hundred times the way to the allocator and back, and
 /// little beside the second or so within which callers hope for an answer.
@@ -60,10 +62,7 @@
 struct Term {
     allocator: Allocator,
     number: u64,
-    /// When its lease ends, by the store's clock
-    until: StoreTime,
-    /// and by the own one, should that of the store begin anew.
-    until_here: Moment,
+    expiry: Expiry,
 }
 
 /// Lets requests in by the limits of their workspaces.
@@ -218,8 +217,7 @@
     }
 
     fn is_valid(&self, term: &Term, now: Moment) -> bool {
-        let at_most = self.clock.at_most(now);
-        now < term.until_here && at_most.is_some_and(|at_most| at_most < term.until)
+        term.expiry.is_ahead(&self.clock, now)
     }
 
     fn receive(&self, wants: &[(WorkspaceName, Want)], answer: &TokenAnswer, asked: Moment) {
--- a/crates/mesh/src/store/clock.rs
+++ b/crates/mesh/src/store/clock.rs
@@ -3,11 +3,17 @@
 //! The store says its time with each answer. All nodes share it, so what one
 //! of them knows to have held at some time of the store any other one can
 //! place on its own clock, however late it hears of it.
+//!
+//! What counts is what the store's clock shows at most: with too low a bound,
+//! keys that were taken away run on and leases outlive. A bound is wrong once
+//! the store shows more, and gives way. Until that is seen it is too low by
+//! as much as the two clocks jumped apart since it was read, and a reading is
+//! used for a bounded time only, so older jumps do not add up.
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::time::Duration;
 
 use sailtrack_kernel::Service;
@@ -15,12 +21,22 @@
 
 /// What the store's clock may be off by in an answer: it is told in hundredths of a second.
 const RESOLUTION: Duration = Duration::from_millis(20);
-/// How far the two clocks may drift apart, in parts of the time passed: crystals are off by less
-/// than 100 in a million each.
-const DRIFT: f64 = 200e-6;
-
-/// After this time a reading is to be replaced: it is off by up to 60 ms more.
-const OLD: Duration = Duration::from_mins(5);
+/// How far the two clocks may drift apart, in parts of the time passed: 5,000 in a million, as a
+/// virtual machine that catches up on lost time does, and some room.
+const DRIFT: f64 = 6e-3;
+/// How far the two clocks may jump apart at once.
+const JUMP: Duration = Duration::from_millis(50);
+
+/// How much too low the bound may be: by one jump within twice [`OLD`], the longest time for which
+/// a reading is used, first by the node that asked the store and then by one that it told.
+pub(crate) const ERROR: Duration = JUMP;
+
+/// How long a reading is used if there is another one.
+const OLD: Duration = Duration::from_secs(10);
+/// A node that follows the store reads its clock again after this time.
+const DUE: Duration = Duration::from_secs(5);
+/// What took longer from question to answer tells too little of what the clock shows by then.
+const QUICK: Duration = Duration::from_millis(500);
 
 /// A time of the store's clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
@@ -40,11 +56,25 @@
     }
 }
 
+/// Where a reading comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// An answer of the store at once.
+    Store,
+    /// An answer of the store after a while.
+    LateStore,
+    /// Another node, which asked the store.
+    Peer,
+    /// A reading that something later contradicts; any other one replaces it.
+    Doubtful,
+}
+
 /// One reading: at this own moment the store's clock showed at most this.
 #[derive(Debug, Clone, Copy)]
 struct Reading {
     at: Moment,
     at_most: StoreTime,
+    source: Source,
 }
 
 impl Reading {
@@ -53,12 +83,24 @@
         let passed = now.since(self.at);
         StoreTime(self.at_most.0 + passed + passed.mul_f64(DRIFT))
     }
+
+    fn is_fresh(&self, now: Moment) -> bool {
+        now.since(self.at) < OLD
+    }
+
+    /// Returns true if it is of no use beside another one, which is later and as close.
+    fn is_needless_beside(&self, other: &Self) -> bool {
+        self.source == Source::Doubtful
+            || other.at >= self.at && other.at_most <= self.at_most(other.at)
+    }
 }
 
 /// What this node knows of the clock of the store.
+///
+/// Of the readings it keeps those that are the closest now or once closer ones are old.
 #[derive(Debug, Default)]
 pub(crate) struct Clock {
-    reading: Cell<Option<Reading>>,
+    readings: RefCell<Vec<Reading>>,
 }
 
 impl Service for Clock {
@@ -66,38 +108,100 @@
 }
 
 impl Clock {
-    /// Takes in that an answer to what was asked at `asked` told this time.
-    pub(crate) fn note(&self, asked: Moment, told: StoreTime) {
-        self.note_at_most(asked, StoreTime(told.0 + RESOLUTION));
+    /// Takes in that the store told this time, asked and answered at these moments.
+    ///
+    /// Its clock showed at most that when it was asked, and at least that when it had answered.
+    pub(crate) fn note(&self, asked: Moment, answered: Moment, told: StoreTime) {
+        let mut readings = self.readings.borrow_mut();
+        readings.retain(|reading| reading.at_most(answered) >= told);
+        drop(readings);
+        let source = if answered.since(asked) <= QUICK {
+            Source::Store
+        } else {
+            Source::LateStore
+        };
+        self.take(Reading {
+            at: asked,
+            at_most: StoreTime(told.0 + RESOLUTION),
+            source,
+        });
     }
 
-    /// Takes in that the store's clock showed at most this at that moment.
+    /// Takes in from another node that the store's clock showed at most this at that moment.
     pub(crate) fn note_at_most(&self, at: Moment, at_most: StoreTime) {
-        let reading = Reading { at, at_most };
-        let known = self.reading.get();
-        let is_better = known.is_none_or(|known| {
-            let later = known.at.max(at);
-            reading.at_most(later) <= known.at_most(later)
+        self.take(Reading {
+            at,
+            at_most,
+            source: Source::Peer,
         });
-        if is_better {
-            self.reading.set(Some(reading));
+    }
+
+    /// Takes in from another node that the store's clock has shown this.
+    ///
+    /// A bound that it contradicts is raised, and replaced by the next reading. By more than a jump
+    /// it is not raised: nothing tells how long the message was under way.
+    pub(crate) fn note_shown(&self, now: Moment, shown: StoreTime) {
+        let highest = StoreTime(shown.0 + RESOLUTION);
+        for reading in self.readings.borrow_mut().iter_mut() {
+            let at_most = reading.at_most(now);
+            if at_most >= shown {
+                continue;
+            }
+            reading.source = Source::Doubtful;
+            if at_most.0 + JUMP + RESOLUTION >= shown.0 {
+                (reading.at, reading.at_most) = (now, highest);
+            }
+        }
+    }
+
+    fn take(&self, new: Reading) {
+        let mut readings = self.readings.borrow_mut();
+        readings.retain(|known| known.is_fresh(new.at) && !known.is_needless_beside(&new));
+        if !readings.iter().any(|known| new.is_needless_beside(known)) {
+            readings.push(new);
         }
     }
 
-    /// Returns true if nothing is known or the clocks may have drifted apart since.
+    /// Returns true if another node is to be asked what the store's clock shows.
     pub(crate) fn is_old(&self, now: Moment) -> bool {
-        let reading = self.reading.get();
-        reading.is_none_or(|reading| now.since(reading.at) >= OLD)
+        let readings = self.readings.borrow();
+        let is_sound = |reading: &Reading| reading.source != Source::Doubtful;
+        !readings
+            .iter()
+            .any(|one| is_sound(one) && one.is_fresh(now))
+    }
+
+    /// Returns true if a node that reaches the store is to read its clock again, at once.
+    pub(crate) fn is_due(&self, now: Moment) -> bool {
+        let readings = self.readings.borrow();
+        let mut own = readings.iter().filter(|one| one.source == Source::Store);
+        own.all(|reading| now.since(reading.at) >= DUE)
     }
 
     /// Returns what the store's clock shows at most.
     pub(crate) fn at_most(&self, now: Moment) -> Option<StoreTime> {
-        self.reading.get().map(|reading| reading.at_most(now))
+        let readings = self.readings.borrow();
+        let fresh = readings.iter().filter(|reading| reading.is_fresh(now));
+        let closest = fresh.map(|reading| reading.at_most(now)).min();
+        let latest = || readings.iter().max_by_key(|reading| reading.at);
+        closest.or_else(|| latest().map(|reading| reading.at_most(now)))
+    }
+
+    /// Returns what other nodes are told of it: only what the store itself said lately, so that no
+    /// reading goes round among the nodes.
+    pub(crate) fn told_at_most(&self, now: Moment) -> Option<StoreTime> {
+        let readings = self.readings.borrow();
+        let is_own = |one: &&Reading| matches!(one.source, Source::Store | Source::LateStore);
+        let own = readings.iter().filter(is_own);
+        let fresh = own.filter(|reading| reading.is_fresh(now));
+        fresh.map(|reading| reading.at_most(now)).min()
     }
 
     /// Returns the least time that has passed since the store's clock showed `then`; what cannot
-    /// be told, or lies ahead, is nothing.
+    /// be told, or lies ahead by more than a jump, is nothing.
     pub(crate) fn age_at_most(&self, then: StoreTime, now: Moment) -> Option<Duration> {
-        self.at_most(now)?.0.checked_sub(then.0)
+        let at_most = self.at_most(now)?.0;
+        let is_known = at_most + JUMP + RESOLUTION >= then.0;
+        is_known.then(|| at_most.saturating_sub(then.0))
     }
 }
--- a/crates/mesh/src/store/mod.rs
+++ b/crates/mesh/src/store/mod.rs
@@ -1,6 +1,6 @@
 //! The store in which everything lives that must outlast a node.
 
-mod clock;
+pub(crate) mod clock;
 mod mirror;
 
 use std::time::Duration;
@@ -8,8 +8,8 @@
 use displaydoc::Display;
 use futures::future::LocalBoxFuture;
 
-pub(crate) use clock::Clock;
 pub use clock::StoreTime;
+pub(crate) use clock::{Clock, ERROR as CLOCK_ERROR};
 pub(crate) use mirror::{Follower, Pace, Reach, WAIT, follow};
 
 /// The tables that the mesh uses.
