Settings are read again while a node runs

Cause: SIGHUP was logged and changed nothing, and a file that changed without a signal was not looked at. Ruled out: watching the file by the kernel (not to be had on the instances); the time of its last change (too coarse for two changes in a row). Change: reload: the text is compared each second and on SIGHUP; unasked it is taken at the second look that finds it, so that a half written file is not. Bounds and log level take effect, names, ports and addresses are told to wait for the next start. A file with mistakes changes nothing.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -41,10 +41,14 @@
     PROCESS_STOPPED = 102 Info "process stopped" ["process"];
     /// A second SIGTERM arrived while work was in flight; the process goes on finishing it.
     STOP_REPEATED = 103 Warn "stop requested again; still finishing work in flight" ["in_flight"];
-    /// SIGHUP arrived; the settings of a running process stay as they are.
+    /// SIGHUP arrived; the settings file is read again.
     RELOAD_REQUESTED = 104 Info "reload requested" [];
     /// The instance was suspended for so long; what was known before is looked at anew.
     INSTANCE_SUSPENDED = 105 Warn "instance was suspended" ["time_ms"];
+    /// A changed settings file was read; some keys take effect at the next start only.
+    SETTINGS_CHANGED = 106 Info "settings changed" ["in_force", "next_start"];
+    /// The settings file cannot be read or holds mistakes; the settings in force stay.
+    SETTINGS_REFUSED = 107 Error "settings refused" ["reason"];
     /// A task panicked; only its connection ended.
     TASK_PANICKED = 110 Error "a task panicked and was ended" ["task"];
     /// A connection was closed because of what it sent.
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -7,4 +7,4 @@
 mod output;
 
 pub use catalogue::Entry;
-pub use output::{Destination, Field, emit, finish, install, install_to};
+pub use output::{Destination, Field, emit, finish, install, install_to, set_level};
--- a/crates/log/src/output.rs
+++ b/crates/log/src/output.rs
@@ -36,24 +36,20 @@
 
 /// Sends all events of at least `level` to `destination`, one JSON object a line.
 pub fn install_to(destination: Destination, level: LevelFilter) {
-    let filter = match level {
-        LevelFilter::Off | LevelFilter::Error => logforth::record::Level::Error,
-        LevelFilter::Warn => logforth::record::Level::Warn,
-        LevelFilter::Info => logforth::record::Level::Info,
-        LevelFilter::Debug | LevelFilter::Trace => logforth::record::Level::Debug,
-    };
-    let filter = logforth::record::LevelFilter::MoreSevereEqual(filter);
     let layout = JsonLayout::default();
-    let builder = logforth::starter_log::builder().dispatch(|dispatch| {
-        let dispatch = dispatch.filter(filter);
-        match destination {
-            Destination::Stderr => dispatch.append(append::Stderr::default().with_layout(layout)),
-            Destination::Stdout => {
-                dispatch.append(Bounded::new(append::Stdout::default().with_layout(layout)))
-            }
+    let builder = logforth::starter_log::builder().dispatch(|dispatch| match destination {
+        Destination::Stderr => dispatch.append(append::Stderr::default().with_layout(layout)),
+        Destination::Stdout => {
+            dispatch.append(Bounded::new(append::Stdout::default().with_layout(layout)))
         }
     });
     builder.apply();
+    set_level(level);
+}
+
+/// Writes events of at least `level` from now on; errors are always written.
+pub fn set_level(level: LevelFilter) {
+    log::set_max_level(level.clamp(LevelFilter::Error, LevelFilter::Debug));
 }
 
 /// Logs one event with its fields.
--- a/crates/mesh/src/cleanup.rs
+++ b/crates/mesh/src/cleanup.rs
@@ -1,7 +1,6 @@
 //! Removes the rows of nodes that are gone for good.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use monoio::time::sleep;
 use rand::Rng as _;
@@ -9,6 +8,7 @@
 
 use crate::directory::Directory;
 use crate::peer::Peers;
+use crate::reload::Reload;
 use crate::store::{Store, StoreError, Table};
 
 /// How often lost nodes are looked for, as a part of the time after which they are gone.
@@ -24,9 +24,10 @@
     store: Rc<dyn Store>,
     directory: Rc<Directory>,
     peers: Rc<Peers>,
-    forget_after: Duration,
+    reload: Rc<Reload>,
 ) {
     loop {
+        let forget_after = reload.settings().forget_after.0;
         sleep(forget_after / LOOKS).await;
         for name in peers.lost_for(forget_after) {
             let Some(version) = directory.row_version(&name) else {
--- a/crates/mesh/src/entry/room.rs
+++ b/crates/mesh/src/entry/room.rs
@@ -11,23 +11,30 @@
 /// How much memory the bodies of requests may take up together.
 #[derive(Debug)]
 pub(crate) struct Room {
-    free: Rc<Cell<usize>>,
+    bytes: Cell<usize>,
+    taken: Rc<Cell<usize>>,
 }
 
 /// The place of one body, given back when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Taken {
-    free: Rc<Cell<usize>>,
+    taken: Rc<Cell<usize>>,
     bytes: usize,
 }
 
 impl Room {
     pub(crate) fn new(bytes: usize) -> Self {
         Self {
-            free: Rc::new(Cell::new(bytes)),
+            bytes: Cell::new(bytes),
+            taken: Rc::default(),
         }
     }
 
+    /// Changes how much there is; what is taken stays taken.
+    pub(crate) fn resize(&self, bytes: usize) {
+        self.bytes.set(bytes);
+    }
+
     /// Takes room for a body, or returns nothing if there is not enough.
     pub(crate) fn take(&self, framing: Framing, limit: usize) -> Option<Taken> {
         let bytes = match framing {
@@ -35,10 +42,14 @@
             Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX).min(limit),
             Framing::Chunked | Framing::UntilClose => UNSTATED.min(limit),
         };
-        let left = self.free.get().checked_sub(bytes)?;
-        self.free.set(left);
+        let taken = self.taken.get().checked_add(bytes)?;
+        // Without a body no room is needed.
+        if bytes > 0 && taken > self.bytes.get() {
+            return None;
+        }
+        self.taken.set(taken);
         Some(Taken {
-            free: Rc::clone(&self.free),
+            taken: Rc::clone(&self.taken),
             bytes,
         })
     }
@@ -46,6 +57,6 @@
 
 impl Drop for Taken {
     fn drop(&mut self) {
-        self.free.set(self.free.get() + self.bytes);
+        self.taken.set(self.taken.get() - self.bytes);
     }
 }
--- a/crates/mesh/src/freshness.rs
+++ b/crates/mesh/src/freshness.rs
@@ -40,7 +40,7 @@
     clock: Rc<Clock>,
     metrics: Rc<Metrics>,
     /// The greatest age at which keys are still believed, if there is one.
-    bound: Option<Duration>,
+    bound: Cell<Option<Duration>>,
     /// The latest time at which the version in force was surely the newest.
     as_of: Cell<Option<StoreTime>>,
     /// What was said of versions that are not in force here yet.
@@ -57,21 +57,26 @@
         Self {
             clock,
             metrics,
-            bound,
+            bound: Cell::new(bound),
             as_of: Cell::default(),
             ahead: RefCell::default(),
             is_stopped: Cell::new(false),
         }
     }
 
+    /// Puts another bound into force.
+    pub(crate) fn set_bound(&self, bound: Option<Duration>) {
+        self.bound.set(bound);
+    }
+
     /// Returns true if keys are believed for a bounded time only.
     pub(crate) fn is_wanted(&self) -> bool {
-        self.bound.is_some()
+        self.bound.get().is_some()
     }
 
     /// Returns how long a follower of the store waits for changes, if it has to ask again soon.
     pub(crate) fn renewal(&self) -> Option<Duration> {
-        self.bound.map(|bound| bound / RENEWALS)
+        self.bound.get().map(|bound| bound / RENEWALS)
     }
 
     /// Takes in that `version` was the newest at `as_of`, while `in_force` is in force here.
@@ -120,7 +125,7 @@
 
     /// Returns true if a request with a key that came now may run.
     pub(crate) fn is_enough(&self, now: Moment) -> bool {
-        let Some(bound) = self.bound else {
+        let Some(bound) = self.bound.get() else {
             return true;
         };
         let age = self.age(now);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -27,6 +27,7 @@
 mod quarantine;
 mod quota;
 mod ready;
+mod reload;
 mod retired;
 mod retry;
 mod returns;
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -18,6 +18,7 @@
 
 use crate::configuration::Current;
 use crate::dialect::Dialect;
+use crate::reload::Reload;
 use crate::settings::Settings;
 use crate::store::Store;
 
@@ -56,6 +57,7 @@
         &[("process", &name), ("address", &settings.ports.entry)],
     );
     let current = table.find::<Current>()?;
+    let reload = table.find::<Reload>()?;
     let configured = async {
         while current.get().is_none() {
             sleep(LOOK).await;
@@ -63,7 +65,7 @@
     };
     let is_configured = monoio::select! {
         () = configured => true,
-        result = stop::wait_for_stop(&mut signals) => {
+        result = stop::wait_for_stop(&mut signals, &reload) => {
             result?;
             false
         }
@@ -71,8 +73,8 @@
     if is_configured {
         let life = life.serve();
         start::publish(&table)?;
-        stop::wait_for_stop(&mut signals).await?;
-        stop::drain(&table, &settings, life.drain(), &in_flight).await?;
+        stop::wait_for_stop(&mut signals, &reload).await?;
+        stop::drain(&table, life.drain(), &in_flight).await?;
     } else {
         let _stopped = life.abandon();
     }
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -30,6 +30,7 @@
 use crate::quarantine::Quarantine;
 use crate::quota::{Place as QuotaPlace, Quotas};
 use crate::ready::ReadyPort;
+use crate::reload::Reload;
 use crate::retired::Retired;
 use crate::retry::Budget;
 use crate::routing::Routing;
@@ -42,9 +43,6 @@
 
 /// How many nodes with a newer configuration wait to be asked.
 const HOLDERS: usize = 16;
-/// The bodies of requests may take up one part in so many of the memory. Each stands there up to
-/// twice, at the entry and on its way to another node; the rest is for answers and connections.
-const BODY_SHARE: usize = 6;
 
 /// The sockets of a node, all open before anything is started.
 struct Sockets {
@@ -69,6 +67,7 @@
     let holders = install_network(table, settings)?;
     install_path(table, settings, surroundings, life, in_flight)?;
     tasks::listen(table, settings)?;
+    tasks::follow_settings(table)?;
     tasks::keep_quotas(table, surroundings, wishes)?;
     tasks::ramp_up_together(table)?;
     store::follow_store(table, settings, surroundings)?;
@@ -122,6 +121,7 @@
     wanted: mpsc::Sender<()>,
 ) -> Result<(), Error> {
     let identity = &settings.identity;
+    table.install(Reload::new(settings.clone()));
     table.install(Events::default());
     table.install(Metrics::new());
     table.install(Reach::default());
@@ -254,7 +254,7 @@
         events: table.find()?,
         metrics: table.find()?,
         in_flight: Rc::clone(in_flight),
-        room: Room::new(settings.memory.as_usize() / BODY_SHARE),
+        room: Room::new(settings.body_room()),
         closed: Cell::new(false),
         connections: Rc::default(),
     });
--- a/crates/mesh/src/node/stop.rs
+++ b/crates/mesh/src/node/stop.rs
@@ -15,7 +15,7 @@
 use crate::gate::Upstream;
 use crate::node::{LOOK, is_stop, start};
 use crate::quota::Allocation;
-use crate::settings::Settings;
+use crate::reload::Reload;
 
 /// How long a leaving node goes on taking requests: whoever asks once a second whether it is
 /// ready has been told no twice by then.
@@ -31,21 +31,20 @@
 /// How long before the end of the time for a stop it ends in any case.
 const RESERVE: Duration = Duration::from_millis(300);
 
-/// Waits for the signal that asks for an end; others are logged.
-pub(super) async fn wait_for_stop(signals: &mut Signals) -> Result<(), Error> {
+/// Waits for the signal that asks for an end; another one asks for the settings to be read again.
+pub(super) async fn wait_for_stop(signals: &mut Signals, reload: &Reload) -> Result<(), Error> {
     loop {
         let signal = signals.next().await.map_err(Error::Signal)?;
         if is_stop(signal) {
             return Ok(());
         }
-        emit(&catalogue::RELOAD_REQUESTED, &[]);
+        reload.request();
     }
 }
 
 /// Tells everybody that the node leaves, and ends once nothing is in flight.
 pub(super) async fn drain(
     table: &Table,
-    settings: &Settings,
     life: Life<Draining>,
     in_flight: &Rc<Cell<usize>>,
 ) -> Result<(), Error> {
@@ -56,13 +55,14 @@
     start::publish(table)?;
     // Who waits for the end counts the time in which the instance is suspended.
     let began = clock::now();
-    let longest = settings.stop_time.0.saturating_sub(RESERVE);
+    let stop_time = table.find::<Reload>()?.settings().stop_time.0;
+    let longest = stop_time.saturating_sub(RESERVE);
     let mut busy = began;
     let allocation = table.find::<Allocation>()?;
     task::spawn("resignation", async move { allocation.resign().await });
     let entry = table.find::<Entry>()?;
     let upstream = table.find::<Upstream>()?;
-    let taking = settings.stop_time.0.mul_f64(TAKING_SHARE);
+    let taking = stop_time.mul_f64(TAKING_SHARE);
     loop {
         sleep(LOOK).await;
         let now = clock::now();
--- a/crates/mesh/src/node/store.rs
+++ b/crates/mesh/src/node/store.rs
@@ -131,7 +131,7 @@
         Rc::clone(&surroundings.store),
         table.find()?,
         table.find()?,
-        settings.forget_after.0,
+        table.find()?,
     );
     task::spawn("cleanup", cleanup);
     if !settings.first_start {
--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -20,6 +20,7 @@
 use crate::node::Surroundings;
 use crate::peer::Peers;
 use crate::quota::{Allocation, Asker, Quotas};
+use crate::reload::{Parts, Reload};
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::wake::Wake;
@@ -62,6 +63,19 @@
     Ok(())
 }
 
+/// Starts what follows the settings file.
+pub(super) fn follow_settings(table: &Table) -> Result<(), Error> {
+    let reload = table.find::<Reload>()?;
+    reload.serve(Parts {
+        budget: table.find()?,
+        entry: table.find()?,
+        freshness: table.find()?,
+        quotas: table.find()?,
+    });
+    task::spawn("settings", reload.keep_looking());
+    Ok(())
+}
+
 /// Starts what keeps the limits of workspaces.
 pub(super) fn keep_quotas(
     table: &Table,
--- a/crates/mesh/src/quota/allocation.rs
+++ b/crates/mesh/src/quota/allocation.rs
@@ -248,7 +248,7 @@
                 term.until_here = asked + LEASE;
             }
             _ => {
-                let mut allocator = Allocator::new(self.quotas.tolerance, now);
+                let mut allocator = Allocator::new(self.quotas.tolerance.get(), now);
                 allocator.set_limits(&self.quotas.limits.borrow(), now);
                 let domain = parts.domains.get(&self.quotas.place.domain);
                 for (workspace, demand) in domain.iter().flat_map(|domain| &domain.demand) {
--- a/crates/mesh/src/quota/mod.rs
+++ b/crates/mesh/src/quota/mod.rs
@@ -69,7 +69,7 @@
 /// Lets requests in by the limits of their workspaces.
 pub(crate) struct Quotas {
     place: Place,
-    tolerance: Tolerance,
+    tolerance: Cell<Tolerance>,
     clock: Rc<Clock>,
     current: Rc<Current>,
     metrics: Rc<Metrics>,
@@ -99,7 +99,7 @@
     ) -> Self {
         Self {
             place,
-            tolerance,
+            tolerance: Cell::new(tolerance),
             clock,
             current,
             metrics,
@@ -178,6 +178,14 @@
         }
     }
 
+    /// Puts another tolerance into force.
+    pub(crate) fn set_tolerance(&self, tolerance: Tolerance) {
+        self.tolerance.set(tolerance);
+        if let Some(term) = self.term.borrow_mut().as_mut() {
+            term.allocator.set_tolerance(tolerance, clock::now());
+        }
+    }
+
     /// Answers a question of another node, or of this one, if it keeps the tokens.
     pub(crate) fn answer(&self, holder: &Holder, question: &TokenQuestion) -> TokenAnswer {
         let exchange = question.exchange;
--- a/crates/mesh/src/retry.rs
+++ b/crates/mesh/src/retry.rs
@@ -79,7 +79,7 @@
 /// What this node may send once more.
 #[derive(Debug)]
 pub(crate) struct Budget {
-    bounds: RetryBounds,
+    bounds: Cell<RetryBounds>,
     windows: RefCell<HashMap<ServiceName, Window>>,
     /// What fractions are rounded up by, and since when.
     draws: RefCell<HashMap<ServiceName, (Moment, f64)>>,
@@ -94,13 +94,18 @@
 impl Budget {
     pub(crate) fn new(bounds: RetryBounds) -> Self {
         Self {
-            bounds,
+            bounds: Cell::new(bounds),
             windows: RefCell::default(),
             draws: RefCell::default(),
             is_told: Cell::new(false),
         }
     }
 
+    /// Puts other bounds into force; what was counted stays.
+    pub(crate) fn set_bounds(&self, bounds: RetryBounds) {
+        self.bounds.set(bounds);
+    }
+
     /// Notes a request to a service; one that is made for a repeat counts as a repeat itself.
     ///
     /// The first call that could be told from a request of a client shows that calls can be.
@@ -123,13 +128,13 @@
             wanted,
         } = self.sums(&work.service, now);
         #[allow(clippy::cast_precision_loss)]
-        let slack = self.bounds.slack * SLACK_SHARE / nodes.max(1) as f64;
+        let slack = self.bounds.get().slack * SLACK_SHARE / nodes.max(1) as f64;
         let share = if self.is_told.get() {
             TOLD_SHARE
         } else {
             UNTOLD_SHARE
         };
-        let allowed = requests * self.bounds.ratio.0 * share + slack;
+        let allowed = requests * self.bounds.get().ratio.0 * share + slack;
         let place = f64::from(work.rank.index()) / f64::from(Rank::HIGHEST.index());
         let common = COMMON_PART * (1.0 - scarcity(wanted, allowed));
         let part = place.powi(RANK_POWER).max(common).max(progress_part(work));
@@ -150,7 +155,7 @@
         let Some(window) = windows.get_mut(service) else {
             return Sums::default();
         };
-        let length = self.bounds.window.0;
+        let length = self.bounds.get().window.0;
         window.forget_before(now, length * 2);
         let present = window.sum(now, Duration::ZERO, length, |slice| slice.requests);
         let half = window.sum(now, length / 2, length, |slice| slice.requests);
@@ -171,7 +176,7 @@
     /// try instead, every node that tries often enough would get one.
     fn draw(&self, service: &ServiceName, now: Moment) -> f64 {
         let mut draws = self.draws.borrow_mut();
-        let length = self.bounds.window.0;
+        let length = self.bounds.get().window.0;
         if let Some((drawn, draw)) = draws.get(service)
             && now.since(*drawn) < length
         {
@@ -190,10 +195,10 @@
         let Some(window) = windows.get_mut(service) else {
             return;
         };
-        let length = self.bounds.window.0 / SLICES;
+        let length = self.bounds.get().window.0 / SLICES;
         let is_over = |slice: &Slice| now.since(slice.began) >= length;
         if window.slices.back().is_none_or(is_over) {
-            window.forget_before(now, self.bounds.window.0 * 2);
+            window.forget_before(now, self.bounds.get().window.0 * 2);
             window.slices.push_back(Slice {
                 began: now,
                 requests: 0,
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings of a mesh node.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use log::LevelFilter;
 use sailtrack_quota::Tolerance;
@@ -17,6 +17,10 @@
 /// The memory that a node is reckoned to have if nothing is set.
 const DEFAULT_MEMORY: ByteSize = ByteSize(256 << 20);
 
+/// The bodies of requests may take up one part in so many of the memory. Each stands there up to
+/// twice, at the entry and on its way to another node; the rest is for answers and connections.
+const BODY_SHARE: usize = 6;
+
 /// After how long a node is taken for gone for good: longer than a reboot takes.
 const DEFAULT_FORGET: Period = Period::from_millis(300_000);
 
@@ -26,7 +30,7 @@
 const DEFAULT_QUOTA_OVERAGE: Ratio = Ratio(0.0);
 
 /// The addresses on which the node listens.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Ports {
     /// For clients on this instance and for the calls of the own upstream.
     pub entry: SocketAddr,
@@ -43,7 +47,7 @@
 }
 
 /// What all nodes together may send once more to one service.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBounds {
     /// The share of its requests that repeats may add,
     pub ratio: Ratio,
@@ -56,6 +60,8 @@
 /// All settings of a mesh node.
 #[derive(Debug, Clone)]
 pub struct Settings {
+    /// The file in which they stand, if they stand in one.
+    pub file: Option<PathBuf>,
     /// Who the node is.
     pub identity: Identity,
     /// The whole mesh starts for the first time.
@@ -86,7 +92,11 @@
 impl Settings {
     /// Reads the settings in the file at `path`.
     pub fn load(path: &Path) -> Result<Self, Problems> {
-        Self::read(Document::load(path)?)
+        let settings = Self::read(Document::load(path)?)?;
+        Ok(Self {
+            file: Some(path.to_owned()),
+            ..settings
+        })
     }
 
     /// Reads the settings in `text`; `file` names it in messages.
@@ -94,6 +104,22 @@
         Self::read(Document::parse(file, text)?)
     }
 
+    /// Returns how much memory the bodies of requests may take up together.
+    pub(crate) fn body_room(&self) -> usize {
+        self.memory.as_usize() / BODY_SHARE
+    }
+
+    /// Returns these settings with those of `other` that only a start can change.
+    pub(crate) fn with_fixed_of(self, other: Self) -> Self {
+        Self {
+            identity: other.identity,
+            ports: other.ports,
+            upstream: other.upstream,
+            store: other.store,
+            ..self
+        }
+    }
+
     fn read(document: Document) -> Result<Self, Problems> {
         let node = document.section("node");
         let identity = Identity::read(&node);
@@ -116,6 +142,7 @@
         document.finish(SECTIONS)?;
         let whole = || {
             Some(Self {
+                file: None,
                 identity: identity?,
                 first_start,
                 ports: ports?,
--- a/crates/quota/src/allocator.rs
+++ b/crates/quota/src/allocator.rs
@@ -95,6 +95,18 @@
         }
     }
 
+    /// Puts another tolerance into force.
+    pub fn set_tolerance(&mut self, tolerance: Tolerance, now: Moment) {
+        // Until now the earlier one held.
+        for pool in self.pools.values_mut() {
+            pool.fill(&self.tolerance, self.began, now);
+        }
+        self.tolerance = tolerance;
+        for pool in self.pools.values_mut() {
+            pool.fill(&self.tolerance, self.began, now);
+        }
+    }
+
     /// Takes the limits of all workspaces in force; one that is not named has none.
     pub fn set_limits(&mut self, limits: &HashMap<WorkspaceName, Limit>, now: Moment) {
         self.pools.retain(|name, _| limits.contains_key(name));
--- a/crates/settings/src/identity.rs
+++ b/crates/settings/src/identity.rs
@@ -10,7 +10,7 @@
 const NAME: &str = "a name of a-z, 0-9, '-', '_' and '.'";
 
 /// Who a node is.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Identity {
     /// Its name, unique among all nodes.
     pub name: NodeName,
