The gate in smaller files

Ruled out: nothing; no behaviour changes. Comments of gate/mod.rs and gate/upstream.rs that told of runs of tuning are gone.

--- /dev/null
+++ b/crates/mesh/src/gate/entered.rs
@@ -0,0 +1,39 @@
+//! What a request holds while it is in the own upstream.
+
+use std::time::Instant;
+
+use sailtrack_admission::{Met, OutsetPlace, Permit, Pressure};
+
+use super::trial::Trial;
+use super::upstream::Ended;
+use crate::key::UpstreamKey;
+use crate::work::Returned;
+
+/// What a request holds while it is in the own upstream.
+pub(super) struct Entered {
+    pub(super) upstream: UpstreamKey,
+    /// Tells that this life of the upstream has ended.
+    pub(super) ended: Ended,
+    /// Its slot; given back when it is dropped.
+    #[allow(dead_code, reason = "it is held, not read")]
+    pub(super) permit: Permit,
+    /// Its place among those of its kind, if a client made it.
+    pub(super) outset: Option<OutsetPlace>,
+    /// Held if it may end the upstream.
+    #[allow(dead_code, reason = "it is held, not read")]
+    pub(super) trial: Option<Trial>,
+}
+
+impl Entered {
+    /// Notes what the request met further down; `here` is how full its own upstream is.
+    pub(super) fn note(&self, returned: &Returned, here: Pressure) {
+        if let Some(outset) = &self.outset {
+            let met = Met {
+                here,
+                below: returned.path_pressure,
+                found_nobody: returned.found_nobody(),
+            };
+            outset.note(Instant::now(), met);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/gate/loss.rs
@@ -0,0 +1,64 @@
+//! Tells whether the own upstream ended when an answer of it was lost.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use sailtrack_net::task;
+
+use super::Gate;
+use super::exchange::ExchangeError;
+use crate::clock;
+use crate::contexts::Context;
+use crate::key::UpstreamKey;
+
+impl Gate {
+    /// Returns true if a life of the upstream has ended without having announced it.
+    ///
+    /// The requests that it ran are all still open here: each of them waits for this answer.
+    pub(super) async fn has_crashed(
+        self: &Rc<Self>,
+        upstream: &UpstreamKey,
+        error: &ExchangeError,
+    ) -> bool {
+        if self.watcher.has_seen(upstream) {
+            return true;
+        }
+        let has_ended = match error {
+            ExchangeError::Restarted => self.upstream.was_replaced(upstream),
+            error if error.is_broken() => self.watcher.is_gone().await,
+            _ => return false,
+        };
+        let ran = self.contexts.running_in(upstream);
+        if has_ended {
+            return self.note_crash(upstream, &ran);
+        }
+        self.watcher.doubt(upstream, &ran, clock::now());
+        if self.watcher.wants_second_look() {
+            self.look_again(upstream.clone(), ran);
+        }
+        false
+    }
+
+    /// Takes in that a life of the upstream ended; returns false if it had said that it would.
+    fn note_crash(&self, upstream: &UpstreamKey, ran: &[Rc<Context>]) -> bool {
+        if self.upstream.has_left(upstream) {
+            return false;
+        }
+        if self.watcher.note(upstream) {
+            self.upstream.note_unreachable(Instant::now());
+            self.quarantine.note_crash(upstream, ran);
+        }
+        true
+    }
+
+    /// Looks again in a moment whether the upstream that broke a connection is there, without
+    /// holding up the request that was lost.
+    fn look_again(self: &Rc<Self>, upstream: UpstreamKey, ran: Vec<Rc<Context>>) {
+        let gate = Rc::clone(self);
+        task::spawn("second look", async move {
+            if gate.watcher.look_again().await {
+                gate.note_crash(&upstream, &ran);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/gate/send.rs
@@ -0,0 +1,112 @@
+//! Sends a request to the own upstream and judges what comes back.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::{Bytes, BytesMut};
+use futures::future::{Either, select};
+use sailtrack_net::transparent::ResponseHead;
+use sailtrack_units::Moment;
+use sailtrack_wire::{Outcome, Reason};
+
+use super::Gate;
+use super::entered::Entered;
+use super::exchange::{ExchangeError, UpstreamAnswer, exchange};
+use super::upstream::Ended;
+use crate::clock;
+use crate::key::UpstreamKey;
+use crate::work::{Returned, Work};
+
+/// The statuses that promise that a request did not run.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+impl Gate {
+    pub(super) async fn send(
+        self: &Rc<Self>,
+        work: &Work,
+        entered: &Entered,
+        patience: Moment,
+    ) -> Returned {
+        let upstream = &entered.upstream;
+        let entry = self.contexts.open(work, upstream);
+        let exchange = exchange(&self.pool, self.dialect.fields(), upstream, work);
+        let exchange = until_ended(exchange, entered.ended.clone());
+        let result = clock::until(patience, exchange).await;
+        let returned = match result {
+            Ok(Ok(answer)) => self.take_answer(work, upstream, answer),
+            Ok(Err(error)) => self.take_error(work, upstream, &error).await,
+            Err(_) => Returned::unknown(Reason::Deadline),
+        };
+        if returned.outcome == Outcome::Done {
+            self.quarantine.note_answered(&work.identity);
+        }
+        Returned {
+            path_pressure: entry.context.pressure.get(),
+            failed_below: entry.context.failed_below.get(),
+            absent_below: entry.context.absent_below.get(),
+            ..returned
+        }
+    }
+
+    fn take_answer(&self, work: &Work, upstream: &UpstreamKey, answer: UpstreamAnswer) -> Returned {
+        let UpstreamAnswer { head, body } = answer;
+        let fields = self.dialect.fields();
+        let says_not_run = head.fields.get(fields.not_run).is_some();
+        if head.status == 421 {
+            self.upstream
+                .retire(upstream, "another upstream has its address");
+            self.pool.clear();
+            return Returned::turned_away(Reason::NoUpstream);
+        }
+        if says_not_run {
+            self.admission.note_shed(Instant::now());
+            return Returned::turned_away(Reason::UpstreamShed);
+        }
+        if PROMISES.contains(&head.status) {
+            let reason = "a status that promises what the upstream does not say";
+            self.events.note_loss(&work.attempt, &reason);
+            return Returned::unknown(Reason::Connection);
+        }
+        Returned::answered(head.status, passed_on(&head), body)
+    }
+
+    async fn take_error(
+        self: &Rc<Self>,
+        work: &Work,
+        upstream: &UpstreamKey,
+        error: &ExchangeError,
+    ) -> Returned {
+        self.events.note_loss(&work.attempt, error);
+        if error.is_unsent() {
+            self.upstream.note_unreachable(Instant::now());
+            return Returned::refused(Reason::NoUpstream);
+        }
+        if self.has_crashed(upstream, error).await {
+            return Returned::unknown(Reason::UpstreamCrashed);
+        }
+        Returned::unknown(Reason::Connection)
+    }
+}
+
+/// Waits for an answer of a life of the upstream for as long as that life may give one.
+///
+/// An instance that lost power closes no connections, so only its successor shows that it ended.
+async fn until_ended(
+    exchange: impl Future<Output = Result<UpstreamAnswer, ExchangeError>>,
+    ended: Ended,
+) -> Result<UpstreamAnswer, ExchangeError> {
+    match select(std::pin::pin!(exchange), ended).await {
+        Either::Left((result, _)) => result,
+        Either::Right(_) => Err(ExchangeError::Restarted),
+    }
+}
+
+/// Returns the status line of an answer with the fields that may be passed on.
+fn passed_on(head: &ResponseHead) -> Bytes {
+    let mut bytes = BytesMut::with_capacity(512);
+    bytes.extend_from_slice(format!("HTTP/1.1 {} ", head.status).as_bytes());
+    bytes.extend_from_slice(&head.reason);
+    bytes.extend_from_slice(b"\r\n");
+    head.fields.pass_on(&mut bytes, |_| false);
+    bytes.freeze()
+}
--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -20,19 +20,15 @@
 use crate::retired::Retired;
 
 /// How long nothing is sent to an upstream after it refused a connection, unless it says before
-/// that it is there: it does so every 1.5 s.
+/// that it is there.
 const UNREACHABLE_PAUSE: Duration = Duration::from_secs(3);
 
 /// How long the present life may be silent before one is believed that says that it was started
 /// earlier. A late beat of a life that has ended looks like that; so does a new life after the
-/// clock of the instance went back. An upstream tells its state every 1.5 s, so this is three of
-/// its beats.
+/// clock of the instance went back. Three beats of an upstream.
 const SILENCE: Duration = Duration::from_millis(4500);
 
-/// The share of its slots that an upstream gets filled. Some slow down when they are nearly full:
-/// in a run with more demand than the deepest service takes, the worth of what callers got, less
-/// its costs, was 0.44 of the most with 19 of 20 slots filled, 0.36 with 20 and 0.41 with 18 (15
-/// nodes, one run each).
+/// The share of its slots that an upstream gets filled: some slow down when they are nearly full.
 const FILLED_SHARE: f64 = 0.96;
 
 /// Returns how many requests an upstream with this many slots gets at once.
--- a/crates/mesh/src/gate/upstream/tests.rs
+++ b/crates/mesh/src/gate/upstream/tests.rs
@@ -16,7 +16,7 @@
 const FIRST: u64 = 1_790_000_000_000;
 const SECOND: u64 = FIRST + 60_000;
 
-/// An upstream that is full slows down, and took a fifth less in all.
+/// An upstream that is full slows down.
 #[test]
 fn nearly_full() {
     let limits: Vec<u32> = [1, 2, 20, 63, 112].into_iter().map(limit).collect();
