The fourth figure of the load header: how long work takes on an instance

Cause: the header X-Server-Load holds a fourth figure, which nothing read. Ruled out: one bad figure making the whole header useless; a life's figure used for the next life; a pace kept longer than it holds (it changes many times a second, so 250 ms). Change: the dialect reads three, four or more figures; a bad fourth leaves the first three; counts above a million or no slots are not believed. The gate keeps the pace with its age (gate/report.rs) and sets Returned.pace on all that goes back through it, refusals included; presence and a gauge tell it. Event 414, once for each life, if the header cannot be read whole.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -83,6 +83,8 @@
     UPSTREAM_RETIRED = 412 Info "upstream retired" ["upstream", "reason"];
     /// The own upstream did not say who it is; its next beat will.
     UPSTREAM_SILENT = 413 Info "upstream does not say who it is" ["address", "reason"];
+    /// What the own upstream says about its load can't be read, or not all of it; once for each life.
+    LOAD_UNREADABLE = 414 Warn "load of the upstream not readable" ["upstream", "value"];
     /// The own upstream ended without having announced it. `ran` names the requests that it ran by the first digits of their identities, with their kinds; `requests` is how many there were.
     UPSTREAM_CRASHED = 420 Warn "upstream crashed" ["upstream", "requests", "ran"];
     /// A request ran when several upstreams crashed and is sent to none any more. `upstream` is the life that ended last, `time_s` how long that holds in seconds. Each node that hears of the crash writes it.
--- a/crates/mesh/src/dialect.rs
+++ b/crates/mesh/src/dialect.rs
@@ -101,6 +101,8 @@
     pub slots: u32,
     /// How long work takes on its instance at this moment, if it tells that.
     pub pace: Option<Pace>,
+    /// Whether all that it told could be read.
+    pub is_whole: bool,
 }
 
 /// The names and formats of the place where a mesh runs.
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -12,6 +12,7 @@
 mod pool;
 mod records;
 mod refusal;
+mod report;
 mod send;
 mod trial;
 mod upstream;
@@ -97,6 +98,7 @@
             .note_end(Stage::Gate, &kind, returned.outcome, returned.reason);
         Returned {
             pressure,
+            pace: self.upstream.report.pace(clock::now()),
             path_pressure: returned.path_pressure.greater(pressure),
             ..returned
         }
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -51,6 +51,12 @@
     fn take_answer(&self, work: &Work, upstream: &UpstreamKey, answer: UpstreamAnswer) -> Returned {
         let UpstreamAnswer { head, body } = answer;
         let fields = self.dialect.fields();
+        if let Some(value) = head.fields.all(fields.load).next()
+            && head.status != 421
+        {
+            let (report, dialect) = (&self.upstream.report, &*self.dialect);
+            report.take(dialect, upstream, value, clock::now());
+        }
         let says_not_run = head.fields.get(fields.not_run).is_some();
         if head.status == 421 {
             self.upstream
--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -16,6 +16,7 @@
 use sailtrack_log::{catalogue, emit};
 
 use crate::dialect::{Beat, Readiness};
+use crate::gate::report::Report;
 use crate::key::UpstreamKey;
 use crate::retired::Retired;
 
@@ -92,6 +93,8 @@
     /// The last life that another one followed although it had not said that it leaves.
     replaced: RefCell<Option<UpstreamKey>>,
     unreachable_until: Cell<Option<Instant>>,
+    /// What the present life said about its load.
+    pub(crate) report: Report,
     /// The node stops and lets nothing new in.
     closed: Cell<bool>,
     changed: RefCell<Vec<Box<dyn Fn()>>>,
@@ -112,6 +115,7 @@
             tells_start: Cell::new(false),
             replaced: RefCell::default(),
             unreachable_until: Cell::default(),
+            report: Report::default(),
             closed: Cell::new(false),
             changed: RefCell::default(),
             begun: RefCell::default(),
@@ -221,6 +225,7 @@
         );
         self.note_start(beat);
         self.ending.replace(Ending::new());
+        self.report.renew();
         self.admission.reset(now, Some(beat.slots));
         self.admission
             .declare_limit(Limit::Fixed(limit(beat.slots)));
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -88,12 +88,14 @@
     pub(crate) key_age_ms: u64,
     /// The term of this node as the allocator of its failure domain's tokens, zero if it is not.
     pub(crate) quota_term: u64,
+    /// How long work takes on the instance of the own upstream, in percent; zero if not told.
+    pub(crate) pace_percent: u32,
 }
 
 type Count<L> = Family<L, Counter<u64, AtomicU64>>;
 
 /// The gauges, each with the value that it shows.
-type Gauges = [(Gauge, fn(&Snapshot) -> u64); 15];
+type Gauges = [(Gauge, fn(&Snapshot) -> u64); 16];
 
 /// What the node counts.
 pub(crate) struct Metrics {
@@ -327,6 +329,11 @@
             "Term of the node as allocator of its domain's tokens, 0 if it is not",
             |now| now.quota_term,
         ),
+        gauge(
+            "pace_percent",
+            "Time of work on the instance in percent of the usual, 0 if not told",
+            |now| u64::from(now.pace_percent),
+        ),
         gauge(
             "suspects",
             "Requests remembered since they ran when upstreams ended",
--- a/crates/mesh/src/scrape.rs
+++ b/crates/mesh/src/scrape.rs
@@ -6,6 +6,7 @@
 use sailtrack_admission::Admission;
 use sailtrack_net::http::{Handler, Request, Response};
 use sailtrack_quarantine::Identity;
+use sailtrack_units::Pace;
 
 use crate::clock;
 use crate::configuration::Current;
@@ -76,6 +77,11 @@
             foreign_rows: self.directory.foreign_row_count(),
             key_age_ms: age.map_or(0, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             quota_term: self.status.quota_term.get(),
+            pace_percent: self
+                .upstream
+                .report
+                .pace(clock::now())
+                .map_or(0, Pace::percent),
         };
         self.metrics.text(&snapshot)
     }
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -8,9 +8,10 @@
 use sailtrack_admission::Admission;
 use sailtrack_kernel::{Phase, Service};
 use sailtrack_log::{catalogue, emit};
-use sailtrack_units::{Importance, Incarnation};
+use sailtrack_units::{Importance, Incarnation, Pace};
 use sailtrack_wire::{Body, Member as MemberMessage, Presence, State};
 
+use crate::clock;
 use crate::configuration::Current;
 use crate::directory::Directory;
 use crate::freshness::Freshness;
@@ -53,6 +54,7 @@
     pub(crate) fn presence(&self) -> Presence {
         let now = Instant::now();
         let upstream = self.upstream.ready(now);
+        let pace = self.upstream.report.pace(clock::now());
         // What never changes was in the hello. Of 300 nodes each says this to each other one; with
         // names and addresses it was three times as long.
         let member = MemberMessage {
@@ -71,7 +73,7 @@
             config_as_of_ms: self.freshness.as_of().map_or(0, StoreTime::millis),
             quota_term: self.quota_term.get(),
             store_era: 0,
-            pace_percent: 0,
+            pace_percent: pace.map_or(0, Pace::percent),
         }
     }
 
