--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -16,23 +16,20 @@
 use sailtrack_log::{catalogue, emit};
 
 use crate::dialect::{Beat, Readiness};
+use crate::gate::report::Report;
 use crate::key::UpstreamKey;
 use crate::retired::Retired;
 
 /// How long nothing is sent to an upstream after it refused a connection, unless it says before
-/// that it is there: it does so every 1.5 s.
+/// that it is there.
 const UNREACHABLE_PAUSE: Duration = Duration::from_secs(3);
 
 /// How long the present life may be silent before one is believed that says that it was started
 /// earlier. A late beat of a life that has ended looks like that; so does a new life after the
-/// clock of the instance went back. An upstream tells its state every 1.5 s, so this is three of
-/// its beats.
+/// clock of the instance went back. Three beats of an upstream.
 const SILENCE: Duration = Duration::from_millis(4500);
 
-/// The share of its slots that an upstream gets filled. Some slow down when they are nearly full:
-/// in a run with more demand than the deepest service takes, the worth of what callers got, less
-/// its costs, was 0.44 of the most with 19 of 20 slots filled, 0.36 with 20 and 0.41 with 18 (15
-/// nodes, one run each).
+/// The share of its slots that an upstream gets filled: some slow down when they are nearly full.
 const FILLED_SHARE: f64 = 0.96;
 
 /// Returns how many requests an upstream with this many slots gets at once.
@@ -96,6 +93,8 @@
     /// The last life that another one followed although it had not said that it leaves.
     replaced: RefCell<Option<UpstreamKey>>,
     unreachable_until: Cell<Option<Instant>>,
+    /// What the present life said about its load.
+    pub(crate) report: Report,
     /// The node stops and lets nothing new in.
     closed: Cell<bool>,
     changed: RefCell<Vec<Box<dyn Fn()>>>,
@@ -116,6 +115,7 @@
             tells_start: Cell::new(false),
             replaced: RefCell::default(),
             unreachable_until: Cell::default(),
+            report: Report::default(),
             closed: Cell::new(false),
             changed: RefCell::default(),
             begun: RefCell::default(),
@@ -225,6 +225,7 @@
         );
         self.note_start(beat);
         self.ending.replace(Ending::new());
+        self.report.renew();
         self.admission.reset(now, Some(beat.slots));
         self.admission
             .declare_limit(Limit::Fixed(limit(beat.slots)));
