Upstreams that never answer: room is kept, silence is found and left

Cause: an upstream that cannot queue a request may never answer it; one may leave a share unanswered. The gate waited to the deadline (504 after the whole time of the route) and gave the room of a request back as soon as its client left, although the upstream may work on; a new process knew nothing of what its predecessor had left there. Ruled out: counting the times of requests that were given up as times of their kind: their limit then grows with silence itself (served_elsewhere, 504 at the second silence, seen); judging a doubt by requests that wait at the same time (each doubled it for the next, seen as 504 of the third). Change: gate/patience.rs decides, gate/kinds.rs learns the times of kinds, gate/room.rs keeps room, gate/silence.rs waits; the health answer at a start tells what is left in the upstream. Events 415 and 806, a counter. The exchange with the upstream is boxed: its state was kept several times (20 KB a request). Stand-in: silent and half silent upstreams, bounded slots and queue. Before and after: on the code before four of the ten tests of silent_upstreams fail: clients_leave (38 requests more than it takes), left_behind (2), served_elsewhere (504), own_answers (504 for an answer); afterwards 10 pass, five times in a row. crashing_requests 11, mesh 99 and 16 other files of tests pass; the load average was 28 meanwhile. served_elsewhere was first red by its own doing: the shared budget of repeats refused one (802, tries=1); it now has more slack, since it judges when a request is given up. In one run a sound upstream took 243 ms and 372 ms for answers of 2 ms and was given up once; not seen again in nine runs, not traced.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -85,6 +85,8 @@
     UPSTREAM_SILENT = 413 Info "upstream does not say who it is" ["address", "reason"];
     /// What the own upstream says about its load can't be read, or not all of it; once for each life.
     LOAD_UNREADABLE = 414 Warn "load of the upstream not readable" ["upstream", "value"];
+    /// The own upstream works on so many requests that an earlier process of this node sent; their room is kept until they are over.
+    REQUESTS_LEFT_BEHIND = 415 Info "requests left behind" ["requests"];
     /// The own upstream ended without having announced it. `ran` names the requests that it ran by the first digits of their identities, with their kinds; `requests` is how many there were.
     UPSTREAM_CRASHED = 420 Warn "upstream crashed" ["upstream", "requests", "ran"];
     /// A request ran when several upstreams crashed and is sent to none any more. `upstream` is the life that ended last, `time_s` how long that holds in seconds. Each node that hears of the crash writes it.
@@ -135,6 +137,8 @@
     OUTCOME_NOT_KNOWN = 804 Info "outcome of a request not known" ["request", "kind", "reason"];
     /// An upstream answered with a failure of its own. `below` says that a call made for the request failed.
     REQUEST_ANSWERED_BADLY = 805 Info "request answered with a failure" ["request", "kind", "status", "below", "node", "tries", "pressure", "workspace", "version", "after_ms"];
+    /// The own upstream did not answer a request in `waited_ms`, and no answer is expected any more. All but few of its kind take less than `usual_ms`; `overtaken` of its kind were sent later and have been answered.
+    ANSWER_MISSING = 806 Info "no answer expected any more" ["request", "kind", "waited_ms", "usual_ms", "overtaken"];
     /// Events about requests were left out because there were too many, in the last `span_ms`. Those of `kept` percent of the requests are whole.
     EVENTS_LEFT_OUT = 810 Info "events left out" ["count", "about", "kept", "span_ms"];
     /// Lines were left out because who reads the log is too slow.
--- a/crates/mesh/src/announcement/mod.rs
+++ b/crates/mesh/src/announcement/mod.rs
@@ -17,6 +17,7 @@
 use sailtrack_units::ServiceName;
 
 use crate::announcement::error::{AnnouncementError, RowError};
+use crate::clock;
 use crate::configuration::Current;
 use crate::dialect::{Announcement, Beat, Dialect, Readiness};
 use crate::gate::Upstream;
@@ -254,6 +255,7 @@
             // It leaves, or does not say enough; its beats decide.
             return;
         };
+        self.upstream.note_first_load(load, clock::now());
         self.take_ready(Beat {
             upstream,
             service: self.service.clone(),
--- a/crates/mesh/src/configuration/mod.rs
+++ b/crates/mesh/src/configuration/mod.rs
@@ -89,6 +89,14 @@
         self.hosts.values().map(HashMap::len).sum()
     }
 
+    /// Returns the longest time that any request may take.
+    #[must_use]
+    pub fn longest_timeout(&self) -> Duration {
+        let routes = self.hosts.values().flat_map(HashMap::values);
+        let timeouts = routes.map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// Returns the route of a request: the longest prefix that begins its path.
     ///
     /// Each prefix ends with a slash, so only as many are looked up as the path has slashes.
--- a/crates/mesh/src/contexts.rs
+++ b/crates/mesh/src/contexts.rs
@@ -43,6 +43,8 @@
     pub(crate) repeated: bool,
     /// The greatest pressure that a call made for it met.
     pub(crate) pressure: Cell<Pressure>,
+    /// Whether a call was made for it.
+    pub(crate) has_called: Cell<bool>,
     /// How many calls made for it were answered well.
     pub(crate) answered: Cell<u32>,
     /// Whether a call made for it failed,
@@ -74,6 +76,7 @@
             workspace: work.workspace.clone(),
             repeated: work.repeated,
             pressure: Cell::default(),
+            has_called: Cell::new(false),
             answered: Cell::new(0),
             failed_below: Cell::new(false),
             absent_below: Cell::new(false),
@@ -95,6 +98,7 @@
         let mut id = call.as_str();
         while let Some((parent, _)) = id.rsplit_once(SEPARATOR) {
             if let Some(context) = running.get(parent) {
+                context.has_called.set(true);
                 return Some(Rc::clone(context));
             }
             id = parent;
--- a/crates/mesh/src/dialect.rs
+++ b/crates/mesh/src/dialect.rs
@@ -105,6 +105,14 @@
     pub is_whole: bool,
 }
 
+impl Load {
+    /// Returns how many requests it works on and holds in its queue.
+    #[must_use]
+    pub fn requests(&self) -> usize {
+        (self.running as usize).saturating_add(self.waiting as usize)
+    }
+}
+
 /// The names and formats of the place where a mesh runs.
 pub trait Dialect {
     /// Returns the names of the header fields.
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -53,6 +53,17 @@
     pub(crate) calls: usize,
 }
 
+/// A request to whose answer nobody waits any more, since the own upstream is silent.
+pub(crate) struct Silence<'a> {
+    pub(crate) attempt: &'a AttemptKey,
+    pub(crate) kind: &'a KindName,
+    pub(crate) waited: Duration,
+    /// All but few of its kind take less, at the usual pace.
+    pub(crate) usual: Duration,
+    /// How many of its kind that were sent later have been answered.
+    pub(crate) overtaken: u32,
+}
+
 /// The end of a request at the entry, and what decided it.
 pub(crate) struct End<'a> {
     pub(crate) attempt: &'a AttemptKey,
@@ -126,6 +137,22 @@
         );
     }
 
+    /// Notes that no answer of the own upstream to a request is expected any more.
+    pub(crate) fn note_silence(&self, silence: &Silence<'_>) {
+        write(
+            &self.failures,
+            silence.attempt,
+            &catalogue::ANSWER_MISSING,
+            &[
+                ("request", silence.attempt),
+                ("kind", silence.kind),
+                ("waited_ms", &silence.waited.as_millis()),
+                ("usual_ms", &silence.usual.as_millis()),
+                ("overtaken", &silence.overtaken),
+            ],
+        );
+    }
+
     /// Notes that the own upstream ended, and what it ran. There is one such event for each life.
     #[allow(clippy::unused_self, reason = "events are written through one service")]
     pub(crate) fn note_crash(&self, upstream: &UpstreamKey, ran: &[Rc<Context>]) {
--- a/crates/mesh/src/gate/builder.rs
+++ b/crates/mesh/src/gate/builder.rs
@@ -6,10 +6,13 @@
 use std::time::Instant;
 
 use sailtrack_admission::{Admission, Outset, Windows};
+use sailtrack_net::task;
 use sailtrack_units::ServiceName;
 
 use super::crash::Watcher;
+use super::kinds::Kinds;
 use super::pool::Pool;
+use super::room::Room;
 use super::trial::Trials;
 use super::{Gate, Records, Upstream};
 use crate::contexts::Contexts;
@@ -34,6 +37,8 @@
         (quarantine, wake): (Rc<Quarantine>, Rc<Wake>),
     ) -> Self {
         let rules = crate::node::ADMISSION_RULES;
+        let (room, kept) = Room::new();
+        task::spawn("room of the upstream", Rc::clone(&room).free_in_time(kept));
         let gate = Gate {
             dialect,
             service,
@@ -44,6 +49,9 @@
             records: Rc::default(),
             events: Rc::default(),
             metrics: Rc::new(Metrics::new()),
+            longest: Cell::default(),
+            kinds: Kinds::default(),
+            room,
             pool: Pool::new(target),
             watcher: Watcher::new(target),
             quarantine,
--- a/crates/mesh/src/gate/entered.rs
+++ b/crates/mesh/src/gate/entered.rs
@@ -1,9 +1,12 @@
 //! What a request holds while it is in the own upstream.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Instant;
 
-use sailtrack_admission::{Met, OutsetPlace, Permit, Pressure};
+use sailtrack_admission::{Met, OutsetPlace, Pressure};
 
+use super::room::Stay;
 use super::trial::Trial;
 use super::upstream::Ended;
 use crate::key::UpstreamKey;
@@ -14,14 +17,15 @@
     pub(super) upstream: UpstreamKey,
     /// Tells that this life of the upstream has ended.
     pub(super) ended: Ended,
-    /// Its slot; given back when it is dropped.
-    #[allow(dead_code, reason = "it is held, not read")]
-    pub(super) permit: Permit,
+    /// Its slot.
+    pub(super) stay: Stay,
     /// Its place among those of its kind, if a client made it.
     pub(super) outset: Option<OutsetPlace>,
     /// Held if it may end the upstream.
     #[allow(dead_code, reason = "it is held, not read")]
     pub(super) trial: Option<Trial>,
+    /// No answer to it is expected any more.
+    pub(super) is_silent: Rc<Cell<bool>>,
 }
 
 impl Entered {
--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -65,6 +65,14 @@
         }
     }
 
+    /// Returns true if the upstream may still work on the request.
+    pub(super) fn may_go_on(&self) -> bool {
+        match self {
+            Self::Connect(_) | Self::Restarted | Self::Unsigned | Self::Coded => false,
+            Self::Io(_) | Self::Message(_) | Self::Body(_) | Self::Head(_) | Self::Foreign => true,
+        }
+    }
+
     /// Returns true if the upstream cannot have seen the request.
     pub(super) fn is_unsent(&self) -> bool {
         matches!(self, Self::Connect(_))
--- /dev/null
+++ b/crates/mesh/src/gate/kinds/tests.rs
@@ -0,0 +1,117 @@
+//! What is learned of a kind, and forgotten.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::{ENOUGH, GENERATION, Kind, Kinds, MOST_KINDS};
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn kind() -> Rc<Kind> {
+    Kinds::default().get(&"lookup".parse().expect("a name"))
+}
+
+/// Answers requests that took this long, one after the other.
+fn answer(kind: &Rc<Kind>, now: Instant, count: u64, time: Duration) {
+    for _ in 0..count {
+        kind.begin(now).note_answer(1.0, now + time);
+    }
+}
+
+#[track_caller]
+fn assert_near(time: Duration, expected: Duration) {
+    let share = time.as_secs_f64() / expected.as_secs_f64();
+    assert!((0.9..=1.1).contains(&share), "{time:?}, {expected:?}");
+}
+
+#[test]
+fn learned() {
+    let (kind, now) = (kind(), Instant::now());
+    answer(&kind, now, ENOUGH - 1, ms(40));
+    assert_eq!(kind.usual(), None, "too few are known");
+    answer(&kind, now, 180, ms(40));
+    answer(&kind, now, 4, ms(300));
+    let usual = kind.usual().expect("enough are known");
+    assert_near(usual.middle, ms(40));
+    assert_near(usual.longest, ms(300));
+}
+
+/// Times are kept as they would be at the usual pace.
+#[test]
+fn at_usual_pace() {
+    let (kind, now) = (kind(), Instant::now());
+    for _ in 0..ENOUGH {
+        kind.begin(now).note_answer(4.0, now + ms(400));
+    }
+    assert_near(kind.usual().expect("known").middle, ms(100));
+}
+
+#[test]
+fn old_ones_go() {
+    let (kind, mut now) = (kind(), Instant::now());
+    answer(&kind, now, 100, ms(500));
+    for _ in 0..2 {
+        now += GENERATION;
+        answer(&kind, now, 100, ms(50));
+    }
+    now += GENERATION;
+    answer(&kind, now, 100, ms(50));
+    assert_near(kind.usual().expect("known").longest, ms(50));
+}
+
+/// A kind that comes seldom is not forgotten for that.
+#[test]
+fn rare_ones_stay() {
+    let (kind, now) = (kind(), Instant::now());
+    answer(&kind, now, ENOUGH, ms(50));
+    let later = now + GENERATION * 20;
+    answer(&kind, later, 1, ms(50));
+    assert!(kind.usual().is_some());
+}
+
+#[test]
+fn passed_by_later_ones() {
+    let (kind, now) = (kind(), Instant::now());
+    let first = kind.begin(now);
+    let second = kind.begin(now);
+    let third = kind.begin(now);
+    third.note_answer(1.0, now);
+    drop(third);
+    second.note_answer(1.0, now);
+    assert_eq!((first.overtaken(), second.overtaken()), (2, 1));
+    first.note_answer(1.0, now);
+    assert_eq!(second.overtaken(), 1, "the first was sent before");
+}
+
+#[test]
+fn doubt() {
+    let (kind, now) = (kind(), Instant::now());
+    answer(&kind, now, ENOUGH, ms(50));
+    let before = kind.begin(now);
+    kind.begin(now).note_doubt(now + ms(300));
+    let doubted = |at: Instant| kind.begin(at).doubted();
+    assert_eq!(doubted(now + ms(300)), ms(300));
+    before.note_answer(1.0, now + ms(310));
+    assert_eq!(doubted(now + ms(310)), ms(300), "it was sent before");
+    answer(&kind, now + ms(400), 1, ms(400));
+    assert_eq!(doubted(now + ms(800)), ms(300), "it was slow itself");
+    answer(&kind, now + ms(800), 1, ms(40));
+    assert_eq!(doubted(now + ms(840)), Duration::ZERO);
+    kind.begin(now).note_doubt(now + ms(300));
+    assert_eq!(
+        doubted(now + ms(300) + GENERATION),
+        Duration::ZERO,
+        "long ago"
+    );
+}
+
+#[test]
+fn bounded() {
+    let kinds = Kinds::default();
+    for number in 0..=MOST_KINDS {
+        kinds.get(&format!("k-{number}").parse().expect("a name"));
+    }
+    assert!(kinds.0.borrow().len() <= MOST_KINDS);
+}
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -8,12 +8,16 @@
 mod crash;
 mod entered;
 mod exchange;
+mod kinds;
 mod loss;
+mod patience;
 mod pool;
 mod records;
 mod refusal;
 mod report;
+mod room;
 mod send;
+mod silence;
 mod trial;
 mod upstream;
 
@@ -24,6 +28,7 @@
 use futures::channel::oneshot;
 use sailtrack_admission::{Admission, Hold, Outset, OutsetPlace, Pressure};
 use sailtrack_kernel::Service;
+use sailtrack_log::{catalogue, emit};
 use sailtrack_net::task::{self, Held};
 use sailtrack_quarantine::Standing;
 use sailtrack_units::ServiceName;
@@ -41,9 +46,12 @@
 pub(crate) use builder::Builder;
 use crash::Watcher;
 use entered::Entered;
+use kinds::Kinds;
 use pool::Pool;
 use records::Place;
 pub(crate) use records::{Recalled, Records};
+use room::Room;
+use silence::until_told;
 use trial::{Trial, Trials};
 pub(crate) use upstream::Upstream;
 
@@ -62,6 +70,10 @@
     records: Rc<Records>,
     events: Rc<Events>,
     metrics: Rc<Metrics>,
+    /// The longest time that any request may take.
+    longest: Cell<Duration>,
+    kinds: Kinds,
+    room: Rc<Room>,
     pool: Pool,
     watcher: Watcher,
     quarantine: Rc<Quarantine>,
@@ -159,9 +171,10 @@
         Ok(Entered {
             upstream,
             ended: self.upstream.ended(),
-            permit,
+            stay: self.room.enter(permit),
             outset,
             trial,
+            is_silent: Rc::default(),
         })
     }
 
@@ -194,6 +207,8 @@
             return self.refuse(&work, Reason::TicketClosed);
         }
         let gate = Rc::clone(self);
+        let deadline = work.deadline;
+        let is_silent = Rc::clone(&entered.is_silent);
         let (sender, receiver) = oneshot::channel();
         let held = Held::new(&self.in_flight);
         task::spawn("execution", async move {
@@ -205,7 +220,7 @@
             // The caller may have left; the record has the answer.
             let _ = sender.send(returned);
         });
-        let returned = receiver.await;
+        let returned = until_told(deadline, &is_silent, receiver).await;
         returned.unwrap_or_else(|_| Returned::unknown(Reason::Cancelled))
     }
 
@@ -214,10 +229,17 @@
         self.pool.bound(connections);
     }
 
+    /// Takes in the longest time that any request may take.
+    pub(crate) fn bound_time(&self, time: Duration) {
+        self.longest.set(time);
+    }
+
     /// Takes in that another life of the upstream begins: unused connections lead to an earlier
     /// one, and what broke its connections just before may have ended it.
     pub(crate) fn note_new_life(&self) {
         self.pool.clear();
+        self.room.clear();
+        self.adopt();
         let Some((upstream, ran)) = self.watcher.take_doubt(clock::now()) else {
             return;
         };
@@ -227,6 +249,19 @@
         }
     }
 
+    /// Keeps the room of what an earlier process of this node left in the upstream.
+    fn adopt(&self) {
+        let Some((load, at)) = self.upstream.take_first_load() else {
+            return;
+        };
+        let requests = load.requests();
+        if requests > 0 {
+            emit(&catalogue::REQUESTS_LEFT_BEHIND, &[("requests", &requests)]);
+            let until = at + self.longest.get();
+            self.room.adopt(&self.admission, requests, until);
+        }
+    }
+
     /// Returns what became of a request whose caller lost the answer.
     pub(crate) async fn recall(&self, attempt: &AttemptKey) -> Returned {
         match self.records.recall(attempt, Instant::now()) {
--- /dev/null
+++ b/crates/mesh/src/gate/patience.rs
@@ -0,0 +1,100 @@
+//! Whether an answer is still to be waited for.
+//!
+//! An upstream may never answer a request that it could not queue, or a share
+//! of its requests, while others are served. A machine may also be slow, and
+//! then giving up throws work away. What tells them apart is how long the kind
+//! takes, what the upstream says about its pace and its queue, and whether
+//! requests of the same kind that were sent later have been answered.
+
+#[cfg(test)]
+mod tests;
+
+use std::time::Duration;
+
+/// How many times as long as the slowest hundredth of its kind a request may take that later ones
+/// have overtaken.
+const OVERTAKEN_SHARE: f64 = 1.5;
+/// The same for one that none has: the upstream as a whole may be slow.
+const QUIET_SHARE: f64 = 4.0;
+/// How many times as long as the last that was waited for in vain, while it is not known whether
+/// the upstream has become slow.
+const DOUBT_SHARE: f64 = 2.0;
+/// How many later requests of its kind must have been answered: one may have been quick by chance.
+const OVERTAKING: u32 = 3;
+/// A pause that an instance with little of a processor makes now and then.
+const LEAST: Duration = Duration::from_millis(100);
+/// How often it is looked at whether later ones were answered.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// How long a kind of request takes when nothing slows it down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Usual {
+    /// Half of them are quicker,
+    pub(super) middle: Duration,
+    /// and all but a hundredth are quicker than this.
+    pub(super) longest: Duration,
+}
+
+/// What is known of a request without an answer.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Waiting {
+    /// How long ago it was sent.
+    pub(super) waited: Duration,
+    /// How much time it has left.
+    pub(super) left: Duration,
+    /// How long its kind takes here, if enough of it was answered.
+    pub(super) usual: Option<Usual>,
+    /// How many times as long as usual work takes here at present.
+    pub(super) slowness: f64,
+    /// For how long one was waited for in vain before it was sent, if none has been quick since:
+    /// the upstream may have become slow.
+    pub(super) doubted: Duration,
+    /// How many requests of its kind that were sent later have been answered.
+    pub(super) overtaken: u32,
+    /// Only a long silence counts: it was taken in, since it has made calls, or it was sent
+    /// elsewhere before, or the upstream has just started and is slow.
+    pub(super) is_lenient: bool,
+}
+
+/// What follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Verdict {
+    /// It is waited for, and looked at again after this time.
+    Wait(Duration),
+    /// No answer is expected any more.
+    GiveUp,
+}
+
+impl Waiting {
+    /// Decides whether it is waited for.
+    pub(super) fn judge(&self) -> Verdict {
+        let Some(usual) = self.usual else {
+            return Verdict::Wait(self.left);
+        };
+        // Another upstream would need about this long.
+        if self.left < usual.middle.mul_f64(self.slowness) {
+            return Verdict::Wait(self.left);
+        }
+        let longest = usual.longest.mul_f64(self.slowness);
+        let patience = |share: f64| longest.mul_f64(share).max(LEAST);
+        let doubt = self.doubted.mul_f64(DOUBT_SHARE);
+        let least = patience(OVERTAKEN_SHARE);
+        let most = patience(QUIET_SHARE).max(doubt);
+        let due = if self.is_passed_over() { least } else { most };
+        if self.waited >= due {
+            return Verdict::GiveUp;
+        }
+        let next = if self.waited < least { least } else { most };
+        let rest = next.saturating_sub(self.waited);
+        if self.waited < least {
+            Verdict::Wait(rest)
+        } else {
+            Verdict::Wait(rest.min(LOOK))
+        }
+    }
+
+    /// Returns true if the upstream answers others and not it.
+    pub(super) fn is_passed_over(&self) -> bool {
+        self.overtaken >= OVERTAKING && !self.is_lenient
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/gate/patience/tests.rs
@@ -0,0 +1,159 @@
+//! When an answer is not expected any more.
+
+use std::time::Duration;
+
+use super::{LEAST, Usual, Verdict, Waiting};
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Half of its kind take 100 ms or less, all but few 400 ms.
+const USUAL: Usual = Usual {
+    middle: ms(100),
+    longest: ms(400),
+};
+
+const WAITING: Waiting = Waiting {
+    waited: ms(0),
+    left: ms(5000),
+    usual: Some(USUAL),
+    slowness: 1.0,
+    doubted: Duration::ZERO,
+    overtaken: 0,
+    is_lenient: false,
+};
+
+/// Plays the waiting to its end: how long it lasts, or nothing if it is waited to the deadline.
+fn given_up_after(begin: Waiting) -> Option<Duration> {
+    let mut now = begin;
+    loop {
+        match now.judge() {
+            Verdict::GiveUp => return Some(now.waited),
+            Verdict::Wait(_) if now.left.is_zero() => return None,
+            Verdict::Wait(time) => {
+                assert!(
+                    time > Duration::ZERO,
+                    "it is looked at again at once: {now:?}"
+                );
+                let time = time.min(now.left);
+                now.waited += time;
+                now.left -= time;
+            }
+        }
+    }
+}
+
+#[test]
+fn passed_over() {
+    let waiting = Waiting {
+        overtaken: 5,
+        ..WAITING
+    };
+    assert_eq!(given_up_after(waiting), Some(ms(600)));
+}
+
+#[test]
+fn nobody_answered() {
+    assert_eq!(given_up_after(WAITING), Some(ms(1600)));
+    let by_chance = Waiting {
+        overtaken: 1,
+        ..WAITING
+    };
+    assert_eq!(given_up_after(by_chance), Some(ms(1600)));
+}
+
+/// Passed by others only later: it is looked at again before the long time is over.
+#[test]
+fn passed_over_later() {
+    let mut waiting = Waiting {
+        waited: ms(700),
+        left: ms(4300),
+        ..WAITING
+    };
+    let Verdict::Wait(time) = waiting.judge() else {
+        panic!("nobody has passed it");
+    };
+    assert!(time <= ms(50), "{time:?}");
+    waiting.overtaken = 3;
+    assert_eq!(waiting.judge(), Verdict::GiveUp);
+}
+
+#[test]
+fn nothing_known() {
+    let waiting = Waiting {
+        usual: None,
+        overtaken: 100,
+        ..WAITING
+    };
+    assert_eq!(given_up_after(waiting), None);
+}
+
+/// The machine says itself that work takes three times as long.
+#[test]
+fn slow_machine() {
+    let waiting = Waiting {
+        slowness: 3.0,
+        overtaken: 5,
+        ..WAITING
+    };
+    assert_eq!(given_up_after(waiting), Some(ms(1800)));
+}
+
+/// What has made calls, or was sent elsewhere before, is waited for as if nobody had passed it.
+#[test]
+fn lenient() {
+    let waiting = Waiting {
+        overtaken: 5,
+        is_lenient: true,
+        ..WAITING
+    };
+    assert_eq!(given_up_after(waiting), Some(ms(1600)));
+}
+
+/// With too little time for another upstream nothing is gained.
+#[test]
+fn no_time_left() {
+    let waiting = Waiting {
+        left: ms(650),
+        overtaken: 5,
+        ..WAITING
+    };
+    assert_eq!(given_up_after(waiting), None);
+    let enough = Waiting {
+        left: ms(710),
+        overtaken: 5,
+        ..WAITING
+    };
+    assert_eq!(given_up_after(enough), Some(ms(600)));
+}
+
+/// A kind that takes 2 ms is not given up in the pauses of a busy machine.
+#[test]
+fn short_kinds() {
+    let usual = Usual {
+        middle: ms(1),
+        longest: ms(2),
+    };
+    let waiting = Waiting {
+        usual: Some(usual),
+        overtaken: 50,
+        ..WAITING
+    };
+    assert_eq!(given_up_after(waiting), Some(LEAST));
+}
+
+/// While one was given up in vain and none has been quick since, the next are waited for longer.
+#[test]
+fn in_doubt() {
+    let waiting = Waiting {
+        doubted: ms(2000),
+        ..WAITING
+    };
+    assert_eq!(given_up_after(waiting), Some(ms(4000)));
+    let passed = Waiting {
+        overtaken: 5,
+        ..waiting
+    };
+    assert_eq!(given_up_after(passed), Some(ms(600)));
+}
--- a/crates/mesh/src/gate/report/tests.rs
+++ b/crates/mesh/src/gate/report/tests.rs
@@ -73,6 +73,24 @@
     assert_eq!(report.pace(NOW), Pace::from_percent(250).ok());
 }
 
+/// Two of three slots' worth of requests wait.
+#[test]
+fn slowness() {
+    let told = |values: &[&str]| told(values).slowness();
+    let queue = 1.0 + 2.0 / 3.0;
+    let is_near = |one: f64, other: f64| (one - other).abs() < 1e-9;
+    assert!(is_near(told(&[]), 1.0));
+    assert!(is_near(told(&["250"]), 2.5 * queue));
+    assert!(
+        is_near(told(&["50"]), queue),
+        "a quick one is not waited for less"
+    );
+    assert!(
+        is_near(told(&["250", "0"]), 2.5 * queue),
+        "the last pace stays"
+    );
+}
+
 #[test]
 fn without_pace() {
     let report = told(&["0"]);
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
+use futures::FutureExt as _;
 use futures::future::{Either, select};
 use sailtrack_net::transparent::ResponseHead;
 use sailtrack_units::Moment;
@@ -12,6 +13,7 @@
 use super::Gate;
 use super::entered::Entered;
 use super::exchange::{ExchangeError, UpstreamAnswer, exchange};
+use super::silence::Waited;
 use super::upstream::Ended;
 use crate::clock;
 use crate::key::UpstreamKey;
@@ -30,15 +32,23 @@
         let upstream = &entered.upstream;
         let entry = self.contexts.open(work, upstream);
         let exchange = exchange(&self.pool, self.dialect.fields(), upstream, work);
+        // Its state would otherwise be kept once in each of the futures that it passes through.
+        let exchange = exchange.boxed_local();
         let exchange = until_ended(exchange, entered.ended.clone());
-        let result = clock::until(patience, exchange).await;
+        let sent = self.begin_wait(work, entered);
+        let result = self
+            .wait_for(&sent, &entry.context, clock::until(patience, exchange))
+            .await;
+        sent.note_end(&result, entered);
         let returned = match result {
-            Ok(Ok(answer)) => self.take_answer(work, upstream, answer),
-            Ok(Err(error)) => self.take_error(work, upstream, &error).await,
-            Err(_) => Returned::unknown(Reason::Deadline),
+            Waited::Over(Ok(Ok(answer))) => self.take_answer(work, upstream, answer),
+            Waited::Over(Ok(Err(error))) => self.take_error(work, upstream, &error).await,
+            Waited::Over(Err(_)) => Returned::unknown(Reason::Deadline),
+            Waited::Silent => Returned::unknown(Reason::Connection),
         };
         if returned.outcome == Outcome::Done {
             self.quarantine.note_answered(&work.identity);
+            sent.note_answer(&returned, self.upstream.report.slowness());
         }
         Returned {
             path_pressure: entry.context.pressure.get(),
@@ -55,7 +65,9 @@
             && head.status != 421
         {
             let (report, dialect) = (&self.upstream.report, &*self.dialect);
-            report.take(dialect, upstream, value, clock::now());
+            if let Some(load) = report.take(dialect, upstream, value, clock::now()) {
+                self.room.settle(load.requests());
+            }
         }
         let says_not_run = head.fields.get(fields.not_run).is_some();
         if head.status == 421 {
--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -14,8 +14,10 @@
 use sailtrack_declaration::Limit;
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
+use sailtrack_units::Moment;
 
-use crate::dialect::{Beat, Readiness};
+use crate::clock;
+use crate::dialect::{Beat, Load, Readiness};
 use crate::gate::report::Report;
 use crate::key::UpstreamKey;
 use crate::retired::Retired;
@@ -47,6 +49,8 @@
     sequence: u64,
     /// When its last beat came.
     heard: Instant,
+    /// Until when it is slow after its start.
+    cold_until: Moment,
 }
 
 impl Life {
@@ -95,6 +99,8 @@
     unreachable_until: Cell<Option<Instant>>,
     /// What the present life said about its load.
     pub(crate) report: Report,
+    /// What a life said about its load before this process sent it anything, and when.
+    first_load: Cell<Option<(Load, Moment)>>,
     /// The node stops and lets nothing new in.
     closed: Cell<bool>,
     changed: RefCell<Vec<Box<dyn Fn()>>>,
@@ -116,6 +122,7 @@
             replaced: RefCell::default(),
             unreachable_until: Cell::default(),
             report: Report::default(),
+            first_load: Cell::default(),
             closed: Cell::new(false),
             changed: RefCell::default(),
             begun: RefCell::default(),
@@ -141,6 +148,24 @@
         self.life.borrow().as_ref().map(|life| life.key.clone())
     }
 
+    /// Takes in the load of an upstream to which this process has sent nothing yet.
+    pub(crate) fn note_first_load(&self, load: Load, now: Moment) {
+        if self.is_unknown() {
+            self.first_load.set(Some((load, now)));
+        }
+    }
+
+    /// Returns the load that was noted before the first life began, once.
+    pub(super) fn take_first_load(&self) -> Option<(Load, Moment)> {
+        self.first_load.take()
+    }
+
+    /// Returns true if the upstream has just started and says that it is slow.
+    pub(crate) fn is_cold(&self, now: Moment) -> bool {
+        let life = self.life.borrow();
+        life.as_ref().is_some_and(|life| now < life.cold_until)
+    }
+
     /// Returns how many requests the upstream works on at once, zero if it takes none.
     pub(crate) fn slots(&self) -> u32 {
         self.life.borrow().as_ref().map_or(0, |life| life.slots)
@@ -200,6 +225,7 @@
         life.key = beat.upstream.clone();
         life.sequence = beat.sequence;
         life.heard = now;
+        life.cold_until = clock::now() + beat.cold;
         self.unreachable_until.set(None);
         if life.slots != beat.slots {
             life.slots = beat.slots;
@@ -235,6 +261,7 @@
             slots: beat.slots,
             sequence: beat.sequence,
             heard: now,
+            cold_until: clock::now() + beat.cold,
         });
         for begun in self.begun.borrow().iter() {
             begun();
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -108,6 +108,7 @@
     refused_keys: Counter<u64, AtomicU64>,
     outdated_keys: Counter<u64, AtomicU64>,
     over_quota: Counter<u64, AtomicU64>,
+    unanswered: Counter<u64, AtomicU64>,
     times: Family<KindLabels, Histogram>,
     gauges: Gauges,
 }
@@ -161,6 +162,11 @@
             "over_quota",
             "Requests beyond the limits of their workspaces",
         );
+        let unanswered = counter(
+            &mut registry,
+            "unanswered",
+            "Requests to which no answer of the own upstream was expected any more",
+        );
         let help = "Time from a request of a client to its answer";
         registry.register_with_unit("answer", help, Unit::Seconds, times.clone());
         let gauges = register_gauges(&mut registry);
@@ -174,6 +180,7 @@
             refused_keys,
             outdated_keys,
             over_quota,
+            unanswered,
             times,
             gauges,
         }
@@ -220,6 +227,11 @@
         self.over_quota.inc();
     }
 
+    /// Notes that no answer of the own upstream to a request is expected any more.
+    pub(crate) fn note_unanswered(&self) {
+        self.unanswered.inc();
+    }
+
     /// Notes how a request of a client ended after `time`.
     pub(crate) fn note_answer(&self, kind: &KindName, returned: &Returned, time: Duration) {
         self.note_end(Stage::Entry, kind, returned.outcome, returned.reason);
--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -46,6 +46,9 @@
         if let Some(rules) = rules {
             gate.bound_connections(rules.connections);
         }
+        if let Some(known) = &configuration {
+            gate.bound_time(known.longest_timeout());
+        }
     });
     let gate = table.find::<Gate>()?;
     let upstream = table.find::<Upstream>()?;
