Requests of one connection are worked on side by side, answers keep their order

Cause: a connection served one request after the other, so a pipelined one waited for the work of all ahead of it.

Change: the task of a connection polls reading, the work on each request and answering in turn (entry/line.rs); idempotent requests begin behind others, one that must not run twice is alone. At most 16 at once, 256 KiB of finished answers a connection and a 16th of the memory a node, reading stops behind them. After an answer that ends the connection what runs behind it is stopped, not logged, and its tokens go back (event 121). In a planned stop, or with too many connections, nothing more is begun and the last answer says close. A request's time counts from when its bytes came, not from when they were read; one whose time is over before its turn gets 503. connection.rs is split: admission, reading, exchange, line, answering. A late request in a planned stop is refused before its body is read.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -49,6 +49,8 @@
     TASK_PANICKED = 110 Error "a task panicked and was ended" ["task"];
     /// A connection was closed because of what it sent.
     INPUT_REFUSED = 120 Warn "input refused" ["port", "reason"];
+    /// An answer ended a connection, and what ran behind it was stopped.
+    REQUESTS_NOT_READ = 121 Info "requests not read" ["count"];
     /// The node took a configuration into force.
     CONFIG_IN_FORCE = 200 Info "configuration in force" ["version", "source"];
     /// A configuration that could not be read was ignored.
--- /dev/null
+++ b/crates/mesh/src/entry/admission.rs
@@ -0,0 +1,64 @@
+//! Lets requests in by their key, the limit of their workspace and the state of the node.
+
+use std::time::Duration;
+
+use sailtrack_wire::Reason;
+
+use crate::clock;
+use crate::entry::Entry;
+use crate::entry::KeyRefusal;
+use crate::entry::request::Incoming;
+use crate::quota::{Shortage, Token};
+use crate::returns;
+use crate::work::Returned;
+
+/// When a client of a node that is about to end may come back; it finds another node at once.
+const CLOSED_RETURN: Duration = Duration::from_millis(100);
+
+/// Why a request is not let in.
+pub(super) enum Denial {
+    /// Nobody is known to ask.
+    Key(KeyRefusal),
+    /// It may come back.
+    NotNow(Box<Returned>),
+}
+
+impl Entry {
+    /// Lets a request in by its key.
+    pub(super) fn check_key(&self, incoming: &Incoming) -> Result<(), Denial> {
+        let has_key = match &incoming.caller {
+            Ok(caller) => caller.has_key(),
+            Err(refusal) => *refusal == KeyRefusal::Unknown,
+        };
+        // A key that is not known may be new.
+        if has_key && !self.freshness.is_enough(clock::now()) {
+            let after = returns::after_outage();
+            let returned = Returned::refused(Reason::KeysOutdated).come_back(after);
+            return Err(Denial::NotNow(Box::new(returned)));
+        }
+        match incoming.caller {
+            Ok(_) => Ok(()),
+            Err(refusal) => Err(Denial::Key(refusal)),
+        }
+    }
+
+    /// Takes a token for a request if its workspace has a limit.
+    pub(super) async fn take_token(&self, incoming: &Incoming) -> Result<Option<Token>, Returned> {
+        let workspace = incoming.workspace();
+        let Some(limited) = workspace.filter(|workspace| workspace.limit.is_some()) else {
+            return Ok(None);
+        };
+        let (reason, after) = match self.quotas.admit(&limited.name).await {
+            Ok(token) => return Ok(Some(token)),
+            Err(Shortage::Over(after)) => (Reason::OverQuota, after),
+            Err(Shortage::NoAllocator) => (Reason::QuotaNotKnown, returns::after_outage()),
+        };
+        Err(Returned::refused(reason).come_back(after))
+    }
+
+    /// Refuses a request of a client that comes too late to be finished before the node ends.
+    pub(super) fn refuse_late(&self, incoming: &Incoming) -> Option<Returned> {
+        let is_late = self.closed.get() && incoming.parent.is_none();
+        is_late.then(|| Returned::refused(Reason::Draining).come_back(CLOSED_RETURN))
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/entry/exchange.rs
@@ -0,0 +1,141 @@
+//! Brings one request to its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use sailtrack_wire::{Outcome, Reason};
+
+use crate::clock;
+use crate::dispatch::Trail;
+use crate::entry::Entry;
+use crate::entry::KeyRefusal;
+use crate::entry::answer::Refusal;
+use crate::entry::line::{Admission, Place, Weight};
+use crate::entry::request::{Incoming, Received};
+use crate::entry::room::Taken;
+use crate::work::Returned;
+
+/// What is written when its turn comes.
+pub(super) enum Answer {
+    /// What came of a request.
+    Of(Box<Ended>),
+    /// A request is refused for its key, and the connection ends.
+    NoKey(Box<Incoming>, KeyRefusal),
+    /// What was sent is refused, and the connection ends.
+    Last(Refusal, Option<Duration>),
+    /// The client may send the body of its request.
+    GoOn,
+}
+
+/// A request that has come to its end.
+pub(super) struct Ended {
+    pub(super) incoming: Incoming,
+    pub(super) returned: Returned,
+    pub(super) trail: Trail,
+    pub(super) admission: Admission,
+    pub(super) weight: Weight,
+    /// The connection ends after it.
+    pub(super) closes: bool,
+}
+
+/// A request that was let in, with its body.
+pub(super) struct Admitted {
+    pub(super) admission: Admission,
+    pub(super) received: Received,
+    pub(super) room: Taken,
+}
+
+/// Returns the end of a request that is not let in.
+pub(super) fn turned_away(
+    incoming: Incoming,
+    returned: Returned,
+    place: Place,
+    closes: bool,
+) -> Answer {
+    Answer::Of(Box::new(Ended {
+        incoming,
+        returned,
+        trail: Trail::default(),
+        admission: place.keep(None),
+        weight: place.weigh(0),
+        closes,
+    }))
+}
+
+/// Lets a request without a body in, and brings it to its end.
+pub(super) async fn let_in(entry: Rc<Entry>, incoming: Incoming, place: Place) -> Answer {
+    let trail = Trail::default();
+    let (returned, admission) = match entry.take_token(&incoming).await {
+        Ok(token) => {
+            let admission = place.keep(token);
+            let received = Received {
+                body: Bytes::new(),
+                identity: incoming.hasher(&entry.service).finish(),
+            };
+            let returned = run(&entry, &incoming, received, &trail).await;
+            (returned, admission)
+        }
+        Err(returned) => (returned, place.keep(None)),
+    };
+    end(incoming, returned, trail, admission, place)
+}
+
+/// Brings a request that was let in to its end.
+pub(super) async fn bring(
+    entry: Rc<Entry>,
+    incoming: Incoming,
+    admitted: Admitted,
+    place: Place,
+) -> Answer {
+    let trail = Trail::default();
+    let returned = run(&entry, &incoming, admitted.received, &trail).await;
+    drop(admitted.room);
+    end(incoming, returned, trail, admitted.admission, place)
+}
+
+fn end(
+    incoming: Incoming,
+    returned: Returned,
+    trail: Trail,
+    mut admission: Admission,
+    place: Place,
+) -> Answer {
+    if returned.outcome == Outcome::NotRun {
+        admission.give_back();
+    }
+    let body = returned.body.whole().map_or(0, Bytes::len);
+    Answer::Of(Box::new(Ended {
+        weight: place.weigh(returned.head.len() + body),
+        incoming,
+        returned,
+        trail,
+        admission,
+        closes: false,
+    }))
+}
+
+/// Brings a request to an upstream and back; dropping the future cancels it.
+async fn run(entry: &Entry, incoming: &Incoming, received: Received, trail: &Trail) -> Returned {
+    trail.identify(received.identity);
+    let Some(service) = entry.splitter.next(&incoming.route) else {
+        return Returned::refused(Reason::NoUpstream);
+    };
+    let fields = entry.dialect.fields();
+    let work = incoming.work(fields, &entry.service, service, received);
+    if work.time_left().is_zero() {
+        // It waited for those ahead of it.
+        return Returned::refused(Reason::Deadline);
+    }
+    if let Some(returned) = entry.refuse_late(incoming) {
+        return returned;
+    }
+    // Boxed, since each future around it would keep room for it once more.
+    let dispatch = Box::pin(entry.dispatcher.dispatch(work, &incoming.route, trail));
+    let returned = clock::until(incoming.deadline, dispatch).await;
+    let returned = returned.unwrap_or_else(|_| Returned::unknown(Reason::Deadline));
+    if let Some(parent) = &incoming.parent {
+        parent.note(&returned);
+    }
+    returned
+}
--- /dev/null
+++ b/crates/mesh/src/entry/line.rs
@@ -0,0 +1,248 @@
+//! The requests of a connection that have been begun, in their order.
+//!
+//! Reading, the work on each request and answering are polled in turn by the task of the
+//! connection, for as long as one of them changes the line. So whoever waits for the line needs no
+//! waker of its own.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use futures::StreamExt as _;
+use futures::future::LocalBoxFuture;
+use futures::stream::FuturesOrdered;
+use sailtrack_net::task::Held;
+
+use crate::entry::Entry;
+use crate::entry::connection::Next;
+use crate::entry::exchange::Answer;
+use crate::quota::Token;
+
+/// The most requests of one connection that are worked on or wait for their turn to be answered.
+const MOST_BEGUN: usize = 16;
+/// With this many bytes of finished answers on a connection no further request of it is begun. The
+/// answers to those begun before come on top, each of which holds 128 KiB at the most.
+const MOST_READY_BYTES: usize = 256 * 1024;
+
+/// The requests of a connection that have been begun and not been answered.
+pub(super) struct Line {
+    entry: Rc<Entry>,
+    working: RefCell<FuturesOrdered<LocalBoxFuture<'static, Answer>>>,
+    /// The answers that come next.
+    finished: RefCell<VecDeque<Answer>>,
+    /// The bytes of finished answers.
+    ready: Rc<Cell<usize>>,
+    /// All of them, with the one whose answer is written.
+    count: Cell<usize>,
+    /// One of them must be the only one.
+    is_exclusive: Cell<bool>,
+    has_changed: Cell<bool>,
+    was_pipelined: Cell<bool>,
+    closed: Rc<Cell<bool>>,
+}
+
+/// What a request holds from its beginning until it has been answered.
+pub(super) struct Place {
+    held: Held,
+    closed: Rc<Cell<bool>>,
+    ready: [Rc<Cell<usize>>; 2],
+}
+
+/// The bytes of an answer that waits for its turn.
+pub(super) struct Weight {
+    counts: [Rc<Cell<usize>>; 2],
+    bytes: usize,
+    _held: Held,
+}
+
+/// The token of a request; it goes back if the request counts as not read.
+pub(super) struct Admission {
+    token: Option<Token>,
+    closed: Rc<Cell<bool>>,
+}
+
+impl Line {
+    pub(super) fn new(entry: &Rc<Entry>) -> Self {
+        Self {
+            entry: Rc::clone(entry),
+            working: RefCell::default(),
+            finished: RefCell::default(),
+            ready: Rc::default(),
+            count: Cell::new(0),
+            is_exclusive: Cell::new(false),
+            has_changed: Cell::new(false),
+            was_pipelined: Cell::new(false),
+            closed: Rc::default(),
+        }
+    }
+
+    /// Returns how many requests have been begun and not been answered.
+    pub(super) fn len(&self) -> usize {
+        self.count.get()
+    }
+
+    /// Returns true if one more request may be begun.
+    ///
+    /// One that must not run twice begins when everything before it has been answered, and nothing
+    /// begins behind it. Where the connection is to end nothing more is begun, so that the last
+    /// answer can say so.
+    pub(super) fn has_place(&self, is_idempotent: bool) -> bool {
+        if self.len() == 0 {
+            return !self.is_closed();
+        }
+        is_idempotent
+            && !self.is_exclusive.get()
+            && !self.is_closed()
+            && self.len() < MOST_BEGUN
+            && self.ready.get() < MOST_READY_BYTES
+            && self.entry.ready_bytes.get() < self.entry.most_ready_bytes
+            && !self.entry.is_ending()
+    }
+
+    /// Returns what a request needs that is begun now.
+    pub(super) fn place(&self, held: Held) -> Place {
+        Place {
+            held,
+            closed: Rc::clone(&self.closed),
+            ready: [Rc::clone(&self.ready), Rc::clone(&self.entry.ready_bytes)],
+        }
+    }
+
+    /// Adds what will be answered after everything that is there.
+    pub(super) fn push(&self, answer: impl Future<Output = Answer> + 'static, exclusive: bool) {
+        self.working.borrow_mut().push_back(Box::pin(answer));
+        self.count.set(self.len() + 1);
+        if self.len() > 1 {
+            self.was_pipelined.set(true);
+        }
+        self.is_exclusive.set(exclusive);
+        self.has_changed.set(true);
+    }
+
+    /// Returns the next answer once it is there.
+    pub(super) async fn next(&self) -> Answer {
+        poll_fn(|_| {
+            let next = self.finished.borrow_mut().pop_front();
+            next.map_or(Poll::Pending, Poll::Ready)
+        })
+        .await
+    }
+
+    /// Notes that the answer that came last has been written.
+    pub(super) fn note_answered(&self) {
+        self.count.set(self.len() - 1);
+        self.has_changed.set(true);
+    }
+
+    /// What is behind the answer that is written now counts as not read.
+    pub(super) fn close(&self) {
+        self.closed.set(true);
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        self.closed.get()
+    }
+
+    /// Returns true if a request was begun before the one ahead of it had been answered.
+    pub(super) fn was_pipelined(&self) -> bool {
+        self.was_pipelined.get()
+    }
+
+    /// Waits until `condition` holds.
+    pub(super) async fn until(&self, condition: impl Fn(&Self) -> bool) {
+        poll_fn(|_| {
+            if condition(self) {
+                Poll::Ready(())
+            } else {
+                Poll::Pending
+            }
+        })
+        .await;
+    }
+
+    /// Works on the requests while `answering` and `reading` go on, until one of these ends.
+    pub(super) async fn drive(
+        &self,
+        mut answering: Pin<&mut impl Future<Output = Next>>,
+        mut reading: Pin<&mut impl Future<Output = Next>>,
+    ) -> Next {
+        poll_fn(|context| {
+            loop {
+                self.has_changed.set(false);
+                self.work(context);
+                if let Poll::Ready(next) = answering.as_mut().poll(context) {
+                    return Poll::Ready(next);
+                }
+                if let Poll::Ready(next) = reading.as_mut().poll(context) {
+                    return Poll::Ready(next);
+                }
+                if !self.has_changed.get() {
+                    return Poll::Pending;
+                }
+            }
+        })
+        .await
+    }
+
+    fn work(&self, context: &mut Context<'_>) {
+        let mut working = self.working.borrow_mut();
+        while let Poll::Ready(Some(answer)) = working.poll_next_unpin(context) {
+            self.finished.borrow_mut().push_back(answer);
+        }
+    }
+}
+
+impl Place {
+    /// Returns a guard for the token of the request.
+    pub(super) fn keep(&self, token: Option<Token>) -> Admission {
+        Admission {
+            token,
+            closed: Rc::clone(&self.closed),
+        }
+    }
+
+    /// Counts the bytes of the answer from now on.
+    pub(super) fn weigh(self, bytes: usize) -> Weight {
+        for count in &self.ready {
+            count.set(count.get() + bytes);
+        }
+        Weight {
+            counts: self.ready,
+            bytes,
+            _held: self.held,
+        }
+    }
+}
+
+impl Drop for Weight {
+    fn drop(&mut self) {
+        for count in &self.counts {
+            count.set(count.get() - self.bytes);
+        }
+    }
+}
+
+impl Admission {
+    /// Gives the token back, since its request did not run and never will.
+    pub(super) fn give_back(&mut self) {
+        if let Some(token) = self.token.take() {
+            token.give_back();
+        }
+    }
+
+    /// The request has run.
+    pub(super) fn spend(&mut self) {
+        self.token = None;
+    }
+}
+
+impl Drop for Admission {
+    fn drop(&mut self) {
+        if self.closed.get() {
+            self.give_back();
+        }
+    }
+}
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -1,20 +1,26 @@
 //! Where the clients on this instance and the own upstream bring their requests.
 
+mod admission;
 mod answer;
+mod answering;
 mod caller;
 mod connection;
+mod exchange;
+mod line;
+mod reading;
 mod request;
 mod room;
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use monoio::net::TcpListener;
 use sailtrack_kernel::{Phase, Service};
 use sailtrack_net::accept::{Bounds, accept};
 use sailtrack_units::ServiceName;
 
-use crate::configuration::{Current, Splitter};
+use crate::configuration::{ClientLimits, Current, Splitter};
 use crate::contexts::Contexts;
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
@@ -35,6 +41,14 @@
 /// From this many on every answer does.
 const FULL: usize = MOST_CONNECTIONS * 3 / 4;
 
+/// The bounds while there is no configuration.
+const FIRST_LIMITS: ClientLimits = ClientLimits {
+    head_bytes: 16 * 1024,
+    body_bytes: 1024 * 1024,
+    head_time: Duration::from_secs(3),
+    idle_time: Duration::from_secs(15),
+};
+
 /// Where requests come in.
 pub(crate) struct Entry {
     pub(crate) dialect: Rc<dyn Dialect>,
@@ -51,6 +65,10 @@
     pub(crate) metrics: Rc<Metrics>,
     pub(crate) in_flight: Rc<Cell<usize>>,
     pub(crate) room: Room,
+    /// The bytes of finished answers, most of which wait for those ahead of them,
+    pub(crate) ready_bytes: Rc<Cell<usize>>,
+    /// and from how many on no connection begins a request behind another.
+    pub(crate) most_ready_bytes: usize,
     /// Set once the rest of a planned stop is needed for what is in flight.
     pub(crate) closed: Cell<bool>,
     /// The connections of clients that are open.
@@ -79,6 +97,16 @@
         accept(listener, bounds, open, serve).await;
     }
 
+    fn limits(&self) -> ClientLimits {
+        let configuration = self.current.get();
+        configuration.map_or(FIRST_LIMITS, |configuration| configuration.limits)
+    }
+
+    /// Returns true if connections are to end with their next answers.
+    fn is_ending(&self) -> bool {
+        self.phase.get() > Phase::Serving || self.wants_room(false)
+    }
+
     /// Returns true if a connection is to end with its answer, to make room for others.
     fn wants_room(&self, was_refused: bool) -> bool {
         let open = self.connections.get();
--- a/crates/mesh/src/entry/request.rs
+++ b/crates/mesh/src/entry/request.rs
@@ -66,7 +66,8 @@
             caller,
             route: Rc::clone(route),
             came,
-            deadline: clock::now() + time,
+            // Its client waits since it came, which may be long before it is read.
+            deadline: clock::now() + time.saturating_sub(came.elapsed()),
             framing,
             head,
         })
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -21,6 +21,8 @@
 const FIRST_BUCKET: f64 = 0.001;
 /// The number of buckets, each twice the one before; the last one is near 8 s.
 const BUCKETS: u16 = 14;
+/// The number of buckets of how many requests a connection has begun: 2, 4, 8 and 16.
+const DEPTH_BUCKETS: u16 = 4;
 /// The most different kinds that are counted apart; a configuration may have some hundred routes.
 const MOST_KINDS: usize = 600;
 
@@ -106,6 +108,8 @@
     refused_keys: Counter<u64, AtomicU64>,
     outdated_keys: Counter<u64, AtomicU64>,
     over_quota: Counter<u64, AtomicU64>,
+    pipelined: Histogram,
+    unread: Counter<u64, AtomicU64>,
     times: Family<KindLabels, Histogram>,
     gauges: Gauges,
 }
@@ -159,6 +163,15 @@
             "over_quota",
             "Requests beyond the limits of their workspaces",
         );
+        let unread = counter(
+            &mut registry,
+            "requests_not_read",
+            "Requests that were stopped behind an answer that ended their connection",
+        );
+        let pipelined = Histogram::new(exponential_buckets(2.0, 2.0, DEPTH_BUCKETS));
+        let help = "Requests begun before those ahead of them were answered, by how many a \
+                    connection had then";
+        registry.register("pipelined_requests", help, pipelined.clone());
         let help = "Time from a request of a client to its answer";
         registry.register_with_unit("answer", help, Unit::Seconds, times.clone());
         let gauges = register_gauges(&mut registry);
@@ -172,6 +185,8 @@
             refused_keys,
             outdated_keys,
             over_quota,
+            pipelined,
+            unread,
             times,
             gauges,
         }
@@ -218,6 +233,18 @@
         self.over_quota.inc();
     }
 
+    /// Notes a request that was begun before those ahead of it were answered, with which its
+    /// connection has `depth`.
+    pub(crate) fn note_pipelined(&self, depth: usize) {
+        self.pipelined
+            .observe(f64::from(u32::try_from(depth).unwrap_or(u32::MAX)));
+    }
+
+    /// Notes requests that count as not read.
+    pub(crate) fn note_unread(&self, count: usize) {
+        self.unread.inc_by(count as u64);
+    }
+
     /// Notes how a request of a client ended after `time`.
     pub(crate) fn note_answer(&self, kind: &KindName, returned: &Returned, time: Duration) {
         self.note_end(Stage::Entry, kind, returned.outcome, returned.reason);
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -45,6 +45,9 @@
 /// The bodies of requests may take up one part in so many of the memory. Each stands there up to
 /// twice, at the entry and on its way to another node; the rest is for answers and connections.
 const BODY_SHARE: usize = 6;
+/// The part of the memory that finished answers may take up before connections begin requests one at
+/// a time.
+const READY_SHARE: usize = 16;
 
 /// The sockets of a node, all open before anything is started.
 struct Sockets {
@@ -255,6 +258,8 @@
         metrics: table.find()?,
         in_flight: Rc::clone(in_flight),
         room: Room::new(settings.memory.as_usize() / BODY_SHARE),
+        ready_bytes: Rc::default(),
+        most_ready_bytes: settings.memory.as_usize() / READY_SHARE,
         closed: Cell::new(false),
         connections: Rc::default(),
     });
--- a/crates/net/src/transparent/mod.rs
+++ b/crates/net/src/transparent/mod.rs
@@ -4,6 +4,7 @@
 //! head keep their order and case, bodies may be chunked or end with their
 //! connection, and every byte that follows a message is accounted for.
 
+mod arrivals;
 mod chunked;
 mod fields;
 mod framing;
--- a/crates/net/src/transparent/reader.rs
+++ b/crates/net/src/transparent/reader.rs
@@ -1,6 +1,7 @@
 //! Reads heads and bodies off a connection, within bounds.
 
 use std::io;
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
@@ -9,6 +10,7 @@
 use monoio::io::{AsyncReadRent as _, OwnedReadHalf};
 use monoio::net::TcpStream;
 
+use crate::transparent::arrivals::Arrivals;
 use crate::transparent::chunked::Decoder;
 use crate::transparent::framing::Framing;
 use crate::transparent::head::HeadError;
@@ -88,6 +90,7 @@
 pub struct Reader {
     stream: OwnedReadHalf<TcpStream>,
     buffer: BytesMut,
+    arrivals: Arrivals,
     /// The read buffer; taken away by a read that is dropped before it ends.
     space: Vec<u8>,
 }
@@ -99,6 +102,7 @@
         Self {
             stream,
             buffer: BytesMut::new(),
+            arrivals: Arrivals::default(),
             space: Vec::new(),
         }
     }
@@ -109,6 +113,14 @@
         self.buffer.len()
     }
 
+    /// Returns when the last byte came that was taken off the connection.
+    ///
+    /// A message that was read late had come before, and its sender waits since then.
+    #[must_use]
+    pub fn last_came(&self) -> Option<Instant> {
+        self.arrivals.last_taken(self.buffer.len())
+    }
+
     /// Drops the bytes that have come.
     pub fn discard(&mut self) {
         self.buffer.clear();
@@ -118,7 +130,8 @@
     ///
     /// Dropping the future loses no bytes: a read takes bytes only when it ends.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        fill(&mut self.stream, &mut self.buffer, &mut self.space).await
+        let into = (&mut self.buffer, &mut self.arrivals);
+        fill(&mut self.stream, into, &mut self.space).await
     }
 
     /// Returns true if the other side has neither closed nor sent anything unasked.
@@ -228,7 +241,8 @@
                         return Ok((!body.is_empty()).then(|| body.freeze()));
                     }
                     // Only this field is borrowed by the decoder.
-                    let filled = fill(&mut self.stream, &mut self.buffer, &mut self.space).await;
+                    let into = (&mut self.buffer, &mut self.arrivals);
+                    let filled = fill(&mut self.stream, into, &mut self.space).await;
                     if filled.map_err(BodyError::Io)? == 0 {
                         return Err(BodyError::Cut);
                     }
@@ -254,7 +268,7 @@
 
 async fn fill(
     stream: &mut OwnedReadHalf<TcpStream>,
-    buffer: &mut BytesMut,
+    (buffer, arrivals): (&mut BytesMut, &mut Arrivals),
     kept: &mut Vec<u8>,
 ) -> io::Result<usize> {
     let mut space = std::mem::take(kept);
@@ -263,6 +277,7 @@
     }
     let (result, mut space) = stream.read(space).await;
     let count = result?;
+    arrivals.note(count, buffer.len(), Instant::now());
     buffer.extend_from_slice(&space[..count]);
     if count == space.len() && count < MOST_READ {
         // More has come than was asked for.
