--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -255,6 +255,8 @@
         metrics: table.find()?,
         in_flight: Rc::clone(in_flight),
         room: Room::new(settings.body_room()),
+        ready_bytes: Rc::default(),
+        most_ready_bytes: Cell::new(settings.ready_room()),
         closed: Cell::new(false),
         connections: Rc::default(),
     });
--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -143,6 +143,7 @@
         };
         parts.budget.set_bounds(next.retry);
         parts.entry.room.resize(next.body_room());
+        parts.entry.most_ready_bytes.set(next.ready_room());
         parts
             .freshness
             .set_bound(next.revoke_time.map(|time| time.0));
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -20,6 +20,8 @@
 /// The bodies of requests may take up one part in so many of the memory. Each stands there up to
 /// twice, at the entry and on its way to another node; the rest is for answers and connections.
 const BODY_SHARE: usize = 6;
+/// The part of the memory for finished answers that wait for their turn.
+const READY_SHARE: usize = 16;
 
 /// After how long a node is taken for gone for good: longer than a reboot takes.
 const DEFAULT_FORGET: Period = Period::from_millis(300_000);
@@ -109,6 +111,12 @@
         self.memory.as_usize() / BODY_SHARE
     }
 
+    /// Returns how much memory finished answers may take up before connections begin requests one
+    /// at a time.
+    pub(crate) fn ready_room(&self) -> usize {
+        self.memory.as_usize() / READY_SHARE
+    }
+
     /// Returns these settings with those of `other` that only a start can change.
     pub(crate) fn with_fixed_of(self, other: Self) -> Self {
         Self {
