A store that comes back from a copy, in its next era

Cause: the store may come back from a copy some seconds old. Versions go back and are given out again, what the system wrote since is gone; nothing knew of it. Lost rows stayed lost, a node that started served a key that the copy still had, other content under the same version was never taken. Events 305 and 306.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -67,6 +67,10 @@
     ROW_REFUSED = 303 Error "rows refused" ["table", "key", "reason", "rows"];
     /// The row of a node that is gone for good was removed.
     ROW_REMOVED = 304 Info "row removed" ["node"];
+    /// The store came back from a copy.
+    STORE_COPIED = 305 Warn "the store came back from a copy" ["era"];
+    /// A row that the copy lacked was written again.
+    ROW_RESTORED = 306 Info "row written again" ["table", "key"];
     /// A node was seen for the first time, or again.
     MEMBER_JOINED = 400 Info "member joined" ["node", "service", "domain"];
     /// A node does not answer and is suspected.
--- a/crates/mesh/src/announcement/mod.rs
+++ b/crates/mesh/src/announcement/mod.rs
@@ -2,7 +2,9 @@
 
 mod error;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -10,11 +12,12 @@
 use futures::future::{Either, select};
 use http::{Method, StatusCode};
 use monoio::time::{sleep, timeout};
+use rand::Rng as _;
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::http::{Handler, Pool, Request, Response};
 use sailtrack_net::task;
-use sailtrack_units::ServiceName;
+use sailtrack_units::{Era, ServiceName};
 
 use crate::announcement::error::{AnnouncementError, RowError};
 use crate::configuration::Current;
@@ -24,7 +27,7 @@
 use crate::metrics::Metrics;
 use crate::peer::Peers;
 use crate::retired::Retired;
-use crate::store::{Content, Row, Store, Table};
+use crate::store::{Clock, Content, Row, Store, Table};
 
 /// How long an upstream waits for the acknowledgement that it leaves: it hears of none after 1 s.
 const RETIRE_TIME: Duration = Duration::from_millis(900);
@@ -32,6 +35,8 @@
 const STORE_TIME: Duration = Duration::from_millis(600);
 /// How long the store may take to say whether an upstream has left before.
 const LOOKUP_TIME: Duration = Duration::from_millis(800);
+/// The pause after a row that the copy lacked could not be written.
+const RESTORE_PAUSE: Duration = Duration::from_millis(500);
 /// How long an upstream may take to say who it is.
 const PROBE_TIME: Duration = Duration::from_secs(1);
 /// How often the word of other nodes is looked for while the store does not answer.
@@ -51,6 +56,7 @@
     pub(crate) store: Rc<dyn Store>,
     pub(crate) upstream: Rc<Upstream>,
     pub(crate) retired: Rc<Retired>,
+    pub(crate) clock: Rc<Clock>,
     pub(crate) peers: Rc<Peers>,
     pub(crate) metrics: Rc<Metrics>,
     /// The service of the own upstream,
@@ -62,6 +68,8 @@
     pub(crate) started: Instant,
     /// Whether a beat of a new life is being looked into.
     pub(crate) looking: Cell<bool>,
+    /// The last life that this process has acknowledged to leave, of each id.
+    pub(crate) acknowledged: RefCell<BTreeMap<String, UpstreamKey>>,
 }
 
 impl Service for Announcements {
@@ -142,6 +150,8 @@
     /// Sends nothing new to an upstream, and returns true once that outlasts this process.
     async fn retire(self: &Rc<Self>, upstream: &UpstreamKey, reason: &str) -> bool {
         let key = self.upstream.retire(upstream, reason);
+        let id = key.id().to_owned();
+        self.acknowledged.borrow_mut().insert(id, key.clone());
         let work = Rc::clone(self);
         let (sender, receiver) = futures::channel::oneshot::channel();
         // The task goes on when the upstream stops waiting, so that its next try succeeds at once.
@@ -166,6 +176,25 @@
         }
     }
 
+    /// Writes the rows of what was acknowledged again, since the store came back from a copy: another
+    /// process of this node would believe a late beat.
+    pub(crate) fn restore(self: &Rc<Self>) {
+        let work = Rc::clone(self);
+        let era = self.clock.era();
+        task::spawn("retired rows", async move {
+            let all: Vec<_> = work.acknowledged.borrow().values().cloned().collect();
+            for upstream in all {
+                // The next copy writes all of them again.
+                while work.clock.era() == era && !work.store_retired(&upstream).await {
+                    sleep(RESTORE_PAUSE.mul_f64(rand::rng().random_range(1.0..2.0))).await;
+                }
+                let fields: &[(&str, &dyn Display)] =
+                    &[("table", &Table::Retired), ("key", &upstream.id())];
+                emit(&catalogue::ROW_RESTORED, fields);
+            }
+        });
+    }
+
     async fn store_retired(&self, upstream: &UpstreamKey) -> bool {
         let life = upstream.to_string();
         let put = self.store.put(Table::Retired, upstream.id(), &life);
@@ -269,6 +298,10 @@
         let row = self.store.row(Table::Retired, upstream.id());
         let reason = match timeout(LOOKUP_TIME, row).await {
             Ok(Ok(reading)) => match reading.row.as_ref().map(retired_life) {
+                // A copy may lack the row, so others are heard too.
+                None if reading.era > Era::default() => {
+                    return self.is_known_to_others(upstream).await;
+                }
                 None => return self.retired.contains(upstream),
                 Some(Ok(life)) => return self.has_left_with(upstream, life),
                 // Somebody else wrote it, and it names nobody.
@@ -281,6 +314,11 @@
             &catalogue::STORE_FAILED,
             &[("operation", &"look up upstream"), ("reason", &reason)],
         );
+        self.is_known_to_others(upstream).await
+    }
+
+    /// Returns true if a node says that this life has left, after the first ones were met.
+    async fn is_known_to_others(&self, upstream: &UpstreamKey) -> bool {
         while self.peers.open_count() == 0 && self.started.elapsed() < PATIENCE {
             sleep(LOOK).await;
         }
--- a/crates/mesh/src/cleanup.rs
+++ b/crates/mesh/src/cleanup.rs
@@ -9,7 +9,7 @@
 
 use crate::directory::Directory;
 use crate::peer::Peers;
-use crate::store::{Store, StoreError, Table};
+use crate::store::{Clock, Store, StoreError, Table};
 
 /// How often lost nodes are looked for, as a part of the time after which they are gone.
 const LOOKS: u32 = 4;
@@ -24,12 +24,15 @@
     store: Rc<dyn Store>,
     directory: Rc<Directory>,
     peers: Rc<Peers>,
+    clock: Rc<Clock>,
     forget_after: Duration,
 ) {
     loop {
         sleep(forget_after / LOOKS).await;
         for name in peers.lost_for(forget_after) {
-            let Some(version) = directory.row_version(&name) else {
+            // A version of an earlier era may by now be that of another row.
+            let version = directory.row_version(&name);
+            let Some(version) = version.filter(|version| version.era == clock.era()) else {
                 continue;
             };
             let nodes = peers.open_count() + 1;
--- a/crates/mesh/src/configuration/current.rs
+++ b/crates/mesh/src/configuration/current.rs
@@ -7,7 +7,7 @@
 use displaydoc::Display;
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
-use sailtrack_units::ConfigVersion;
+use sailtrack_units::{ConfigVersion, Era};
 
 use crate::configuration::Configuration;
 use crate::dialect::{Dialect, DialectError};
@@ -16,7 +16,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) enum Source {
     /// store
-    Store,
+    Store(Era),
     /// peer
     Peer,
 }
@@ -27,6 +27,8 @@
     configuration: RefCell<Option<Rc<Configuration>>>,
     text: RefCell<Rc<str>>,
     version: Cell<ConfigVersion>,
+    /// The latest era of the store in which it was read there.
+    era: Cell<Era>,
     changed: RefCell<Vec<Box<dyn Fn()>>>,
 }
 
@@ -41,6 +43,7 @@
             configuration: RefCell::default(),
             text: RefCell::new(Rc::from("")),
             version: Cell::default(),
+            era: Cell::default(),
             changed: RefCell::default(),
         }
     }
@@ -74,13 +77,24 @@
         );
     }
 
-    /// Takes a configuration into force if it is sound and newer than the present one.
+    /// Takes a configuration into force if it is sound and newer than the present one: by its version
+    /// or, if a store that came back from a copy has other content under the same one, by its era.
     pub(crate) fn offer(&self, text: &str, source: Source) -> Result<(), DialectError> {
         let read = self.dialect.configuration(text);
         let configuration = read.inspect_err(|error| self.refuse(error))?;
-        if configuration.version <= self.version.get() {
+        let version = configuration.version.cmp(&self.version.get());
+        let era = match source {
+            Source::Store(era) => era,
+            Source::Peer => self.era.get(),
+        };
+        let is_rewritten = era > self.era.get() && *text != **self.text.borrow();
+        if version.is_lt() || version.is_eq() && !is_rewritten {
+            if version.is_eq() {
+                self.era.set(era);
+            }
             return Ok(());
         }
+        self.era.set(era);
         self.version.set(configuration.version);
         emit(
             &catalogue::CONFIG_IN_FORCE,
--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -216,6 +216,11 @@
         }
     }
 
+    /// Takes in that the row of this node may be lost: it is looked for again.
+    pub(crate) fn doubt_own_row(&self) {
+        self.has_own_row.set(false);
+    }
+
     fn note_own_row_lost(&self) {
         self.has_own_row.set(false);
         let lost = self.own_row_lost.borrow().clone();
--- a/crates/mesh/src/freshness.rs
+++ b/crates/mesh/src/freshness.rs
@@ -15,10 +15,10 @@
 
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
-use sailtrack_units::{ConfigVersion, Moment};
+use sailtrack_units::{ConfigVersion, Era, Moment};
 
 use crate::metrics::Metrics;
-use crate::store::{CLOCK_ERROR, Clock, StoreTime};
+use crate::store::{CLOCK_DRIFT, CLOCK_ERROR, Clock, StoreTime};
 
 /// What is kept back of the allowed age: for the time between the look at it and the moment at
 /// which the request counts as sent, and for an age that looks too young by the error of the clock.
@@ -28,11 +28,26 @@
 /// what a deployment with 2,100 requests a second earns.
 const RENEWALS: u32 = 4;
 
-/// That a version was the newest one at some time.
+/// After the store came back from a copy, how long nothing that it says proves a version the newest.
+/// Other nodes may have one that the copy lacks, and say so meanwhile.
+const SETTLE: Duration = Duration::from_millis(500);
+
+/// That a version was the newest one at some time of the store's clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Confirmation {
     version: ConfigVersion,
     as_of: StoreTime,
+    era: Era,
+}
+
+/// That the version in force was the newest one at some time.
+#[derive(Debug, Clone, Copy)]
+struct Proof {
+    /// That time by the store's clock of an era,
+    as_of: StoreTime,
+    era: Era,
+    /// and by the own one, which goes on when the store has another clock.
+    at: Moment,
 }
 
 /// How old is what this node knows of the configuration.
@@ -42,7 +57,9 @@
     /// The greatest age at which keys are still believed, if there is one.
     bound: Option<Duration>,
     /// The latest time at which the version in force was surely the newest.
-    as_of: Cell<Option<StoreTime>>,
+    proof: Cell<Option<Proof>>,
+    /// The newest version that another node has said to have.
+    newest: Cell<ConfigVersion>,
     /// What was said of versions that are not in force here yet.
     ahead: RefCell<Option<Confirmation>>,
     is_stopped: Cell<bool>,
@@ -58,7 +75,8 @@
             clock,
             metrics,
             bound,
-            as_of: Cell::default(),
+            proof: Cell::default(),
+            newest: Cell::default(),
             ahead: RefCell::default(),
             is_stopped: Cell::new(false),
         }
@@ -70,8 +88,41 @@
     }
 
     /// Returns how long a follower of the store waits for changes, if it has to ask again soon.
-    pub(crate) fn renewal(&self) -> Option<Duration> {
-        self.bound.map(|bound| bound / RENEWALS)
+    pub(crate) fn renewal(&self, now: Moment) -> Option<Duration> {
+        let renewal = self.bound? / RENEWALS;
+        Some(if self.is_settling(now) || self.is_new(now) {
+            renewal.min(SETTLE)
+        } else {
+            renewal
+        })
+    }
+
+    /// Returns true while other nodes are given time to tell of versions that a copy lacks.
+    fn is_settling(&self, now: Moment) -> bool {
+        let copied = self.clock.copied();
+        copied.is_some_and(|copied| now.since(copied) < SETTLE)
+    }
+
+    /// Returns true while a node that starts has had little time to meet others: what it reads may be
+    /// from a copy.
+    fn is_new(&self, now: Moment) -> bool {
+        let met = self.clock.met();
+        met.is_some_and(|met| now.since(met) < SETTLE)
+    }
+
+    /// Takes in that the store had nothing newer than `in_force` at `as_of`.
+    pub(crate) fn confirm_by_store(
+        &self,
+        as_of: StoreTime,
+        in_force: ConfigVersion,
+        now: Moment,
+    ) -> bool {
+        !self.is_new(now) && self.confirm(in_force, as_of, in_force, now)
+    }
+
+    /// Takes in that another node has a version.
+    pub(crate) fn note_newest(&self, version: ConfigVersion) {
+        self.newest.set(self.newest.get().max(version));
     }
 
     /// Takes in that `version` was the newest at `as_of`, while `in_force` is in force here.
@@ -86,17 +137,34 @@
         now: Moment,
     ) -> bool {
         self.clock.note_shown(now, as_of);
+        let era = self.clock.era();
         if version > in_force {
-            self.ahead.replace(Some(Confirmation { version, as_of }));
+            self.ahead.replace(Some(Confirmation {
+                version,
+                as_of,
+                era,
+            }));
+            return false;
+        }
+        // The store may have come back from a copy that lacks a version which another node has.
+        let is_behind = era > Era::default() && in_force < self.newest.get();
+        if is_behind || self.is_settling(now) {
             return false;
         }
-        // A store that begins anew, with an earlier time, makes what was told before lie ahead.
         let at_most = self.clock.at_most(now);
         let is_ahead = |time: StoreTime| at_most.is_some_and(|at_most| time > at_most);
-        let known = self.as_of.get().filter(|known| !is_ahead(*known));
-        let is_news = !is_ahead(as_of) && known.is_none_or(|known| as_of > known);
+        // Before the first reading of an era its times say nothing, and what was proved before holds.
+        if is_ahead(as_of) || at_most.is_none() && era > Era::default() {
+            return false;
+        }
+        // A store that tells no era and begins anew makes what was told before lie ahead.
+        let known = self.proof.get().filter(|known| known.era == era);
+        let known = known.filter(|known| !is_ahead(known.as_of));
+        let is_news = known.is_none_or(|known| as_of > known.as_of);
         if is_news {
-            self.as_of.set(Some(as_of));
+            let age = self.clock.age_at_most(as_of, now).unwrap_or_default();
+            let at = now.before(age);
+            self.proof.set(Some(Proof { as_of, era, at }));
         }
         is_news
     }
@@ -104,19 +172,32 @@
     /// Takes in that a version came into force.
     pub(crate) fn note_version(&self, in_force: ConfigVersion, now: Moment) {
         let ahead = self.ahead.take();
-        if let Some(Confirmation { version, as_of }) = ahead {
+        let ahead = ahead.filter(|ahead| ahead.era == self.clock.era());
+        if let Some(Confirmation { version, as_of, .. }) = ahead {
             self.confirm(version, as_of, in_force, now);
         }
     }
 
-    /// Returns the latest time at which the version in force was surely the newest.
+    /// Returns the latest time at which the version in force was surely the newest, by the store's
+    /// clock of this era.
     pub(crate) fn as_of(&self) -> Option<StoreTime> {
-        self.as_of.get()
+        Some(self.known()?.as_of)
+    }
+
+    fn known(&self) -> Option<Proof> {
+        let is_of_era = |proof: &Proof| proof.era == self.clock.era();
+        self.proof.get().filter(is_of_era)
     }
 
     /// Returns how old at most that is.
+    ///
+    /// A proof of an earlier era still says what was the newest then, and ages by the own clock.
     pub(crate) fn age(&self, now: Moment) -> Option<Duration> {
-        self.clock.age_at_most(self.as_of.get()?, now)
+        if let Some(known) = self.known() {
+            return self.clock.age_at_most(known.as_of, now);
+        }
+        let passed = now.since(self.proof.get()?.at);
+        Some(passed + passed.mul_f64(CLOCK_DRIFT))
     }
 
     /// Returns true if a request with a key that came now may run.
--- a/crates/mesh/src/freshness/tests.rs
+++ b/crates/mesh/src/freshness/tests.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sailtrack_units::{ConfigVersion, Moment};
+use sailtrack_units::{ConfigVersion, Era, Moment};
 
 use super::{Freshness, RESERVE};
 use crate::metrics::Metrics;
@@ -168,3 +168,100 @@
         }
     }
 }
+
+const VERSION: ConfigVersion = ConfigVersion(3);
+
+/// Returns what a node knows at 1 s in the first era, confirmed then.
+fn confirmed() -> Freshness {
+    let clock = Rc::new(Clock::default());
+    clock.hear(Era(1), at(900));
+    clock.note(at(1000), at(1000), told(51_000));
+    let known = Freshness::new(clock, Rc::new(Metrics::new()), Some(BOUND));
+    assert!(known.confirm(VERSION, told(51_000), VERSION, at(1000)));
+    known
+}
+
+/// What was proved before the store came back from a copy holds for the rest of its time, by the
+/// own clock, whatever that of the store shows now.
+#[test]
+fn proof_outlasts_copy() {
+    let known = confirmed();
+    assert!(known.clock.hear(Era(2), at(3000)));
+    assert!(known.is_enough(at(3000)));
+    assert_eq!(known.as_of(), None, "others are told nothing of it");
+    known.clock.note(at(3100), at(3100), told(500));
+    assert!(known.is_enough(at(5500)));
+    assert!(!known.is_enough(at(6000)));
+}
+
+/// The copy may lack what others have: for a while nothing proves that the version is the newest.
+#[test]
+fn settles_after_copy() {
+    let known = confirmed();
+    known.clock.hear(Era(2), at(3000));
+    known.clock.note(at(3100), at(3100), told(500));
+    assert!(!known.confirm(VERSION, told(500), VERSION, at(3100)));
+    assert!(known.confirm(VERSION, told(1000), VERSION, at(3600)));
+    assert!(known.is_enough(at(7000)));
+    assert_eq!(known.as_of(), Some(told(1000)));
+}
+
+/// A node that has an older version than another one, since the copy has it.
+#[test]
+fn others_have_newer() {
+    let known = confirmed();
+    known.clock.hear(Era(2), at(3000));
+    known.clock.note(at(4000), at(4000), told(52_000));
+    known.note_newest(ConfigVersion(4));
+    assert!(!known.confirm(VERSION, told(52_000), VERSION, at(4000)));
+    assert!(known.confirm(ConfigVersion(4), told(52_000), ConfigVersion(4), at(4000)));
+}
+
+/// Without a reading of the new era its times say nothing, and what was known before goes on.
+#[test]
+fn era_without_reading() {
+    let known = confirmed();
+    known.clock.hear(Era(2), at(2000));
+    assert!(!known.confirm(VERSION, told(90_000), VERSION, at(3000)));
+    assert!(known.is_enough(at(5500)));
+    assert!(!known.is_enough(at(6000)));
+}
+
+#[test]
+fn era_is_over() {
+    let known = confirmed();
+    assert!(known.clock.hear(Era(2), at(2000)));
+    assert!(known.clock.hear(Era(3), at(2100)));
+    assert!(!known.clock.hear(Era(2), at(2200)));
+    assert!(!known.clock.hear(Era(1), at(2200)));
+    assert!(known.clock.hear(Era(3), at(2200)));
+    assert!(known.is_enough(at(5500)));
+}
+
+/// What was said ahead of the version in force goes with its era.
+#[test]
+fn ahead_of_another_era() {
+    let known = confirmed();
+    let new = ConfigVersion(4);
+    known.confirm(new, told(54_000), VERSION, at(4000));
+    known.clock.hear(Era(2), at(4100));
+    known.clock.note(at(4100), at(4100), told(54_100));
+    known.note_version(new, at(5000));
+    assert_eq!(known.as_of(), None);
+}
+
+/// A node that starts hears others before it believes what may be a copy; what they have proved it
+/// believes at once.
+#[test]
+fn starts_after_copy() {
+    let clock = Rc::new(Clock::default());
+    clock.hear(Era(2), at(900));
+    clock.note(at(1000), at(1000), told(51_000));
+    let known = Freshness::new(clock, Rc::new(Metrics::new()), Some(BOUND));
+    assert!(!known.confirm_by_store(told(51_000), VERSION, at(1000)));
+    assert!(known.confirm(VERSION, told(50_900), VERSION, at(1000)));
+    known.note_newest(ConfigVersion(4));
+    assert!(!known.confirm_by_store(told(51_500), VERSION, at(1500)));
+    let new = ConfigVersion(4);
+    assert!(known.confirm_by_store(told(51_600), new, at(1600)));
+}
--- a/crates/mesh/src/news.rs
+++ b/crates/mesh/src/news.rs
@@ -7,7 +7,7 @@
 use futures::channel::mpsc;
 use monoio::time::sleep;
 use sailtrack_quarantine::Ran;
-use sailtrack_units::{ConfigVersion, Moment, NodeName};
+use sailtrack_units::{ConfigVersion, Era, Moment, NodeName};
 use sailtrack_wire::{Evidence, Member as MemberMessage, Presence};
 
 use crate::clock;
@@ -62,11 +62,13 @@
             }
         }
         let version = ConfigVersion(presence.config_version);
-        if presence.config_as_of_ms > 0 {
+        let now = clock::now();
+        self.freshness.note_newest(version);
+        let is_of_era = self.clock.hear(Era(presence.store_era), now);
+        if presence.config_as_of_ms > 0 && is_of_era {
             let as_of = StoreTime::from_millis(presence.config_as_of_ms);
             let in_force = self.current.version();
-            self.freshness
-                .confirm(version, as_of, in_force, clock::now());
+            self.freshness.confirm(version, as_of, in_force, now);
         }
         if version > self.current.version() {
             let holder = Holder {
@@ -83,8 +85,10 @@
         self.freshness.is_wanted() && self.clock.is_old(clock::now())
     }
 
-    fn take_store_time(&self, at: Moment, at_most: StoreTime) {
-        self.clock.note_at_most(at, at_most);
+    fn take_store_time(&self, era: Era, at: Moment, at_most: StoreTime) {
+        if self.clock.hear(era, clock::now()) {
+            self.clock.note_at_most(at, at_most);
+        }
     }
 
     fn take_evidence(&self, evidence: &Evidence) {
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -167,6 +167,7 @@
         retired: table.find()?,
         reach: table.find()?,
         freshness: table.find()?,
+        clock: table.find()?,
         quota_term: Cell::new(0),
         subscribers: RefCell::default(),
     });
@@ -273,6 +274,7 @@
         store: Rc::clone(&surroundings.store),
         upstream: table.find()?,
         retired: table.find()?,
+        clock: table.find()?,
         peers: table.find()?,
         metrics: table.find()?,
         service: identity.service.clone(),
@@ -280,6 +282,7 @@
         first_start: settings.first_start,
         started: Instant::now(),
         looking: Cell::new(false),
+        acknowledged: RefCell::default(),
     });
     Ok(())
 }
--- a/crates/mesh/src/node/store.rs
+++ b/crates/mesh/src/node/store.rs
@@ -11,7 +11,7 @@
 use sailtrack_kernel::{Error, Table};
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::task;
-use sailtrack_units::Moment;
+use sailtrack_units::{Era, Moment};
 
 use crate::announcement::Announcements;
 use crate::cleanup::remove_dead;
@@ -34,6 +34,8 @@
     whole: Duration::from_millis(400),
     changes: Duration::from_millis(1500),
 };
+/// How long every node follows the configuration after the store came back from a copy.
+const COPY_TIME: Duration = Duration::from_mins(1);
 /// The pause after the own row could not be written.
 const ROW_PAUSE: Duration = Duration::from_millis(500);
 /// How long the first write of the own row holds up the reading of the others. Rows that are
@@ -50,19 +52,30 @@
     status: Rc<Status>,
     /// When an answer was asked for at once, to read the clock of the store.
     read_clock: Cell<Moment>,
+    /// The era in which the whole table was read.
+    era: Cell<Era>,
 }
 
 impl Follower for ConfigurationRows {
+    /// After a copy every node reads what is there, and follows for a while: what is written again
+    /// may repeat a version with other content, and nodes that have that version fetch no other.
     fn is_due(&self) -> bool {
-        self.watch.is_ours()
+        let copied = self.clock.copied();
+        let is_new = |copied: Moment| clock::now().since(copied) < COPY_TIME;
+        self.watch.is_ours() || self.era.get() != self.clock.era() || copied.is_some_and(is_new)
+    }
+
+    fn hear(&self, era: Era) -> bool {
+        self.clock.hear(era, clock::now())
     }
 
     fn wait(&self) -> Duration {
-        let Some(renewal) = self.freshness.renewal() else {
+        let now = clock::now();
+        let renewal = self.freshness.renewal(now);
+        let Some(renewal) = renewal.filter(|_| self.watch.is_ours()) else {
             return store::WAIT;
         };
         // An answer that waited for changes tells little of what the clock shows by now.
-        let now = clock::now();
         let was_read = now.since(self.read_clock.get()) < renewal;
         if was_read || !self.clock.is_due(now) {
             return renewal;
@@ -76,7 +89,7 @@
         let version = self.current.version();
         let is_news = self
             .freshness
-            .confirm(version, as_of, version, clock::now());
+            .confirm_by_store(as_of, version, clock::now());
         if is_news && self.freshness.is_wanted() {
             // The others count on it at once, and their callers with them.
             self.status.publish();
@@ -84,6 +97,7 @@
     }
 
     fn reset(&self, rows: &[Row]) {
+        self.era.set(self.clock.era());
         self.change(rows);
     }
 
@@ -91,7 +105,10 @@
         for row in rows {
             match &row.content {
                 // What cannot be read is logged there, and the present version stays in force.
-                Content::Text(text) => drop(self.current.offer(text, Source::Store)),
+                Content::Text(text) => {
+                    let era = self.clock.era();
+                    drop(self.current.offer(text, Source::Store(era)));
+                }
                 Content::Unreadable(reason) => self.current.refuse(reason),
                 Content::Removed => {}
             }
@@ -113,6 +130,10 @@
         !self.directory.has_own_row() || self.watch.is_ours()
     }
 
+    fn hear(&self, era: Era) -> bool {
+        self.clock.hear(era, clock::now())
+    }
+
     fn pace(&self) -> Pace {
         PACE
     }
@@ -143,6 +164,7 @@
         Rc::clone(&surroundings.store),
         table.find()?,
         table.find()?,
+        table.find()?,
         settings.forget_after.0,
     );
     task::spawn("cleanup", cleanup);
@@ -153,6 +175,14 @@
     }
     let status = table.find::<Status>()?;
     table.find::<Reach>()?.listen(move || status.publish());
+    let status = table.find::<Status>()?;
+    let directory = table.find::<Directory>()?;
+    let announcements = table.find::<Announcements>()?;
+    table.find::<Clock>()?.listen(move || {
+        directory.doubt_own_row();
+        announcements.restore();
+        status.publish();
+    });
     Ok(())
 }
 
@@ -164,6 +194,7 @@
         clock: table.find()?,
         status: table.find()?,
         read_clock: Cell::default(),
+        era: Cell::default(),
     });
     let store = Rc::clone(&surroundings.store);
     let reach = table.find::<Reach>()?;
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -178,7 +178,7 @@
         let at_most = self.clock.told_at_most(clock::now());
         Pong {
             store_at_most_ms: at_most.map_or(0, StoreTime::millis),
-            store_era: 0,
+            store_era: self.clock.era().0,
         }
     }
 
--- a/crates/mesh/src/peer/link/liveness.rs
+++ b/crates/mesh/src/peer/link/liveness.rs
@@ -11,6 +11,7 @@
 use futures::future::{Either, select};
 use monoio::time::sleep;
 use sailtrack_log::{catalogue, emit};
+use sailtrack_units::Era;
 use sailtrack_wire::{Body, Ping, Pong};
 
 use crate::clock;
@@ -50,7 +51,9 @@
         self.open_pings.set(self.open_pings.get().saturating_sub(1));
         if pong.store_at_most_ms > 0 {
             let at_most = StoreTime::from_millis(pong.store_at_most_ms);
-            self.news.take_store_time(self.first_ping.get(), at_most);
+            let era = Era(pong.store_era);
+            self.news
+                .take_store_time(era, self.first_ping.get(), at_most);
         }
     }
 
--- a/crates/mesh/src/peer/link/tests.rs
+++ b/crates/mesh/src/peer/link/tests.rs
@@ -13,7 +13,7 @@
 use sailtrack_net::frames::{FrameReader, hello, write_frames};
 use sailtrack_net::{runtime, task};
 use sailtrack_quarantine::{Caller, Hasher, Ran};
-use sailtrack_units::{Class, Incarnation, Moment, NodeName, Rank};
+use sailtrack_units::{Class, Era, Incarnation, Moment, NodeName, Rank};
 use sailtrack_wire::{Body, Evidence, Member as MemberMessage, Pong, Presence, State};
 
 use crate::clock;
@@ -47,7 +47,7 @@
         false
     }
 
-    fn take_store_time(&self, _: Moment, _: StoreTime) {}
+    fn take_store_time(&self, _: Era, _: Moment, _: StoreTime) {}
 
     fn take_evidence(&self, _evidence: &Evidence) {}
 
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -18,7 +18,7 @@
 use sailtrack_kernel::Service;
 use sailtrack_net::task;
 use sailtrack_quarantine::Ran;
-use sailtrack_units::{DomainName, Incarnation, Moment, NodeName, ServiceName};
+use sailtrack_units::{DomainName, Era, Incarnation, Moment, NodeName, ServiceName};
 use sailtrack_wire::{Evidence, Member as MemberMessage, Presence};
 
 pub(crate) use accept::Acceptor;
@@ -49,8 +49,8 @@
     /// Returns true if another node is to be asked what the store's clock shows.
     fn wants_store_time(&self) -> bool;
 
-    /// Takes in that the store's clock showed at most this at that moment.
-    fn take_store_time(&self, at: Moment, at_most: StoreTime);
+    /// Takes in that the store's clock showed at most this at that moment, in an era of the store.
+    fn take_store_time(&self, era: Era, at: Moment, at_most: StoreTime);
 
     /// Takes in what another node knows of requests that may end upstreams.
     fn take_evidence(&self, evidence: &Evidence);
--- a/crates/mesh/src/quota/allocation.rs
+++ b/crates/mesh/src/quota/allocation.rs
@@ -14,7 +14,7 @@
 use rand::Rng as _;
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
-use sailtrack_quota::{Allocator, Claim, LAPSED, LEASE, Lease, Now, Parts};
+use sailtrack_quota::{Allocator, Claim, Held, LAPSED, LEASE, Lease, Now, Parts};
 use sailtrack_units::{Incarnation, Moment, WorkspaceName};
 
 use crate::clock;
@@ -153,7 +153,11 @@
                     .peers
                     .is_in_another_life(&lease.holder, Incarnation(lease.life))
         };
+        let before = parts.era;
         let Some(lease) = parts.claim(&claim, now, is_gone) else {
+            if parts.era != before {
+                self.write(&parts, version).await?;
+            }
             let holder = parts.domains.get(&own.domain);
             let holder = holder.map_or_else(|| own.node.clone(), |one| one.lease.holder.clone());
             return Err(RoleError::Held(holder));
@@ -174,9 +178,12 @@
     async fn read(&self) -> Result<(Parts, StoreVersion, Now), RoleError> {
         let asked = clock::now();
         let reading = self.store.row(Table::Quotas, ROW).await;
-        let Reading { row, now } = reading.map_err(RoleError::Store)?;
+        let Reading { row, era, now } = reading.map_err(RoleError::Store)?;
         let told = now.ok_or(RoleError::NoTime)?;
         let answered = clock::now();
+        if !self.quotas.clock.hear(era, answered) {
+            return Err(RoleError::Store(StoreError::HistoryGone));
+        }
         self.quotas.clock.note(asked, answered, told);
         let at_most = self.quotas.clock.at_most(answered);
         let now = Now {
@@ -184,7 +191,8 @@
             at_most_ms: at_most.unwrap_or(told).millis(),
         };
         let Some(row) = row else {
-            return Ok((Parts::default(), StoreVersion::default(), now));
+            let version = StoreVersion { era, number: 0 };
+            return Ok((Parts::default(), version, now));
         };
         let parts: Result<Parts, RoleError> = match &row.content {
             Content::Text(text) => {
@@ -208,6 +216,10 @@
 
     /// Writes the row if nobody else has written it since.
     async fn write(&self, parts: &Parts, version: StoreVersion) -> Result<(), RoleError> {
+        // In another era that version may be of another row.
+        if version.era != self.quotas.clock.era() {
+            return Err(RoleError::Store(StoreError::Conflict));
+        }
         let text =
             serde_json::to_string(parts).map_err(|error| RoleError::Row(error.to_string()))?;
         let written = self.store.replace(Table::Quotas, ROW, &text, version);
@@ -234,12 +246,30 @@
             node: place.node.clone(),
             life: place.life.0,
             is_new: term.is_none(),
+            era: self.quotas.clock.era().0,
+            knows_copy: self.quotas.clock.copied().is_some(),
+            held: self.held(term.as_ref()),
             domains: self.peers.domains_beside(&place.domain) + 1,
             demand: rounded(demand),
             limited,
         }
     }
 
+    /// Returns what this node has as the allocator, whatever the store has.
+    fn held(&self, term: Option<&Term>) -> Option<Held> {
+        let now = clock::now();
+        let term = term.filter(|term| self.quotas.is_valid(term, now))?;
+        let parts = self.quotas.limits.borrow();
+        let parts = parts.keys().map(|workspace| {
+            let part = term.allocator.part(workspace);
+            (workspace.clone(), part)
+        });
+        Some(Held {
+            term: term.number,
+            parts: parts.collect(),
+        })
+    }
+
     fn enter(&self, lease: &Lease, parts: &Parts, asked: Moment) {
         let now = clock::now();
         let expiry = Expiry::new(lease, asked);
--- a/crates/mesh/src/quota/expiry.rs
+++ b/crates/mesh/src/quota/expiry.rs
@@ -4,7 +4,7 @@
 mod tests;
 
 use sailtrack_quota::{LEASE, Lease};
-use sailtrack_units::Moment;
+use sailtrack_units::{Era, Moment};
 
 use crate::store::{CLOCK_ERROR, Clock, StoreTime};
 
@@ -13,6 +13,8 @@
 pub(super) struct Expiry {
     /// By the store's clock,
     until: StoreTime,
+    /// in this era,
+    era: Era,
     /// and by the own one, should that of the store begin anew.
     until_here: Moment,
 }
@@ -22,6 +24,7 @@
     pub(super) fn new(lease: &Lease, asked: Moment) -> Self {
         Self {
             until: StoreTime::from_millis(lease.until_ms),
+            era: Era(lease.era),
             until_here: asked + LEASE,
         }
     }
@@ -29,8 +32,15 @@
     /// Returns true while the lease surely holds, also if the bound on the store's clock is as much
     /// too low as it may be: another node takes the lease once the store shows its end.
     pub(super) fn is_ahead(&self, clock: &Clock, now: Moment) -> bool {
+        if now + CLOCK_ERROR >= self.until_here {
+            return false;
+        }
+        // After a copy nobody takes the lease before its time is over by any clock.
+        if clock.era() != self.era {
+            return true;
+        }
         let at_most = clock.at_most(now);
         let is_ahead = |at_most: StoreTime| at_most.0 + CLOCK_ERROR < self.until.0;
-        now < self.until_here && at_most.is_some_and(is_ahead)
+        at_most.is_some_and(is_ahead)
     }
 }
--- a/crates/mesh/src/quota/expiry/tests.rs
+++ b/crates/mesh/src/quota/expiry/tests.rs
@@ -15,6 +15,7 @@
         life: 1,
         term: 1,
         until_ms: until.millis(),
+        era: 0,
     }
 }
 
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -16,7 +16,7 @@
 use crate::freshness::Freshness;
 use crate::gate::Upstream;
 use crate::retired::Retired;
-use crate::store::{Reach, StoreTime};
+use crate::store::{Clock, Reach, StoreTime};
 
 /// The most other nodes of which a node that connects is told. With all of them, a start of 300
 /// nodes at once moved 7 MB to and from each; some of each node that one meets make all known.
@@ -33,6 +33,7 @@
     pub(crate) retired: Rc<Retired>,
     pub(crate) reach: Rc<Reach>,
     pub(crate) freshness: Rc<Freshness>,
+    pub(crate) clock: Rc<Clock>,
     /// The term of this node as the allocator of its failure domain's tokens; zero if it is not.
     pub(crate) quota_term: Cell<u64>,
     pub(crate) subscribers: RefCell<Vec<mpsc::Sender<Body>>>,
@@ -70,7 +71,7 @@
             store_lost: self.reach.is_lost(),
             config_as_of_ms: self.freshness.as_of().map_or(0, StoreTime::millis),
             quota_term: self.quota_term.get(),
-            store_era: 0,
+            store_era: self.clock.era().0,
             pace_percent: 0,
         }
     }
--- a/crates/mesh/src/store/clock.rs
+++ b/crates/mesh/src/store/clock.rs
@@ -13,17 +13,18 @@
 #[cfg(test)]
 pub(crate) mod tests;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use sailtrack_kernel::Service;
-use sailtrack_units::Moment;
+use sailtrack_log::{catalogue, emit};
+use sailtrack_units::{Era, Moment};
 
 /// What the store's clock may be off by in an answer: it is told in hundredths of a second.
 const RESOLUTION: Duration = Duration::from_millis(20);
 /// How far the two clocks may drift apart, in parts of the time passed: 5,000 in a million, as a
 /// virtual machine that catches up on lost time does, and some room.
-const DRIFT: f64 = 6e-3;
+pub(crate) const DRIFT: f64 = 6e-3;
 /// How far the two clocks may jump apart at once.
 const JUMP: Duration = Duration::from_millis(50);
 
@@ -98,15 +99,68 @@
 /// What this node knows of the clock of the store.
 ///
 /// Of the readings it keeps those that are the closest now or once closer ones are old.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(crate) struct Clock {
+    era: Cell<Era>,
+    /// When this node heard of the first era,
+    met: Cell<Option<Moment>>,
+    /// and last that the store came back from a copy.
+    copied: Cell<Option<Moment>>,
     readings: RefCell<Vec<Reading>>,
+    listeners: RefCell<Vec<Box<dyn Fn()>>>,
 }
 
 impl Service for Clock {
     const NAME: &'static str = "store-clock";
 }
 
+/// The eras of the store.
+impl Clock {
+    /// Takes in that the store, or another node, told an era; returns false if that is over.
+    ///
+    /// Readings of the era before say nothing of the clock in this one, which may have gone back.
+    pub(crate) fn hear(&self, era: Era, now: Moment) -> bool {
+        let known = self.era.get();
+        if era <= known {
+            return era == known;
+        }
+        let is_first = known == Era::default() && self.readings.borrow().is_empty();
+        self.era.set(era);
+        self.readings.borrow_mut().clear();
+        if is_first {
+            self.met.set(Some(now));
+        } else {
+            self.copied.set(Some(now));
+            emit(&catalogue::STORE_COPIED, &[("era", &era)]);
+            for copied in self.listeners.borrow().iter() {
+                copied();
+            }
+        }
+        true
+    }
+
+    /// Calls `copied` whenever the store came back from a copy.
+    pub(crate) fn listen(&self, copied: impl Fn() + 'static) {
+        self.listeners.borrow_mut().push(Box::new(copied));
+    }
+
+    /// Returns the latest era that was heard of; zero if the store tells none.
+    pub(crate) fn era(&self) -> Era {
+        self.era.get()
+    }
+
+    /// Returns when this node heard of the first era.
+    pub(crate) fn met(&self) -> Option<Moment> {
+        self.met.get()
+    }
+
+    /// Returns when this node heard last that the store came back from a copy.
+    pub(crate) fn copied(&self) -> Option<Moment> {
+        self.copied.get()
+    }
+}
+
+/// The readings of the present era.
 impl Clock {
     /// Takes in that the store told this time, asked and answered at these moments.
     ///
--- a/crates/mesh/src/store/mirror.rs
+++ b/crates/mesh/src/store/mirror.rs
@@ -8,7 +8,7 @@
 use rand::Rng as _;
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
-use sailtrack_units::Moment;
+use sailtrack_units::{Era, Moment};
 
 use crate::clock;
 use crate::store::{Row, Store, StoreError, StoreTime, StoreVersion, Table};
@@ -54,6 +54,9 @@
         WAIT
     }
 
+    /// The store answered in this era; returns false if that is over.
+    fn hear(&self, era: Era) -> bool;
+
     /// Everything up to a time of the store's clock was told; the call was made at `asked`.
     fn confirm(&self, _asked: Moment, _as_of: StoreTime) {}
 
@@ -158,19 +161,19 @@
 ) -> Result<StoreVersion, StoreError> {
     let asked = clock::now();
     let told = match at {
-        None => {
-            let told = store.rows(table).await?;
-            follower.reset(&told.rows);
-            told
-        }
-        Some(after) => {
-            let told = store.changes(table, after, follower.wait()).await?;
-            if !told.rows.is_empty() {
-                follower.change(&told.rows);
-            }
-            told
-        }
+        None => store.rows(table).await?,
+        Some(after) => store.changes(table, after, follower.wait()).await?,
     };
+    let is_other_era = at.is_some_and(|at| at.era != told.version.era);
+    // Numbers are given out again after a copy, so what changed since one does not tell the rest.
+    if !follower.hear(told.version.era) || is_other_era {
+        return Err(StoreError::HistoryGone);
+    }
+    match at {
+        None => follower.reset(&told.rows),
+        Some(_) if told.rows.is_empty() => {}
+        Some(_) => follower.change(&told.rows),
+    }
     if let Some(as_of) = told.now.filter(|_| told.is_whole) {
         follower.confirm(asked, as_of);
     }
--- a/crates/mesh/src/store/mod.rs
+++ b/crates/mesh/src/store/mod.rs
@@ -7,9 +7,10 @@
 
 use displaydoc::Display;
 use futures::future::LocalBoxFuture;
+use sailtrack_units::Era;
 
 pub use clock::StoreTime;
-pub(crate) use clock::{Clock, ERROR as CLOCK_ERROR};
+pub(crate) use clock::{Clock, DRIFT as CLOCK_DRIFT, ERROR as CLOCK_ERROR};
 pub(crate) use mirror::{Follower, Pace, Reach, WAIT, follow};
 
 /// The tables that the mesh uses.
@@ -26,8 +27,15 @@
 }
 
 /// The version of the whole store after a transaction.
+///
+/// A store that comes back from a copy gives numbers out again; the later era is the later version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
-pub struct StoreVersion(pub u64);
+pub struct StoreVersion {
+    /// The era of the store.
+    pub era: Era,
+    /// The number within it.
+    pub number: u64,
+}
 
 /// What a row holds.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -69,6 +77,8 @@
 pub struct Reading {
     /// The row, if it is there.
     pub row: Option<Row>,
+    /// The era of the store.
+    pub era: Era,
     /// What the clock of the store showed then, if it tells that.
     pub now: Option<StoreTime>,
 }
@@ -80,7 +90,7 @@
     Unanswered(String),
     /// the store refuses at present, with status {0}; nothing was done
     Refused(u16),
-    /// the store no longer has the history that was asked for
+    /// the store does not have the history that was asked for: no longer, or not in this era
     HistoryGone,
     /// a row has another version than was required
     Conflict,
--- a/crates/mesh/src/wake/tests.rs
+++ b/crates/mesh/src/wake/tests.rs
@@ -6,7 +6,7 @@
 
 use sailtrack_net::runtime;
 use sailtrack_quarantine::Ran;
-use sailtrack_units::{Moment, NodeName};
+use sailtrack_units::{Era, Moment, NodeName};
 use sailtrack_wire::{Evidence, Member as MemberMessage, Presence};
 
 use crate::clock::suspend;
@@ -33,7 +33,7 @@
         false
     }
 
-    fn take_store_time(&self, _: Moment, _: StoreTime) {}
+    fn take_store_time(&self, _: Era, _: Moment, _: StoreTime) {}
 
     fn take_evidence(&self, _evidence: &Evidence) {}
 
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -21,4 +21,4 @@
 pub use allocator::{Allocator, Grant, Holder, Want};
 pub use cache::{Cache, Taken};
 pub use limit::{Limit, Tolerance};
-pub use parts::{Claim, Domain, LAPSED, LEASE, Lease, Now, Parts};
+pub use parts::{Claim, Domain, Held, LAPSED, LEASE, Lease, Now, Parts};
--- a/crates/quota/src/parts.rs
+++ b/crates/quota/src/parts.rs
@@ -41,6 +41,9 @@
     pub term: u64,
     /// When it ends, in milliseconds of the store's clock.
     pub until_ms: u64,
+    /// The era of the store in which it was given.
+    #[serde(default)]
+    pub era: u64,
 }
 
 impl Lease {
@@ -68,6 +71,22 @@
 pub struct Parts {
     /// The domains that had an allocator lately.
     pub domains: BTreeMap<DomainName, Domain>,
+    /// The era of the store in which it was last written.
+    #[serde(default)]
+    pub era: u64,
+    /// When it was first written after the store came back from a copy, in milliseconds of the store's
+    /// clock; zero if that was not seen.
+    #[serde(default)]
+    pub copied_ms: u64,
+}
+
+/// What an allocator has, as it knows itself.
+#[derive(Debug, Clone)]
+pub struct Held {
+    /// Its term,
+    pub term: u64,
+    /// and the parts by which it gives tokens.
+    pub parts: BTreeMap<WorkspaceName, f64>,
 }
 
 /// What an allocator, or a node that wants to be one, says of itself.
@@ -83,6 +102,12 @@
     pub domains: usize,
     /// It is not the allocator yet, so it knows no demand.
     pub is_new: bool,
+    /// The era of the store,
+    pub era: u64,
+    /// and whether the node has seen an earlier one.
+    pub knows_copy: bool,
+    /// What it has while its lease holds.
+    pub held: Option<Held>,
     /// The requests a second that nodes of its domain see.
     pub demand: BTreeMap<WorkspaceName, f64>,
     /// The workspaces that have limits.
@@ -109,10 +134,15 @@
         now: Now,
         is_gone: impl Fn(&Lease) -> bool,
     ) -> Option<Lease> {
+        self.note_era(claim, now);
         self.forget_lapsed(claim, now);
         let claim = &self.complete(claim);
         let before = self.domains.get(&claim.domain);
-        let term = match before.map(|domain| &domain.lease) {
+        let lease = before.map(|domain| &domain.lease);
+        let is_lost = self.is_settling(now) && lease.is_none_or(|lease| lease.era != self.era);
+        let term = match lease {
+            // The copy does not know who had the role last; that node does.
+            _ if is_lost => claim.held.as_ref()?.term,
             None => 1,
             Some(lease) if lease.holder == claim.node && lease.life == claim.life => lease.term,
             Some(lease) if lease.has_ended(now) || is_gone(lease) => lease.term + 1,
@@ -123,9 +153,14 @@
             life: claim.life,
             term,
             until_ms: now.at_most_ms + millis(LEASE),
+            era: self.era,
         };
         let parts = claim.limited.iter().map(|workspace| {
-            let part = self.next_part(claim, workspace);
+            let part = if self.is_settling(now) {
+                self.settled_part(claim, workspace)
+            } else {
+                self.next_part(claim, workspace)
+            };
             (workspace.clone(), part)
         });
         let domain = Domain {
@@ -171,6 +206,35 @@
         claim
     }
 
+    /// Takes in the era of the store. What was written in an earlier one is a copy: it may lack the
+    /// last allocators of domains, and the last parts that they took.
+    fn note_era(&mut self, claim: &Claim, now: Now) {
+        if self.era == claim.era {
+            return;
+        }
+        // A row that nobody wrote may be the first one, or lost.
+        let is_copy = self.era > 0 || claim.knows_copy;
+        self.era = claim.era;
+        self.copied_ms = if is_copy { now.at_most_ms } else { 0 };
+    }
+
+    /// Returns true for as long as what the copy lacks may be in use: until the leases of before have
+    /// ended, and the tokens given by them. Until then only those who hold a lease go on, each with
+    /// the parts that it has, and those whom they hand it over.
+    fn is_settling(&self, now: Now) -> bool {
+        let end = self.copied_ms + millis(LEASE) + millis(LAPSED);
+        self.copied_ms > 0 && now.at_least_ms < end
+    }
+
+    /// Returns the part of a domain while parts are not moved.
+    fn settled_part(&self, claim: &Claim, workspace: &WorkspaceName) -> f64 {
+        let held = claim.held.as_ref().map(|held| held.parts.get(workspace));
+        match held {
+            Some(part) => part.copied().unwrap_or(0.0),
+            None => self.part(&claim.domain, workspace),
+        }
+    }
+
     fn forget_lapsed(&mut self, claim: &Claim, now: Now) {
         self.domains.retain(|name, domain| {
             let end = domain.lease.until_ms + millis(LAPSED);
--- a/crates/quota/tests/world/mod.rs
+++ b/crates/quota/tests/world/mod.rs
@@ -262,6 +262,9 @@
             life: 1,
             is_new: self.allocators[domain].is_none(),
             domains: self.allocators.len(),
+            era: 0,
+            knows_copy: false,
+            held: None,
             demand: demand.into_iter().collect(),
             limited: self.limits.keys().cloned().collect(),
         };
