Placement: the choice of an upstream as code of its own

Cause: a list of all upstreams of a service is built and shuffled for each request, two of it are compared by time and load whatever the kind, and a domain that is not heard from counts as empty, so that full domains send each other the same load.

Change: crates/placement, without sockets and clock: learned speed beside the others of the service with the kind taken out, pace and pressure with their age, a price of room that is the same for short and long work, the share of a kind that ends late at an upstream, six draws and the two best of lately, levels of domains. Not used by nodes yet.

--- /dev/null
+++ b/crates/placement/src/candidate.rs
@@ -0,0 +1,66 @@
+//! An upstream that may get a request, with what speaks for and against it.
+
+use rand::Rng;
+
+use crate::need::Need;
+
+/// The greatest share of failures that counts.
+const MOST_FAILING: f64 = 0.9;
+/// What one more request costs the others of an upstream, in times of what takes its slots. It
+/// grows slowly while there is room, so that quick upstreams are filled first,
+const CROWD: f64 = 0.5;
+/// steeply from here on,
+const CROWDED_FROM: f64 = 0.75;
+/// to this at the last free slot, so that the others are used before a queue begins,
+const CROWDED: f64 = 1.5;
+/// and by this for each full set of slots that waits.
+const QUEUED: f64 = 8.0;
+
+/// By how much an upstream may be fuller or emptier than it was told, as a share: others sent there
+/// since. Each request draws it, so that many senders with the same news do not all choose the same.
+const DOUBT: f64 = 0.2;
+
+/// An upstream that may get a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate {
+    /// Whether it did not fail too often lately.
+    pub is_available: bool,
+    /// What runs and waits there, as a share of its slots.
+    pub pressure: f64,
+    /// The share of its requests that failed lately.
+    pub failing: f64,
+    /// How many times as long as the others of its service it takes at this moment.
+    pub slowness: f64,
+}
+
+impl Candidate {
+    /// Returns it with a pressure as it may be now.
+    pub(crate) fn doubted(&self, random: &mut impl Rng) -> Self {
+        let pressure = self.pressure * random.random_range(1.0 - DOUBT..1.0 + DOUBT);
+        Self { pressure, ..*self }
+    }
+
+    /// Returns what a request costs there, in seconds.
+    pub(crate) fn cost(&self, need: &Need) -> f64 {
+        let served = 1.0 - self.failing.min(MOST_FAILING);
+        let time = need.mean * self.slowness + need.occupied * self.crowd();
+        // A node that fails a share of its requests costs as many repeats.
+        time / served.powi(2) + self.late(need) * need.left
+    }
+
+    /// Returns the share of such requests that does not end in time there.
+    pub(crate) fn late(&self, need: &Need) -> f64 {
+        need.late(self.slowness * (1.0 + (self.pressure - 1.0).max(0.0)))
+    }
+
+    /// Returns the share of such requests from which the caller gets nothing.
+    pub(crate) fn lost(&self, need: &Need) -> f64 {
+        self.failing + self.late(need)
+    }
+
+    fn crowd(&self) -> f64 {
+        let crowded = ((self.pressure - CROWDED_FROM) / (1.0 - CROWDED_FROM)).clamp(0.0, 1.0);
+        let queued = (self.pressure - 1.0).max(0.0);
+        CROWD * self.pressure + CROWDED * crowded.powi(2) + QUEUED * queued
+    }
+}
--- /dev/null
+++ b/crates/placement/src/news.rs
@@ -0,0 +1,64 @@
+//! What an upstream said last of itself, and how much of it still counts.
+
+use std::time::{Duration, Instant};
+
+use sailtrack_admission::Pressure;
+use sailtrack_units::Pace;
+
+use crate::level::Level;
+
+/// A pace is taken at its word for this long.
+const PACE_HOLD: Duration = Duration::from_millis(100);
+/// After that half of what it differs from the usual is left each time this has passed: neighbours
+/// on an instance come and go within some tenths of a second.
+const PACE_HALF_LIFE: Duration = Duration::from_millis(200);
+
+/// What an upstream said last of itself.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct News {
+    pressure: Option<(Pressure, Instant)>,
+    /// The requests that were on their way from here when the pressure was told.
+    outstanding: u32,
+    pace: Option<(Pace, Instant)>,
+}
+
+impl News {
+    /// Notes how full the upstream is, while `outstanding` requests were on their way from here.
+    pub fn note_pressure(&mut self, now: Instant, pressure: Pressure, outstanding: u32) {
+        self.pressure = Some((pressure, now));
+        self.outstanding = outstanding;
+    }
+
+    /// Notes how long work takes on the instance of the upstream.
+    pub fn note_pace(&mut self, now: Instant, pace: Pace) {
+        self.pace = Some((pace, now));
+    }
+
+    /// Returns how full the upstream is, with what went there from here since it was told.
+    ///
+    /// As what was told gets old, the upstream is taken to be like the others of its side: taken
+    /// to be empty, two failure domains would each send to the other what both have no room for.
+    #[must_use]
+    pub fn pressure(&self, now: Instant, outstanding: u32, slots: u32, level: &Level) -> Pressure {
+        let own = Pressure::of(outstanding as usize, slots as usize);
+        let Some((told, heard)) = self.pressure else {
+            return Pressure(level.at(now)).greater(own);
+        };
+        let since = outstanding.saturating_sub(self.outstanding);
+        let added = Pressure::of(since as usize, slots as usize);
+        let news = Pressure(1.0).faded(heard, now).0;
+        let there = told.0 * news + level.at(now) * (1.0 - news);
+        Pressure(there + added.0).greater(own)
+    }
+
+    /// Returns how many times as long as usual work takes there, as far as that is still known.
+    #[must_use]
+    pub fn pace(&self, now: Instant) -> f64 {
+        let Some((pace, heard)) = self.pace else {
+            return 1.0;
+        };
+        let age = now.saturating_duration_since(heard);
+        let halvings = age.saturating_sub(PACE_HOLD).as_secs_f64() / PACE_HALF_LIFE.as_secs_f64();
+        1.0 + (pace.factor() - 1.0) * 0.5f64.powf(halvings)
+    }
+}
