Nodes choose by expected finish: the choice of crates/placement in place of two shuffled candidates

Learned time of a node was that of whatever kinds it got, was forgotten after 2 s, and a request that was given up on told nothing.

Change: links are kept by service and side of the own failure domain; a choice draws from them. What is learned of a node is its speed with the kind taken out; news of a node fade to the level of its side, not to nothing; a request that is dropped late counts as slow.

--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -150,12 +150,12 @@
                 .routing
                 .preferred(&work.service, &tries.nodes, &work.identity);
         }
-        let target = self.routing.choose(&work.service, &tries.nodes);
+        let target = self.routing.choose(work, &tries.nodes);
         if target.is_some() || tries.turned_away == 0 || tries.ran.is_some() {
             return target;
         }
         tries.nodes.clear();
-        self.routing.choose(&work.service, &tries.nodes)
+        self.routing.choose(work, &tries.nodes)
     }
 
     /// Returns true if the request may be sent to one more upstream.
@@ -180,7 +180,7 @@
     }
 
     async fn attempt(&self, work: &Work, target: &Target) -> Returned {
-        let outstanding = self.routing.begin(target);
+        let outstanding = self.routing.begin(work, target);
         let returned = match target {
             Target::Local => self.gate.run(work.clone()).await,
             Target::Remote(link) => attempt_remote(work, link).await,
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -12,7 +12,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 use sailtrack_kernel::Service;
-use sailtrack_units::{KindName, ServiceName};
+use sailtrack_units::{KindName, NodeName, ServiceName};
 use sailtrack_wire::{Outcome, Reason};
 
 use crate::work::Returned;
@@ -24,6 +24,9 @@
 /// The most different kinds that are counted apart; a configuration may have some hundred routes.
 const MOST_KINDS: usize = 600;
 
+/// The most upstreams of which speed and pace are shown.
+const MOST_UPSTREAMS: usize = 256;
+
 /// The part of the node at which a request ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) enum Stage {
@@ -54,6 +57,24 @@
     service: String,
 }
 
+/// The labels of what is shown for each other node.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct NodeLabels {
+    node: String,
+    service: String,
+}
+
+/// What is shown of the upstream beside another node.
+#[derive(Debug, Clone)]
+pub(crate) struct Shown {
+    pub(crate) node: NodeName,
+    pub(crate) service: ServiceName,
+    /// How many times as long as the others of its service it takes.
+    pub(crate) slowness: f64,
+    /// How many times as long as usual work takes on its instance.
+    pub(crate) pace: f64,
+}
+
 /// Values that are read at the time of a scrape.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Snapshot {
@@ -107,6 +128,8 @@
     outdated_keys: Counter<u64, AtomicU64>,
     over_quota: Counter<u64, AtomicU64>,
     times: Family<KindLabels, Histogram>,
+    slowness: Family<NodeLabels, Gauge>,
+    pace: Family<NodeLabels, Gauge>,
     gauges: Gauges,
 }
 
@@ -161,6 +184,12 @@
         );
         let help = "Time from a request of a client to its answer";
         registry.register_with_unit("answer", help, Unit::Seconds, times.clone());
+        let slowness = Family::<NodeLabels, Gauge>::default();
+        let help = "Time of an upstream beside the others of its service, in percent";
+        registry.register("upstream_slowness_percent", help, slowness.clone());
+        let pace = Family::<NodeLabels, Gauge>::default();
+        let help = "Time that work takes on the instance of an upstream, in percent of the usual";
+        registry.register("upstream_pace_percent", help, pace.clone());
         let gauges = register_gauges(&mut registry);
         Self {
             registry,
@@ -173,6 +202,8 @@
             outdated_keys,
             over_quota,
             times,
+            slowness,
+            pace,
             gauges,
         }
     }
@@ -244,6 +275,21 @@
         }
     }
 
+    /// Shows what is known of upstreams to which requests were sent, and of no others.
+    pub(crate) fn show(&self, upstreams: &[Shown]) {
+        self.slowness.clear();
+        self.pace.clear();
+        for shown in upstreams.iter().take(MOST_UPSTREAMS) {
+            let labels = NodeLabels {
+                node: shown.node.to_string(),
+                service: shown.service.to_string(),
+            };
+            let slowness = percent(shown.slowness);
+            self.slowness.get_or_create(&labels).set(slowness);
+            self.pace.get_or_create(&labels).set(percent(shown.pace));
+        }
+    }
+
     /// Returns everything in the text format of Prometheus.
     pub(crate) fn text(&self, snapshot: &Snapshot) -> String {
         for (gauge, value) in &self.gauges {
@@ -256,6 +302,11 @@
     }
 }
 
+#[allow(clippy::cast_possible_truncation)]
+fn percent(factor: f64) -> i64 {
+    (factor * 100.0).round() as i64
+}
+
 fn counter(
     registry: &mut Registry,
     name: &'static str,
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -32,7 +32,7 @@
 use crate::ready::ReadyPort;
 use crate::retired::Retired;
 use crate::retry::Budget;
-use crate::routing::Routing;
+use crate::routing::{Learned, Routing};
 use crate::scrape::MetricsPort;
 use crate::settings::Settings;
 use crate::status::Status;
@@ -186,7 +186,9 @@
         clock: table.find()?,
         holders: RefCell::new(holders),
     });
-    let peers = table.install(Peers::new(settings.ports.peer.ip(), listener));
+    let domain = settings.identity.domain.clone();
+    let peers = Peers::new(settings.ports.peer.ip(), domain, listener);
+    let peers = table.install(peers);
     table.install(Wake::new(Rc::clone(&peers)));
     let identity = &settings.identity;
     table.install(Watch::new(
@@ -222,14 +224,15 @@
         .memory(table.find()?, table.find()?)
         .reports(table.find()?, table.find()?);
     table.install(gate.build());
+    let peers: Rc<Peers> = table.find()?;
     table.install(Routing {
         name: identity.name.clone(),
         service: identity.service.clone(),
-        domain: identity.domain.clone(),
-        peers: table.find()?,
+        local: peers.own_load(&identity.service),
+        peers,
         upstream: table.find()?,
         admission: table.find()?,
-        local: Rc::default(),
+        learned: Learned::default(),
     });
     table.install(Dispatcher {
         routing: table.find()?,
--- a/crates/mesh/src/peer/link/mod.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -17,7 +17,7 @@
 use futures::channel::{mpsc, oneshot};
 use monoio::time::{sleep, timeout};
 use sailtrack_quarantine::Ran;
-use sailtrack_units::{ConfigVersion, Incarnation, Moment};
+use sailtrack_units::{ConfigVersion, Incarnation, Moment, Pace};
 use sailtrack_wire::{
     Body, Cancel, Chunk, Config, Fetch, Grant, Presence, Reason, Recall, Reply, Retire, State,
     TokenAnswer, TokenQuestion,
@@ -385,7 +385,10 @@
         self.store_lost.set(presence.store_lost);
         self.quota_term.set(presence.quota_term);
         let percent = presence.pressure_percent;
-        self.load.borrow_mut().note_told(Instant::now(), percent);
+        let pace = Pace::from_percent(presence.pace_percent).ok();
+        let mut load = self.load.borrow_mut();
+        load.note_told(Instant::now(), percent, pace);
+        drop(load);
         self.news.take(&self.member.name, presence);
         if self.news.wants_store_time() && self.open_pings.get() == 0 {
             self.ping();
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -6,7 +6,7 @@
 mod parts;
 mod source;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -17,6 +17,7 @@
 use rand::seq::IteratorRandom as _;
 use sailtrack_kernel::Service;
 use sailtrack_net::task;
+use sailtrack_placement::Level;
 use sailtrack_quarantine::Ran;
 use sailtrack_units::{DomainName, Incarnation, Moment, NodeName, ServiceName};
 use sailtrack_wire::{Evidence, Member as MemberMessage, Presence};
@@ -27,6 +28,7 @@
 use crate::directory::{Member, Observer};
 use crate::key::UpstreamKey;
 use crate::life;
+use crate::routing::PeerLoad;
 use crate::store::StoreTime;
 use crate::watch::Place;
 
@@ -59,12 +61,26 @@
     fn take_lost(&self, upstream: &UpstreamKey, ran: &[Ran]);
 }
 
+/// The links to the nodes of one service.
+#[derive(Clone, Default)]
+pub(crate) struct Placed {
+    /// Those in the own failure domain,
+    pub(crate) near: Vec<Rc<Link>>,
+    /// and those in the others.
+    pub(crate) far: Vec<Rc<Link>>,
+    /// How full the near ones are together,
+    pub(crate) near_level: Rc<Cell<Level>>,
+    /// and the far ones.
+    pub(crate) far_level: Rc<Cell<Level>>,
+}
+
 /// The links to all nodes that are known.
 pub(crate) struct Peers {
     source: IpAddr,
+    domain: DomainName,
     news: Rc<dyn News>,
     links: RefCell<BTreeMap<NodeName, Rc<Link>>>,
-    by_service: RefCell<BTreeMap<ServiceName, Vec<Rc<Link>>>>,
+    by_service: RefCell<BTreeMap<ServiceName, Rc<Placed>>>,
 }
 
 impl Service for Peers {
@@ -72,9 +88,10 @@
 }
 
 impl Peers {
-    pub(crate) fn new(source: IpAddr, news: Rc<dyn News>) -> Self {
+    pub(crate) fn new(source: IpAddr, domain: DomainName, news: Rc<dyn News>) -> Self {
         Self {
             source,
+            domain,
             news,
             links: RefCell::default(),
             by_service: RefCell::default(),
@@ -82,9 +99,22 @@
     }
 
     /// Returns the links to the nodes of a service.
-    pub(crate) fn of_service(&self, service: &ServiceName) -> Vec<Rc<Link>> {
-        let by_service = self.by_service.borrow();
-        by_service.get(service).cloned().unwrap_or_default()
+    pub(crate) fn of_service(&self, service: &ServiceName) -> Option<Rc<Placed>> {
+        self.by_service.borrow().get(service).cloned()
+    }
+
+    /// Returns what is kept about the own upstream, which counts among the near ones.
+    pub(crate) fn own_load(&self, service: &ServiceName) -> Rc<RefCell<PeerLoad>> {
+        let mut by_service = self.by_service.borrow_mut();
+        let placed = by_service.entry(service.clone()).or_default();
+        Rc::new(RefCell::new(PeerLoad::beside(&placed.near_level)))
+    }
+
+    /// Returns the links to nodes whose upstreams this node has sent requests to.
+    pub(crate) fn used(&self) -> Vec<Rc<Link>> {
+        let links = self.links.borrow();
+        let used = links.values().filter(|link| link.load.borrow().is_known());
+        used.cloned().collect()
     }
 
     /// Returns the link to a node.
@@ -183,8 +213,10 @@
         if let Some(link) = self.links.borrow_mut().remove(name) {
             link.close();
             let mut by_service = self.by_service.borrow_mut();
-            if let Some(links) = by_service.get_mut(&link.member.service) {
-                links.retain(|other| other.member.name != *name);
+            if let Some(placed) = by_service.get_mut(&link.member.service) {
+                let placed = Rc::make_mut(placed);
+                placed.near.retain(|other| other.member.name != *name);
+                placed.far.retain(|other| other.member.name != *name);
             }
         }
     }
@@ -195,7 +227,14 @@
         self.drop_link(&member.name);
         let link = Link::new(Rc::clone(member), self.source, Rc::clone(&self.news));
         let mut by_service = self.by_service.borrow_mut();
-        let links = by_service.entry(member.service.clone()).or_default();
+        let placed = by_service.entry(member.service.clone()).or_default();
+        let placed = Rc::make_mut(placed);
+        let (links, level) = if member.domain == self.domain {
+            (&mut placed.near, &placed.near_level)
+        } else {
+            (&mut placed.far, &placed.far_level)
+        };
+        link.load.replace(PeerLoad::beside(level));
         links.push(Rc::clone(&link));
         let name = member.name.clone();
         self.links.borrow_mut().insert(name, Rc::clone(&link));
--- /dev/null
+++ b/crates/mesh/src/routing/learned.rs
@@ -0,0 +1,42 @@
+//! What a node has learned about the services that it sends requests to.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use sailtrack_placement::{Recent, Times};
+use sailtrack_units::ServiceName;
+
+/// The most services of which something is remembered, many times those of a deployment.
+const MOST_SERVICES: usize = 512;
+
+/// What is known of one service.
+#[derive(Default)]
+pub(crate) struct Learning {
+    /// How long its answers take, by kind.
+    pub(crate) times: RefCell<Times>,
+    /// Which of its upstreams were the best lately.
+    pub(crate) recent: Recent,
+}
+
+/// What is known of the services.
+#[derive(Default)]
+pub(crate) struct Learned {
+    services: RefCell<HashMap<ServiceName, Rc<Learning>>>,
+}
+
+impl Learned {
+    /// Returns what is known of a service.
+    pub(crate) fn of(&self, service: &ServiceName) -> Rc<Learning> {
+        let mut services = self.services.borrow_mut();
+        if let Some(learning) = services.get(service) {
+            return Rc::clone(learning);
+        }
+        if services.len() >= MOST_SERVICES {
+            services.clear();
+        }
+        let learning = Rc::<Learning>::default();
+        services.insert(service.clone(), Rc::clone(&learning));
+        learning
+    }
+}
--- a/crates/mesh/src/routing/load.rs
+++ b/crates/mesh/src/routing/load.rs
@@ -3,24 +3,21 @@
 #[cfg(test)]
 mod tests;
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use sailtrack_admission::Pressure;
+use sailtrack_placement::{Candidate, Level, News, Sample, Speed, Times};
+use sailtrack_units::{KindName, Pace};
 use sailtrack_wire::{Outcome, Reason};
 
 use crate::work::Returned;
 
-/// The weight of the newest answer in the averages.
+/// The weight of the newest answer in the share of failures.
 const NEWEST_WEIGHT: f64 = 0.1;
-/// After this time without an answer nothing is known about how long one takes.
-const TIME_MEMORY: Duration = Duration::from_secs(2);
 /// After this time without requests half of the failures count.
 const FAILING_HALF_LIFE: Duration = Duration::from_secs(1);
-/// The greatest share of failures that counts.
-const MOST_FAILING: f64 = 0.9;
-/// What an empty upstream costs beside the slots that are taken: one fifth of a full one, so that
-/// time decides between upstreams that are nearly empty.
-const EMPTY_COST: f64 = 0.2;
 /// This many failures in a row keep requests away from a node.
 const FAILURES_TO_EJECT: u32 = 5;
 /// For how long they do the first time; each further time doubles it.
@@ -33,11 +30,10 @@
 pub(crate) struct PeerLoad {
     /// Requests sent and not answered yet.
     pub(crate) outstanding: u32,
-    told: Option<(Pressure, Instant)>,
-    /// How long an answer takes on average, in seconds,
-    time: f64,
-    /// and when the last one came.
-    answered_at: Option<Instant>,
+    news: News,
+    /// How full the nodes of its service and side are together.
+    level: Rc<Cell<Level>>,
+    speed: Speed,
     /// The share of requests that failed lately,
     failing: f64,
     /// and when that was last seen.
@@ -48,14 +44,35 @@
 }
 
 impl PeerLoad {
-    /// Notes how full the node says that it is.
-    pub(crate) fn note_told(&mut self, now: Instant, percent: u32) {
-        self.told = Some((Pressure::from_percent(percent), now));
+    /// Returns what is known at first of a node whose service and side are this full.
+    pub(crate) fn beside(level: &Rc<Cell<Level>>) -> Self {
+        Self {
+            level: Rc::clone(level),
+            ..Self::default()
+        }
+    }
+
+    /// Notes how full the node says that it is, and the pace of its instance.
+    pub(crate) fn note_told(&mut self, now: Instant, percent: u32, pace: Option<Pace>) {
+        self.note_news(now, Pressure::from_percent(percent), pace);
     }
 
-    /// Notes what became of a request after `time`.
-    pub(crate) fn note(&mut self, now: Instant, time: Duration, returned: &Returned) {
-        self.told = Some((returned.pressure, now));
+    fn note_news(&mut self, now: Instant, pressure: Pressure, pace: Option<Pace>) {
+        self.news.note_pressure(now, pressure, self.outstanding);
+        if let Some(pace) = pace {
+            self.news.note_pace(now, pace);
+        }
+        let mut level = self.level.get();
+        level.note(now, pressure.0);
+        self.level.set(level);
+    }
+
+    /// Notes what became of a request.
+    pub(crate) fn note(&mut self, now: Instant, returned: &Returned) {
+        if returned.reason != Reason::Connection {
+            // Where the connection broke nothing was told.
+            self.note_news(now, returned.pressure, returned.pace);
+        }
         let failed = is_failure(returned);
         let before = self.failing(now);
         self.failing = before + (f64::from(u8::from(failed)) - before) * NEWEST_WEIGHT;
@@ -69,42 +86,63 @@
             return;
         }
         if returned.outcome == Outcome::Done {
-            let known = self.time(now).unwrap_or(time.as_secs_f64());
-            self.time = known + (time.as_secs_f64() - known) * NEWEST_WEIGHT;
-            self.answered_at = Some(now);
             self.failures = 0;
             self.ejections = 0;
             self.ejected_until = None;
         }
     }
 
-    /// Returns how full the node is, as far as is known; its upstream has this many slots.
-    pub(crate) fn pressure(&self, now: Instant, slots: u32) -> Pressure {
-        let own = Pressure::of(self.outstanding as usize, slots as usize);
-        let told = self.told.map(|(told, heard)| told.faded(heard, now));
-        told.unwrap_or_default().greater(own)
+    /// Learns from how long a request took; one that ended without an answer would have taken
+    /// longer.
+    pub(crate) fn note_time(
+        &mut self,
+        now: Instant,
+        times: &mut Times,
+        kind: &KindName,
+        time: Duration,
+        returned: Option<&Returned>,
+    ) {
+        let told = returned.and_then(|returned| returned.pace);
+        let pressure = returned.map_or(self.level.get().at(now), |returned| returned.pressure.0);
+        let sample = Sample {
+            time,
+            pressure,
+            pace: told.map_or_else(|| self.news.pace(now), Pace::factor),
+            is_whole: returned.is_some(),
+        };
+        times.note(kind, &mut self.speed, now, sample);
     }
 
-    /// Returns how long an answer takes on average, in seconds, if that is known.
-    pub(crate) fn time(&self, now: Instant) -> Option<f64> {
-        let answered = self.answered_at?;
-        let age = now.saturating_duration_since(answered);
-        (age < TIME_MEMORY).then_some(self.time)
+    /// Returns what speaks for and against it; its upstream has this many slots, and is this full
+    /// if that is known for sure.
+    pub(crate) fn candidate(&self, now: Instant, slots: u32, sure: Option<Pressure>) -> Candidate {
+        let told = || {
+            let level = self.level.get();
+            self.news.pressure(now, self.outstanding, slots, &level)
+        };
+        Candidate {
+            is_available: self.is_available(now),
+            pressure: sure.unwrap_or_else(told).0,
+            failing: self.failing(now),
+            slowness: self.speed.slowness(now) * self.news.pace(now),
+        }
     }
 
-    /// Returns how many times the time of an answer one more request is expected to cost.
-    ///
-    /// A node that fails a share of its requests looks slower by as many repeats.
-    pub(crate) fn weight(&self, now: Instant, slots: u32) -> f64 {
-        let share = f64::from(self.outstanding + 1) / f64::from(slots.max(1));
-        let served = 1.0 - self.failing(now).min(MOST_FAILING);
-        (EMPTY_COST + share) / served.powi(2)
+    /// Returns true if an answer of it was seen.
+    pub(crate) fn is_known(&self) -> bool {
+        self.speed.is_known()
+    }
+
+    /// Returns how many times as long as the others it takes, and the pace of its instance.
+    pub(crate) fn shown(&self, now: Instant) -> (f64, f64) {
+        (self.speed.slowness(now), self.news.pace(now))
     }
 
     /// Forgets what was learned, as another upstream stands there now.
     pub(crate) fn renew(&mut self) {
         *self = Self {
             outstanding: self.outstanding,
+            level: Rc::clone(&self.level),
             ..Self::default()
         };
     }
@@ -138,6 +176,11 @@
     }
 }
 
+/// Returns true if how long a request took tells how quick the upstream is.
+pub(crate) fn tells_time(returned: &Returned) -> bool {
+    returned.is_success() && !returned.failed_below
+}
+
 /// Returns true if what became of a request speaks against the node itself, not its load.
 fn is_failure(returned: &Returned) -> bool {
     match returned.outcome {
--- a/crates/mesh/src/scrape.rs
+++ b/crates/mesh/src/scrape.rs
@@ -1,6 +1,7 @@
 //! The port on which the counters of the node are scraped, and verdicts are listed and lifted.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use http::{Method, StatusCode};
 use sailtrack_admission::Admission;
@@ -14,7 +15,7 @@
 use crate::entry::Entry;
 use crate::freshness::Freshness;
 use crate::gate::{Records, Upstream};
-use crate::metrics::{Metrics, Snapshot};
+use crate::metrics::{Metrics, Shown, Snapshot};
 use crate::peer::Peers;
 use crate::quarantine::Quarantine;
 use crate::status::Status;
@@ -77,9 +78,26 @@
             key_age_ms: age.map_or(0, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             quota_term: self.status.quota_term.get(),
         };
+        self.metrics.show(&self.upstreams());
         self.metrics.text(&snapshot)
     }
 
+    /// Returns what is known of the upstreams to which this node sent requests.
+    fn upstreams(&self) -> Vec<Shown> {
+        let now = Instant::now();
+        let used = self.peers.used();
+        let shown = used.iter().map(|link| {
+            let (slowness, pace) = link.load.borrow().shown(now);
+            Shown {
+                node: link.member.name.clone(),
+                service: link.member.service.clone(),
+                slowness,
+                pace,
+            }
+        });
+        shown.collect()
+    }
+
     /// Returns a line for each request: its identity, how many crashes followed each other under
     /// it, how long ago the last one was, and how much of its quarantine is left.
     fn quarantined(&self) -> String {
--- a/crates/mesh/src/wake/tests.rs
+++ b/crates/mesh/src/wake/tests.rs
@@ -41,7 +41,11 @@
 }
 
 fn wake() -> Wake {
-    let peers = Peers::new(IpAddr::V4(Ipv4Addr::LOCALHOST), Rc::new(Quiet));
+    let peers = Peers::new(
+        IpAddr::V4(Ipv4Addr::LOCALHOST),
+        "east".parse().expect("a name"),
+        Rc::new(Quiet),
+    );
     Wake::new(Rc::new(peers))
 }
 
--- a/crates/placement/src/candidate.rs
+++ b/crates/placement/src/candidate.rs
@@ -41,7 +41,8 @@
     }
 
     /// Returns what a request costs there, in seconds.
-    pub(crate) fn cost(&self, need: &Need) -> f64 {
+    #[must_use]
+    pub fn cost(&self, need: &Need) -> f64 {
         let served = 1.0 - self.failing.min(MOST_FAILING);
         let time = need.mean * self.slowness + need.occupied * self.crowd();
         // A node that fails a share of its requests costs as many repeats.
