News of pressure are kept for each importance: a queue of what matters less counts only for its like

Cause: an answer to a request that matters tells less pressure than one to a request that does not, and the last of either kind was taken for all. On a full service what matters least then saw no queue.

--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -6,7 +6,7 @@
 mod parts;
 mod source;
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashSet};
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -17,7 +17,6 @@
 use rand::seq::IteratorRandom as _;
 use sailtrack_kernel::Service;
 use sailtrack_net::task;
-use sailtrack_placement::Level;
 use sailtrack_quarantine::Ran;
 use sailtrack_units::{DomainName, Incarnation, Moment, NodeName, ServiceName};
 use sailtrack_wire::{Evidence, Member as MemberMessage, Presence};
@@ -28,7 +27,7 @@
 use crate::directory::{Member, Observer};
 use crate::key::UpstreamKey;
 use crate::life;
-use crate::routing::PeerLoad;
+use crate::routing::{Levels, PeerLoad};
 use crate::store::StoreTime;
 use crate::watch::Place;
 
@@ -69,9 +68,9 @@
     /// and those in the others.
     pub(crate) far: Vec<Rc<Link>>,
     /// How full the near ones are together,
-    pub(crate) near_level: Rc<Cell<Level>>,
+    pub(crate) near_levels: Rc<RefCell<Levels>>,
     /// and the far ones.
-    pub(crate) far_level: Rc<Cell<Level>>,
+    pub(crate) far_levels: Rc<RefCell<Levels>>,
 }
 
 /// The links to all nodes that are known.
@@ -107,7 +106,7 @@
     pub(crate) fn own_load(&self, service: &ServiceName) -> Rc<RefCell<PeerLoad>> {
         let mut by_service = self.by_service.borrow_mut();
         let placed = by_service.entry(service.clone()).or_default();
-        Rc::new(RefCell::new(PeerLoad::beside(&placed.near_level)))
+        Rc::new(RefCell::new(PeerLoad::beside(&placed.near_levels)))
     }
 
     /// Returns the links to nodes whose upstreams this node has sent requests to.
@@ -229,12 +228,12 @@
         let mut by_service = self.by_service.borrow_mut();
         let placed = by_service.entry(member.service.clone()).or_default();
         let placed = Rc::make_mut(placed);
-        let (links, level) = if member.domain == self.domain {
-            (&mut placed.near, &placed.near_level)
+        let (links, levels) = if member.domain == self.domain {
+            (&mut placed.near, &placed.near_levels)
         } else {
-            (&mut placed.far, &placed.far_level)
+            (&mut placed.far, &placed.far_levels)
         };
-        link.load.replace(PeerLoad::beside(level));
+        link.load.replace(PeerLoad::beside(levels));
         links.push(Rc::clone(&link));
         let name = member.name.clone();
         self.links.borrow_mut().insert(name, Rc::clone(&link));
--- a/crates/mesh/src/routing/load.rs
+++ b/crates/mesh/src/routing/load.rs
@@ -3,13 +3,13 @@
 #[cfg(test)]
 mod tests;
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use sailtrack_admission::Pressure;
-use sailtrack_placement::{Candidate, Level, News, Sample, Speed, Times};
-use sailtrack_units::{KindName, Pace};
+use sailtrack_placement::{Candidate, Level, News, PaceNews, Sample, Speed, Times};
+use sailtrack_units::{Class, Importance, KindName, Pace};
 use sailtrack_wire::{Outcome, Reason};
 
 use crate::work::Returned;
@@ -25,14 +25,37 @@
 /// How often it doubles at most.
 const MOST_DOUBLINGS: u32 = 4;
 
+/// How full the nodes of a service and side are together, for each importance.
+#[derive(Debug, Default)]
+pub(crate) struct Levels([Level; Importance::ALL.len()]);
+
+impl Levels {
+    /// Returns how full they are for requests of a class.
+    pub(crate) fn at(&self, now: Instant, class: Class) -> f64 {
+        self.of(class).at(now)
+    }
+
+    /// Returns the level for a class; before any is known, that which all nodes tell.
+    fn of(&self, class: Class) -> Level {
+        let own = self.0[class.workspace as usize];
+        if own.is_known() {
+            own
+        } else {
+            self.0[Importance::Normal as usize]
+        }
+    }
+}
+
 /// What a node has learned about one other node.
 #[derive(Debug, Default)]
 pub(crate) struct PeerLoad {
     /// Requests sent and not answered yet.
     pub(crate) outstanding: u32,
-    news: News,
+    /// What it told last, for each importance: what matters less gives way and does not count.
+    news: [News; Importance::ALL.len()],
+    pace: PaceNews,
     /// How full the nodes of its service and side are together.
-    level: Rc<Cell<Level>>,
+    levels: Rc<RefCell<Levels>>,
     speed: Speed,
     /// The share of requests that failed lately,
     failing: f64,
@@ -45,33 +68,33 @@
 
 impl PeerLoad {
     /// Returns what is known at first of a node whose service and side are this full.
-    pub(crate) fn beside(level: &Rc<Cell<Level>>) -> Self {
+    pub(crate) fn beside(levels: &Rc<RefCell<Levels>>) -> Self {
         Self {
-            level: Rc::clone(level),
+            levels: Rc::clone(levels),
             ..Self::default()
         }
     }
 
     /// Notes how full the node says that it is, and the pace of its instance.
     pub(crate) fn note_told(&mut self, now: Instant, percent: u32, pace: Option<Pace>) {
-        self.note_news(now, Pressure::from_percent(percent), pace);
+        let pressure = Pressure::from_percent(percent);
+        self.note_news(now, Importance::Normal.into(), pressure, pace);
     }
 
-    fn note_news(&mut self, now: Instant, pressure: Pressure, pace: Option<Pace>) {
-        self.news.note_pressure(now, pressure, self.outstanding);
+    fn note_news(&mut self, now: Instant, class: Class, pressure: Pressure, pace: Option<Pace>) {
+        let importance = class.workspace as usize;
+        self.news[importance].note(now, pressure, self.outstanding);
+        self.levels.borrow_mut().0[importance].note(now, pressure.0);
         if let Some(pace) = pace {
-            self.news.note_pace(now, pace);
+            self.pace.note(now, pace);
         }
-        let mut level = self.level.get();
-        level.note(now, pressure.0);
-        self.level.set(level);
     }
 
-    /// Notes what became of a request.
-    pub(crate) fn note(&mut self, now: Instant, returned: &Returned) {
+    /// Notes what became of a request of a class.
+    pub(crate) fn note(&mut self, now: Instant, class: Class, returned: &Returned) {
         if returned.reason != Reason::Connection {
             // Where the connection broke nothing was told.
-            self.note_news(now, returned.pressure, returned.pace);
+            self.note_news(now, class, returned.pressure, returned.pace);
         }
         let failed = is_failure(returned);
         let before = self.failing(now);
@@ -98,33 +121,43 @@
         &mut self,
         now: Instant,
         times: &mut Times,
-        kind: &KindName,
+        (class, kind): (Class, &KindName),
         time: Duration,
         returned: Option<&Returned>,
     ) {
         let told = returned.and_then(|returned| returned.pace);
-        let pressure = returned.map_or(self.level.get().at(now), |returned| returned.pressure.0);
+        let level = || self.levels.borrow().at(now, class);
+        let pressure = returned.map_or_else(level, |returned| returned.pressure.0);
         let sample = Sample {
             time,
             pressure,
-            pace: told.map_or_else(|| self.news.pace(now), Pace::factor),
+            pace: told.map_or_else(|| self.pace.factor(now), Pace::factor),
             is_whole: returned.is_some(),
         };
         times.note(kind, &mut self.speed, now, sample);
     }
 
-    /// Returns what speaks for and against it; its upstream has this many slots, and is this full
-    /// if that is known for sure.
-    pub(crate) fn candidate(&self, now: Instant, slots: u32, sure: Option<Pressure>) -> Candidate {
+    /// Returns what speaks for and against it for a request of a class; its upstream has this many
+    /// slots, and is this full if that is known for sure.
+    pub(crate) fn candidate(
+        &self,
+        now: Instant,
+        slots: u32,
+        class: Class,
+        sure: Option<Pressure>,
+    ) -> Candidate {
         let told = || {
-            let level = self.level.get();
-            self.news.pressure(now, self.outstanding, slots, &level)
+            let level = self.levels.borrow().of(class);
+            let own = &self.news[class.workspace as usize];
+            let usual = &self.news[Importance::Normal as usize];
+            let news = if own.is_known() { own } else { usual };
+            news.pressure(now, self.outstanding, slots, &level)
         };
         Candidate {
             is_available: self.is_available(now),
             pressure: sure.unwrap_or_else(told).0,
             failing: self.failing(now),
-            slowness: self.speed.slowness(now) * self.news.pace(now),
+            slowness: self.speed.slowness(now) * self.pace.factor(now),
         }
     }
 
@@ -135,14 +168,14 @@
 
     /// Returns how many times as long as the others it takes, and the pace of its instance.
     pub(crate) fn shown(&self, now: Instant) -> (f64, f64) {
-        (self.speed.slowness(now), self.news.pace(now))
+        (self.speed.slowness(now), self.pace.factor(now))
     }
 
     /// Forgets what was learned, as another upstream stands there now.
     pub(crate) fn renew(&mut self) {
         *self = Self {
             outstanding: self.outstanding,
-            level: Rc::clone(&self.level),
+            levels: Rc::clone(&self.levels),
             ..Self::default()
         };
     }
--- a/crates/mesh/src/routing/load/tests.rs
+++ b/crates/mesh/src/routing/load/tests.rs
@@ -1,18 +1,23 @@
 //! What speaks for and against a node.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use sailtrack_placement::{Level, Need, Times};
-use sailtrack_units::Pace;
+use sailtrack_admission::Pressure;
+use sailtrack_placement::{Need, Times};
+use sailtrack_units::{Class, Importance, Pace};
 use sailtrack_wire::Reason;
 
 use crate::body::Body;
-use crate::routing::load::PeerLoad;
+use crate::routing::load::{Levels, PeerLoad};
 use crate::work::Returned;
 
+const CLASS: Class = Class {
+    workspace: Importance::Normal,
+    kind: Importance::Normal,
+};
 const TIME: Duration = Duration::from_millis(20);
 
 fn failed(below: bool) -> Returned {
@@ -26,7 +31,7 @@
 fn failures_leave_it_out() {
     let (mut load, now) = (PeerLoad::default(), Instant::now());
     for _ in 0..5 {
-        load.note(now, &failed(false));
+        load.note(now, CLASS, &failed(false));
     }
     assert!(!load.is_available(now));
     assert!(load.is_available(now + Duration::from_secs(1)));
@@ -37,7 +42,7 @@
 fn failures_below_do_not() {
     let (mut load, now) = (PeerLoad::default(), Instant::now());
     for _ in 0..50 {
-        load.note(now, &failed(true));
+        load.note(now, CLASS, &failed(true));
     }
     assert!(load.is_available(now));
 }
@@ -47,7 +52,7 @@
 fn turning_away_does_not() {
     let (mut load, now) = (PeerLoad::default(), Instant::now());
     for _ in 0..50 {
-        load.note(now, &Returned::turned_away(Reason::UpstreamShed));
+        load.note(now, CLASS, &Returned::turned_away(Reason::UpstreamShed));
     }
     assert!(load.is_available(now));
     let sound = PeerLoad::default();
@@ -59,15 +64,16 @@
 
 /// Returns what a request costs at a node whose upstream has 20 slots.
 fn cost(load: &PeerLoad, now: Instant) -> f64 {
-    load.candidate(now, 20, None).cost(&Need::unknown(1.0))
+    load.candidate(now, 20, CLASS, None)
+        .cost(&Need::unknown(1.0))
 }
 
 /// Notes answers of a kind that took so long.
 fn answers(load: &mut PeerLoad, times: &mut Times, now: Instant, kind: &str, time: Duration) {
     let answer = Returned::answered(200, Bytes::new(), Body::Whole(Bytes::new()));
     let kind = kind.parse().expect("a name");
-    load.note(now, &answer);
-    load.note_time(now, times, &kind, time, Some(&answer));
+    load.note(now, CLASS, &answer);
+    load.note_time(now, times, (CLASS, &kind), time, Some(&answer));
 }
 
 #[test]
@@ -102,11 +108,11 @@
     let (mut times, kind) = (Times::default(), "read".parse().expect("a name"));
     for _ in 0..10 {
         answers(&mut quick, &mut times, now, "read", TIME);
-        slow.note_time(now, &mut times, &kind, TIME * 5, None);
+        slow.note_time(now, &mut times, (CLASS, &kind), TIME * 5, None);
     }
     assert!(slow.shown(now).0 > quick.shown(now).0 * 2.0);
     let mut left = PeerLoad::default();
-    left.note_time(now, &mut times, &kind, TIME / 10, None);
+    left.note_time(now, &mut times, (CLASS, &kind), TIME / 10, None);
     assert!(!left.is_known(), "a client that leaves early tells nothing");
 }
 
@@ -115,7 +121,7 @@
 fn failures_fade() {
     let (mut load, now) = (PeerLoad::default(), Instant::now());
     for _ in 0..50 {
-        load.note(now, &failed(false));
+        load.note(now, CLASS, &failed(false));
     }
     let sound = PeerLoad::default();
     assert!(cost(&load, now) > cost(&sound, now) * 10.0);
@@ -147,7 +153,7 @@
 fn pace_counts() {
     let (mut load, now) = (PeerLoad::default(), Instant::now());
     load.note_told(now, 10, Pace::from_percent(250).ok());
-    let slowness = |after| load.candidate(now + after, 20, None).slowness;
+    let slowness = |after| load.candidate(now + after, 20, CLASS, None).slowness;
     assert!(slowness(Duration::ZERO) > 2.4);
     assert!(slowness(Duration::from_secs(2)) < 1.01);
 }
@@ -155,14 +161,29 @@
 /// A node that is not heard from is taken to be as full as the others of its side.
 #[test]
 fn silence_is_not_room() {
-    let (level, now) = (Rc::<Cell<Level>>::default(), Instant::now());
-    let (mut heard, mut silent) = (PeerLoad::beside(&level), PeerLoad::beside(&level));
+    let (levels, now) = (Rc::<RefCell<Levels>>::default(), Instant::now());
+    let (mut heard, mut silent) = (PeerLoad::beside(&levels), PeerLoad::beside(&levels));
     silent.note_told(now, 100, None);
     let later = now + Duration::from_millis(800);
     for millis in 1..=20 {
         heard.note_told(now + Duration::from_millis(millis * 40), 100, None);
     }
-    assert!(silent.candidate(later, 20, None).pressure > 0.9);
+    assert!(silent.candidate(later, 20, CLASS, None).pressure > 0.9);
+}
+
+/// What matters less gives way in the queue: a node that is full for it has room for the rest.
+#[test]
+fn full_for_what_matters_less() {
+    let (mut load, now) = (PeerLoad::default(), Instant::now());
+    let low = Class::from(Importance::Low);
+    let full = Returned {
+        pressure: Pressure(1.8),
+        ..Returned::answered(200, Bytes::new(), Body::Whole(Bytes::new()))
+    };
+    load.note(now, low, &full);
+    load.note_told(now, 100, None);
+    assert!(load.candidate(now, 20, low, None).pressure > 1.7);
+    assert!(load.candidate(now, 20, CLASS, None).pressure < 1.1);
 }
 
 /// A node that holds a kind back, as a service further down is gone, is sound itself.
@@ -174,7 +195,7 @@
             absent_below: true,
             ..Returned::refused(Reason::NoUpstream)
         };
-        load.note(now, &held);
+        load.note(now, CLASS, &held);
     }
     assert!(load.is_available(now));
 }
--- a/crates/mesh/src/routing/mod.rs
+++ b/crates/mesh/src/routing/mod.rs
@@ -11,12 +11,12 @@
 use sailtrack_kernel::Service;
 use sailtrack_placement::{Candidate, Side, Sides, choose};
 use sailtrack_quarantine::Identity;
-use sailtrack_units::{Importance, KindName, NodeName, ServiceName};
+use sailtrack_units::{Class, KindName, NodeName, ServiceName};
 
 pub(crate) use learned::Learned;
 use learned::Learning;
-pub(crate) use load::PeerLoad;
 use load::tells_time;
+pub(crate) use load::{Levels, PeerLoad};
 
 use crate::gate::Upstream;
 use crate::peer::{Link, Peers, Placed};
@@ -68,14 +68,15 @@
         let learning = self.learned.of(&work.service);
         let is_own = self.takes(&work.service, tried, now);
         let need = learning.times.borrow().need(&work.kind, work.time_left());
-        let levels = [&placed.near_level, &placed.far_level].map(|level| level.get().at(now));
+        let levels = [&placed.near_levels, &placed.far_levels];
+        let levels = levels.map(|levels| levels.borrow().at(now, work.class));
         let sides = Sides {
             // The own upstream comes after the other near ones.
             near: placed.near.len() + usize::from(is_own),
             far: placed.far.len(),
             look: |side, place| match link(&placed, side, place) {
-                Some(link) => look(link, tried, now),
-                None => Some(self.look_at_own(now)),
+                Some(link) => look(link, work.class, tried, now),
+                None => Some(self.look_at_own(work.class, now)),
             },
             emptier: levels[0] - levels[1],
             recent: &learning.recent,
@@ -115,6 +116,7 @@
         Outstanding {
             load,
             learning: self.learned.of(&work.service),
+            class: work.class,
             kind: work.kind.clone(),
             began: Instant::now(),
             is_noted: Cell::new(false),
@@ -127,10 +129,11 @@
         is_own && self.upstream.ready(now).is_some()
     }
 
-    fn look_at_own(&self, now: Instant) -> Candidate {
-        let pressure = self.admission.pressure(now, Importance::Normal);
+    fn look_at_own(&self, class: Class, now: Instant) -> Candidate {
+        let pressure = self.admission.pressure(now, class);
         let slots = self.upstream.slots();
-        self.local.borrow().candidate(now, slots, Some(pressure))
+        let local = self.local.borrow();
+        local.candidate(now, slots, class, Some(pressure))
     }
 }
 
@@ -146,8 +149,9 @@
     link.is_serving() && !tried.contains(&link.member.name)
 }
 
-fn look(link: &Link, tried: &[NodeName], now: Instant) -> Option<Candidate> {
-    let candidate = || link.load.borrow().candidate(now, link.slots(), None);
+fn look(link: &Link, class: Class, tried: &[NodeName], now: Instant) -> Option<Candidate> {
+    let load = || link.load.borrow();
+    let candidate = || load().candidate(now, link.slots(), class, None);
     is_usable(link, tried).then(candidate)
 }
 
@@ -170,6 +174,7 @@
 pub(crate) struct Outstanding {
     load: Load,
     learning: Rc<Learning>,
+    class: Class,
     kind: KindName,
     began: Instant,
     is_noted: Cell<bool>,
@@ -179,7 +184,8 @@
     /// Notes what became of the request.
     pub(crate) fn note(&self, returned: &Returned) {
         self.is_noted.set(true);
-        self.load.with(|load| load.note(Instant::now(), returned));
+        self.load
+            .with(|load| load.note(Instant::now(), self.class, returned));
         if tells_time(returned) {
             self.learn(Some(returned));
         }
@@ -190,7 +196,7 @@
         let time = now.saturating_duration_since(self.began);
         let mut times = self.learning.times.borrow_mut();
         self.load
-            .with(|load| load.note_time(now, &mut times, &self.kind, time, returned));
+            .with(|load| load.note_time(now, &mut times, (self.class, &self.kind), time, returned));
     }
 }
 
--- a/crates/placement/benches/choice.rs
+++ b/crates/placement/benches/choice.rs
@@ -7,7 +7,7 @@
 use rand::{Rng as _, SeedableRng as _};
 use sailtrack_admission::Pressure;
 use sailtrack_placement::{
-    Candidate, Level, News, Recent, Sample, Side, Sides, Speed, Times, choose,
+    Candidate, Level, News, PaceNews, Recent, Sample, Side, Sides, Speed, Times, choose,
 };
 use sailtrack_units::{KindName, Pace};
 
@@ -24,7 +24,7 @@
     let mut times = Times::default();
     let mut learned = Vec::new();
     for _ in 0..upstreams {
-        let (mut speed, mut news) = (Speed::default(), News::default());
+        let (mut speed, mut news) = (Speed::default(), (News::default(), PaceNews::default()));
         for _ in 0..10 {
             let sample = Sample {
                 time: Duration::from_millis(random.random_range(20..900)),
@@ -34,8 +34,9 @@
             };
             times.note(&kind, &mut speed, now, sample);
         }
-        news.note_pressure(now, Pressure(random.random_range(0.8..1.0) * pressure), 0);
-        news.note_pace(now, Pace::USUAL);
+        news.0
+            .note(now, Pressure(random.random_range(0.8..1.0) * pressure), 0);
+        news.1.note(now, Pace::USUAL);
         learned.push((speed, news));
     }
     let recent = Recent::default();
@@ -51,12 +52,12 @@
             } else {
                 near + place
             };
-            let (speed, news): &(Speed, News) = &learned[place];
+            let (speed, news): &(Speed, (News, PaceNews)) = &learned[place];
             (place % AWAY != 0).then(|| Candidate {
                 is_available: true,
-                pressure: news.pressure(now, 1, 60, &level).0,
+                pressure: news.0.pressure(now, 1, 60, &level).0,
                 failing: 0.0,
-                slowness: speed.slowness(now) * news.pace(now),
+                slowness: speed.slowness(now) * news.1.factor(now),
             })
         },
         emptier: 0.0,
--- a/crates/placement/src/level.rs
+++ b/crates/placement/src/level.rs
@@ -29,6 +29,12 @@
         self.value += (pressure - self.value) * weight.clamp(WEIGHTS.0, WEIGHTS.1);
     }
 
+    /// Returns true if anything was told.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.heard.is_some()
+    }
+
     /// Returns the level, as far as it is still known.
     #[must_use]
     pub fn at(&self, now: Instant) -> f64 {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -16,6 +16,6 @@
 pub use choice::{Recent, Side, Sides, choose};
 pub use level::Level;
 pub use need::Need;
-pub use news::News;
+pub use news::{News, PaceNews};
 pub use speed::Speed;
 pub use times::{Sample, Times};
--- a/crates/placement/src/news.rs
+++ b/crates/placement/src/news.rs
@@ -13,25 +13,25 @@
 /// on an instance come and go within some tenths of a second.
 const PACE_HALF_LIFE: Duration = Duration::from_millis(200);
 
-/// What an upstream said last of itself.
+/// How full an upstream said last that it is.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct News {
-    pressure: Option<(Pressure, Instant)>,
-    /// The requests that were on their way from here when the pressure was told.
+    told: Option<(Pressure, Instant)>,
+    /// The requests that were on their way from here when it was told.
     outstanding: u32,
-    pace: Option<(Pace, Instant)>,
 }
 
 impl News {
     /// Notes how full the upstream is, while `outstanding` requests were on their way from here.
-    pub fn note_pressure(&mut self, now: Instant, pressure: Pressure, outstanding: u32) {
-        self.pressure = Some((pressure, now));
+    pub fn note(&mut self, now: Instant, pressure: Pressure, outstanding: u32) {
+        self.told = Some((pressure, now));
         self.outstanding = outstanding;
     }
 
-    /// Notes how long work takes on the instance of the upstream.
-    pub fn note_pace(&mut self, now: Instant, pace: Pace) {
-        self.pace = Some((pace, now));
+    /// Returns true if anything was told.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.told.is_some()
     }
 
     /// Returns how full the upstream is, with what went there from here since it was told.
@@ -41,7 +41,7 @@
     #[must_use]
     pub fn pressure(&self, now: Instant, outstanding: u32, slots: u32, level: &Level) -> Pressure {
         let own = Pressure::of(outstanding as usize, slots as usize);
-        let Some((told, heard)) = self.pressure else {
+        let Some((told, heard)) = self.told else {
             return Pressure(level.at(now)).greater(own);
         };
         let since = outstanding.saturating_sub(self.outstanding);
@@ -50,11 +50,22 @@
         let there = told.0 * news + level.at(now) * (1.0 - news);
         Pressure(there + added.0).greater(own)
     }
+}
+
+/// How long work takes on the instance of an upstream, as it said last.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PaceNews(Option<(Pace, Instant)>);
+
+impl PaceNews {
+    /// Notes how long work takes there.
+    pub fn note(&mut self, now: Instant, pace: Pace) {
+        self.0 = Some((pace, now));
+    }
 
     /// Returns how many times as long as usual work takes there, as far as that is still known.
     #[must_use]
-    pub fn pace(&self, now: Instant) -> f64 {
-        let Some((pace, heard)) = self.pace else {
+    pub fn factor(&self, now: Instant) -> f64 {
+        let Some((pace, heard)) = self.0 else {
             return 1.0;
         };
         let age = now.saturating_duration_since(heard);
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use rand::{Rng as _, SeedableRng as _};
 use sailtrack_admission::Pressure;
 use sailtrack_placement::{
-    Candidate, Level, News, Recent, Sample, Side, Sides, Speed, Times, choose,
+    Candidate, Level, News, PaceNews, Recent, Sample, Side, Sides, Speed, Times, choose,
 };
 use sailtrack_units::{KindName, Pace};
 
@@ -133,6 +133,7 @@
     times: Times,
     speeds: Vec<Speed>,
     news: Vec<News>,
+    paces: Vec<PaceNews>,
     outstanding: Vec<u32>,
     recent: Recent,
     /// How full the upstreams of the own domain are, and those of the others.
@@ -150,7 +151,7 @@
         let is_far = load.upstreams[upstream].domain != self.domain;
         self.levels[usize::from(is_far)].note(now, pressure.0);
         let outstanding = self.outstanding[upstream];
-        self.news[upstream].note_pressure(now, pressure, outstanding);
+        self.news[upstream].note(now, pressure, outstanding);
         self.told[upstream] = Some((pressure, now));
     }
 }
@@ -189,6 +190,7 @@
             times: Times::default(),
             speeds: vec![Speed::default(); count],
             news: vec![News::default(); count],
+            paces: vec![PaceNews::default(); count],
             outstanding: vec![0; count],
             recent: Recent::default(),
             levels: [Level::default(); 2],
@@ -281,7 +283,7 @@
                     let pressure = Pressure::from_percent(u32::try_from(percent).expect("small"));
                     let own = &mut self.senders[sender];
                     own.hear(self.load, upstream, now, pressure);
-                    own.news[upstream].note_pace(now, Pace::from_percent(pace).expect("sound"));
+                    own.paces[upstream].note(now, Pace::from_percent(pace).expect("sound"));
                 }
             }
         }
@@ -364,6 +366,7 @@
             times,
             speeds,
             news,
+            paces,
             outstanding,
             recent,
             near,
@@ -414,7 +417,7 @@
                     is_available: true,
                     pressure: news[at].pressure(now, outstanding[at], slots(at), level).0,
                     failing: 0.0,
-                    slowness: speeds[at].slowness(now) * news[at].pace(now),
+                    slowness: speeds[at].slowness(now) * paces[at].factor(now),
                 })
             },
             emptier: levels[0].at(now) - levels[1].at(now),
@@ -564,7 +567,7 @@
         let sample = Sample {
             time: Duration::from_micros(self.now - began),
             pressure: 0.0,
-            pace: own.news[upstream].pace(now),
+            pace: own.paces[upstream].factor(now),
             is_whole: false,
         };
         own.times
