A new upstream in another failure domain gets requests too

Before and after: newcomers::in_others_only fails on the code before, passes now; in_own_domain passes on both.

--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -79,8 +79,8 @@
     if let Some((place, candidate)) = near.filter(is_sound)
         && !wants_far(&candidate, need)
     {
-        let explored = sides.explored(need, random).unwrap_or(place);
-        return Some((Side::Near, explored));
+        let explored = sides.explored(Side::Near, need, random);
+        return Some((Side::Near, explored.unwrap_or(place)));
     }
     let far = sides.best(Side::Far, need, random);
     let prefers = match (&near, &far) {
@@ -95,7 +95,9 @@
     } else {
         (Side::Near, near)
     };
-    found.map(|(place, _)| (side, place))
+    let (place, _) = found?;
+    let explored = sides.explored(side, need, random);
+    Some((side, explored.unwrap_or(place)))
 }
 
 impl<L> Sides<'_, L>
@@ -171,13 +173,13 @@
         }
     }
 
-    /// Returns any near upstream with room, from time to time.
-    fn explored(&self, need: &Need, random: &mut impl Rng) -> Option<usize> {
+    /// Returns any upstream of one side with room, from time to time.
+    fn explored(&self, side: Side, need: &Need, random: &mut impl Rng) -> Option<usize> {
         if !random.random_ratio(1, EXPLORED) {
             return None;
         }
-        let place = random.random_range(0..self.near);
-        let candidate = (self.look)(Side::Near, place)?;
+        let place = random.random_range(0..self.len(side));
+        let candidate = (self.look)(side, place)?;
         let has_room = candidate.is_available && candidate.pressure < EXPLORED_BELOW;
         (has_room && candidate.late(need) < EXPLORED_LATE).then_some(place)
     }
