--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -137,4 +137,6 @@
     EVENTS_LEFT_OUT = 810 Info "events left out" ["count", "about", "kept", "span_ms"];
     /// Lines were left out because who reads the log is too slow.
     LINES_LEFT_OUT = 811 Warn "lines left out" ["count"];
+    /// Requests that this node sent to another one, or to its own upstream, failed several times in a row; for `for_ms` it gets none while there are others, then one at a time.
+    NODE_LEFT_OUT = 820 Info "node left out" ["node", "for_ms"];
 }
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -121,6 +121,7 @@
     registry: Registry,
     ended: Count<EndLabels>,
     repeats: Count<ServiceLabels>,
+    left_domain: Count<ServiceLabels>,
     refused_announcements: Counter<u64, AtomicU64>,
     crashes: Counter<u64, AtomicU64>,
     verdicts: Counter<u64, AtomicU64>,
@@ -152,6 +153,9 @@
         );
         let help = "Requests sent to a service once more";
         registry.register("repeats", help, repeats.clone());
+        let left_domain = Count::<ServiceLabels>::default();
+        let help = "Requests sent to another failure domain, though the own one has upstreams";
+        registry.register("left_domain", help, left_domain.clone());
         let refused_announcements = counter(
             &mut registry,
             "refused_announcements",
@@ -195,6 +199,7 @@
             registry,
             ended,
             repeats,
+            left_domain,
             refused_announcements,
             crashes,
             verdicts,
@@ -267,6 +272,14 @@
         self.repeats.get_or_create(&labels).inc();
     }
 
+    /// Notes that a request leaves the failure domain, though that has upstreams of the service.
+    pub(crate) fn note_left_domain(&self, service: &ServiceName) {
+        let labels = ServiceLabels {
+            service: service.to_string(),
+        };
+        self.left_domain.get_or_create(&labels).inc();
+    }
+
     /// Forgets the counts of kinds when too many have been seen, as routes come and go.
     pub(crate) fn bound(&self, kinds: usize) {
         if kinds > MOST_KINDS {
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -233,6 +233,7 @@
         upstream: table.find()?,
         admission: table.find()?,
         learned: Learned::default(),
+        metrics: table.find()?,
     });
     table.install(Dispatcher {
         routing: table.find()?,
--- a/crates/mesh/src/routing/load.rs
+++ b/crates/mesh/src/routing/load.rs
@@ -90,8 +90,14 @@
         }
     }
 
-    /// Notes what became of a request of a class.
-    pub(crate) fn note(&mut self, now: Instant, class: Class, returned: &Returned) {
+    /// Notes what became of a request of a class; returns for how long the node is left out if
+    /// that begins with it.
+    pub(crate) fn note(
+        &mut self,
+        now: Instant,
+        class: Class,
+        returned: &Returned,
+    ) -> Option<Duration> {
         if returned.reason != Reason::Connection {
             // Where the connection broke nothing was told.
             self.note_news(now, class, returned.pressure, returned.pace);
@@ -102,17 +108,17 @@
         self.failed_at = Some(now);
         if returned.reason == Reason::UpstreamShed {
             // The next request may be let in; without any the service would be gone.
-            return;
+            return None;
         }
         if failed {
-            self.note_failure(now);
-            return;
+            return self.note_failure(now);
         }
         if returned.outcome == Outcome::Done {
             self.failures = 0;
             self.ejections = 0;
             self.ejected_until = None;
         }
+        None
     }
 
     /// Learns from how long a request took; one that ended without an answer would have taken
@@ -197,15 +203,17 @@
         }
     }
 
-    fn note_failure(&mut self, now: Instant) {
+    fn note_failure(&mut self, now: Instant) -> Option<Duration> {
         self.failures += 1;
         if self.failures < FAILURES_TO_EJECT {
-            return;
+            return None;
         }
         let doublings = self.ejections.min(MOST_DOUBLINGS);
-        self.ejected_until = Some(now + FIRST_EJECTION * 2u32.pow(doublings));
+        let pause = FIRST_EJECTION * 2u32.pow(doublings);
+        self.ejected_until = Some(now + pause);
         self.ejections += 1;
         self.failures = 0;
+        Some(pause)
     }
 }
 
--- a/crates/mesh/src/routing/load/tests.rs
+++ b/crates/mesh/src/routing/load/tests.rs
@@ -30,9 +30,10 @@
 #[test]
 fn failures_leave_it_out() {
     let (mut load, now) = (PeerLoad::default(), Instant::now());
-    for _ in 0..5 {
-        load.note(now, CLASS, &failed(false));
+    for _ in 0..4 {
+        assert!(load.note(now, CLASS, &failed(false)).is_none());
     }
+    assert!(load.note(now, CLASS, &failed(false)).is_some(), "told once");
     assert!(!load.is_available(now));
     assert!(load.is_available(now + Duration::from_secs(1)));
 }
--- a/crates/mesh/src/routing/mod.rs
+++ b/crates/mesh/src/routing/mod.rs
@@ -4,11 +4,13 @@
 mod load;
 
 use std::cell::{Cell, RefCell};
+use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Instant;
 
 use sailtrack_admission::Admission;
 use sailtrack_kernel::Service;
+use sailtrack_log::{catalogue, emit};
 use sailtrack_placement::{Candidate, Side, Sides, choose};
 use sailtrack_quarantine::Identity;
 use sailtrack_units::{Class, KindName, NodeName, ServiceName};
@@ -19,6 +21,7 @@
 pub(crate) use load::{Levels, PeerLoad};
 
 use crate::gate::Upstream;
+use crate::metrics::Metrics;
 use crate::peer::{Link, Peers, Placed};
 use crate::work::{Returned, Work};
 
@@ -52,6 +55,7 @@
     pub(crate) local: Rc<RefCell<PeerLoad>>,
     /// What is known about services.
     pub(crate) learned: Learned,
+    pub(crate) metrics: Rc<Metrics>,
 }
 
 impl Service for Routing {
@@ -82,6 +86,9 @@
             recent: &learning.recent,
         };
         let (side, place) = choose(&sides, &need, &mut rand::rng())?;
+        if side == Side::Far && sides.near > 0 {
+            self.metrics.note_left_domain(&work.service);
+        }
         let link = link(&placed, side, place);
         Some(link.map_or(Target::Local, |link| Target::Remote(Rc::clone(link))))
     }
@@ -162,7 +169,7 @@
 }
 
 impl Load {
-    fn with(&self, change: impl FnOnce(&mut PeerLoad)) {
+    fn with<T>(&self, change: impl FnOnce(&mut PeerLoad) -> T) -> T {
         match self {
             Self::Local(load) => change(&mut load.borrow_mut()),
             Self::Remote(link) => change(&mut link.load.borrow_mut()),
@@ -170,6 +177,16 @@
     }
 }
 
+impl Load {
+    /// Returns the name of the node for the log.
+    fn name(&self) -> &str {
+        match self {
+            Self::Local(_) => "own",
+            Self::Remote(link) => link.member.name.as_str(),
+        }
+    }
+}
+
 /// A request that is on its way to a target.
 pub(crate) struct Outstanding {
     load: Load,
@@ -184,8 +201,14 @@
     /// Notes what became of the request.
     pub(crate) fn note(&self, returned: &Returned) {
         self.is_noted.set(true);
-        self.load
-            .with(|load| load.note(Instant::now(), self.class, returned));
+        let now = Instant::now();
+        let pause = self.load.with(|load| load.note(now, self.class, returned));
+        if let Some(pause) = pause {
+            let node = self.load.name();
+            let fields: [(&str, &dyn Display); 2] =
+                [("node", &node), ("for_ms", &pause.as_millis())];
+            emit(&catalogue::NODE_LEFT_OUT, &fields);
+        }
         if tells_time(returned) {
             self.learn(Some(returned));
         }
--- a/crates/placement/src/level.rs
+++ b/crates/placement/src/level.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::fade::left;
+
 /// Over how long what upstreams tell is averaged: the calls in one come and go by a tenth of its
 /// slots within the time of an answer, and that is no difference between failure domains.
 const AVERAGED: Duration = Duration::from_millis(300);
@@ -42,6 +44,6 @@
             .heard
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let age = age.saturating_sub(AVERAGED);
-        self.value * 0.5f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
+        self.value * left(age, HALF_LIFE)
     }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod candidate;
 mod choice;
+mod fade;
 mod level;
 mod need;
 mod news;
--- a/crates/placement/src/news.rs
+++ b/crates/placement/src/news.rs
@@ -5,6 +5,7 @@
 use sailtrack_admission::Pressure;
 use sailtrack_units::Pace;
 
+use crate::fade::left;
 use crate::level::Level;
 
 /// A pace is taken at its word for this long.
@@ -69,7 +70,7 @@
             return 1.0;
         };
         let age = now.saturating_duration_since(heard);
-        let halvings = age.saturating_sub(PACE_HOLD).as_secs_f64() / PACE_HALF_LIFE.as_secs_f64();
-        1.0 + (pace.factor() - 1.0) * 0.5f64.powf(halvings)
+        let old = age.saturating_sub(PACE_HOLD);
+        1.0 + (pace.factor() - 1.0) * left(old, PACE_HALF_LIFE)
     }
 }
--- a/crates/placement/src/speed.rs
+++ b/crates/placement/src/speed.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::fade::left;
+
 /// The weight of the newest answer once some are known.
 const NEWEST_WEIGHT: f64 = 0.08;
 /// How many answers the assumption that it is like the others stands for.
@@ -48,6 +50,6 @@
         let age = self
             .answered
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.log * 0.5f64.powf(age.as_secs_f64() / HALF_LIFE.as_secs_f64())
+        self.log * left(age, HALF_LIFE)
     }
 }
