A call matters as much as the request that it is made for, no more

Cause: a call took the higher of its route's class and its request's. Where the route of a read has the priority of a client's route (bin-level-read and stock-check 1, catalogue-browse 2), reads for the less important requests stood in the class of the others, and went before them since they are begun: stock-checks waited 100 ms at each of three inventories and were refused.

The test was seen to fail with the higher of the two.

--- a/crates/mesh/src/contexts.rs
+++ b/crates/mesh/src/contexts.rs
@@ -125,6 +125,19 @@
         }
     }
 
+    /// Returns the class of a call made for the request, whatever that of its route.
+    ///
+    /// Only the request counts: where the route of a read matters more, the reads of requests
+    /// that matter less would keep those out that matter as much as that route.
+    pub(crate) fn call_class(&self) -> Class {
+        self.class
+    }
+
+    /// Returns the place of a call made for the request, whatever that of its route.
+    pub(crate) fn call_rank(&self) -> Rank {
+        self.rank
+    }
+
     /// Notes what became of a call made for the request.
     pub(crate) fn note(&self, returned: &Returned) {
         let met = returned.met_pressure();
--- a/crates/mesh/src/contexts/tests.rs
+++ b/crates/mesh/src/contexts/tests.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use sailtrack_quarantine::{Caller, Hasher};
-use sailtrack_units::{Class, Rank};
+use sailtrack_units::{Class, Importance, Rank};
 use sailtrack_wire::Reason;
 
 use crate::body::Body;
@@ -41,6 +41,28 @@
     contexts.parent(&AttemptKey::from(id)).is_some()
 }
 
+/// Reads of a request that matters less do not go before requests that matter as much as the route
+/// of the reads.
+#[test]
+fn calls_matter_as_their_request() {
+    let contexts = Rc::new(Contexts::default());
+    let low = Work {
+        class: Importance::Low.into(),
+        rank: Rank::LOWEST,
+        ..work("a")
+    };
+    let open = contexts.open(&low, &upstream());
+    assert_eq!(open.context.call_class(), Importance::Low.into());
+    assert_eq!(open.context.call_rank(), Rank::LOWEST);
+    let critical = Work {
+        class: Importance::Critical.into(),
+        ..work("b")
+    };
+    let open = contexts.open(&critical, &upstream());
+    let class = open.context.call_class();
+    assert_eq!(class, Importance::Critical.into());
+}
+
 #[test]
 fn told_by_prefix() {
     let contexts = Rc::new(Contexts::default());
--- a/crates/mesh/src/entry/request.rs
+++ b/crates/mesh/src/entry/request.rs
@@ -98,8 +98,8 @@
         self.caller.as_ref().ok()?.workspace()
     }
 
-    /// Returns what decides first in which order requests are shed; a call matters no less than
-    /// the request that it is made for.
+    /// Returns what decides first in which order requests are shed; a call matters as much as the
+    /// request that it is made for.
     fn class(&self) -> Class {
         let kind = self.route.importance;
         let workspace = self.workspace().and_then(|workspace| workspace.importance);
@@ -108,11 +108,11 @@
             kind,
         };
         let parent = self.parent.as_ref();
-        parent.map_or(own, |parent| parent.class.max(own))
+        parent.map_or(own, |parent| parent.call_class())
     }
 
     /// Returns the place of the request in the order of shedding: its workspace decides before its
-    /// route, and a call matters no less than the request that it is made for.
+    /// route, and a call matters as much as the request that it is made for.
     fn rank(&self) -> Rank {
         let id = RequestId::from_key(self.attempt.as_str());
         let kind = self.route.importance;
@@ -123,7 +123,7 @@
         };
         self.parent
             .as_ref()
-            .map_or(own, |parent| parent.rank.max(own))
+            .map_or(own, |parent| parent.call_rank())
     }
 
     /// Returns true if the client waits for a word before it sends the body.
