A call that waits for changes ends with the era of its version

The call that waits for changes of the members was sent after the copy, with a version of the era before that others' writes had already given out again; the store waited 29 s for a later one. Change: such a call ends once the node hears of the next era, and the first call after a failed one is to be answered at once, so that it tells the era. A unit test of a lease across eras.

--- a/crates/mesh/src/node/store.rs
+++ b/crates/mesh/src/node/store.rs
@@ -69,6 +69,10 @@
         self.clock.hear(era, clock::now())
     }
 
+    fn era(&self) -> Era {
+        self.clock.era()
+    }
+
     fn wait(&self) -> Duration {
         let now = clock::now();
         let renewal = self.freshness.renewal(now);
@@ -134,6 +138,10 @@
         self.clock.hear(era, clock::now())
     }
 
+    fn era(&self) -> Era {
+        self.clock.era()
+    }
+
     fn pace(&self) -> Pace {
         PACE
     }
--- a/crates/mesh/src/quota/expiry/tests.rs
+++ b/crates/mesh/src/quota/expiry/tests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sailtrack_quota::{LEASE, Lease};
-use sailtrack_units::Moment;
+use sailtrack_units::{Era, Moment};
 
 use super::Expiry;
 use crate::store::clock::tests::pair::{Calls, Pair, all};
@@ -91,3 +91,16 @@
         }
     }
 }
+
+/// After a copy the store's clock says nothing of the lease; it ends by the own one.
+#[test]
+fn store_copied() {
+    let clock = Clock::default();
+    let began = Moment::since_boot(Duration::from_secs(1));
+    clock.note(began, began, StoreTime::from_millis(50_000));
+    let expiry = Expiry::new(&lease(StoreTime::from_millis(54_000)), began);
+    clock.hear(Era(2), began);
+    clock.note(began, began, StoreTime::from_millis(500));
+    assert!(expiry.is_ahead(&clock, began + Duration::from_secs(3)));
+    assert!(!expiry.is_ahead(&clock, began + LEASE));
+}
--- a/crates/mesh/src/store/mirror.rs
+++ b/crates/mesh/src/store/mirror.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures::future::{Either, select};
 use monoio::time::sleep;
 use rand::Rng as _;
 use sailtrack_kernel::Service;
@@ -57,6 +58,9 @@
     /// The store answered in this era; returns false if that is over.
     fn hear(&self, era: Era) -> bool;
 
+    /// Returns the latest era that was heard of.
+    fn era(&self) -> Era;
+
     /// Everything up to a time of the store's clock was told; the call was made at `asked`.
     fn confirm(&self, _asked: Moment, _as_of: StoreTime) {}
 
@@ -110,12 +114,20 @@
 ) {
     let mut pause = FIRST_PAUSE;
     let mut at: Option<StoreVersion> = None;
+    let mut was_lost = false;
     loop {
         if at.is_some() && !wait_until_due(&*follower).await {
             at = None;
         }
-        let result = advance(&*store, table, at, &*follower).await;
+        // A store that was away may have come back from a copy, which its next answer tells.
+        let wait = if was_lost {
+            Duration::ZERO
+        } else {
+            follower.wait()
+        };
+        let result = advance(&*store, table, (at, wait), &*follower).await;
         let error = result.as_ref().err();
+        was_lost = error.is_some();
         // A store that has forgotten its history has answered.
         reach.note(error.filter(|error| **error != StoreError::HistoryGone));
         match result {
@@ -156,13 +168,20 @@
 async fn advance(
     store: &dyn Store,
     table: Table,
-    at: Option<StoreVersion>,
+    (at, wait): (Option<StoreVersion>, Duration),
     follower: &dyn Follower,
 ) -> Result<StoreVersion, StoreError> {
     let asked = clock::now();
     let told = match at {
         None => store.rows(table).await?,
-        Some(after) => store.changes(table, after, follower.wait()).await?,
+        Some(after) => {
+            let changes = store.changes(table, after, wait);
+            let over = std::pin::pin!(era_over(follower, after.era));
+            match select(changes, over).await {
+                Either::Left((told, _)) => told?,
+                Either::Right(_) => return Err(StoreError::HistoryGone),
+            }
+        }
     };
     let is_other_era = at.is_some_and(|at| at.era != told.version.era);
     // Numbers are given out again after a copy, so what changed since one does not tell the rest.
@@ -179,3 +198,11 @@
     }
     Ok(told.version.max(at.unwrap_or_default()))
 }
+
+/// Waits until an era is over. A call that waits for changes after one of its versions waits in
+/// vain then: the numbers up to that one are given out again.
+async fn era_over(follower: &dyn Follower, era: Era) {
+    while follower.era() == era {
+        sleep(LOOK).await;
+    }
+}
