--- a/crates/mesh/src/entry/line.rs
+++ b/crates/mesh/src/entry/line.rs
@@ -11,9 +11,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
-use futures::StreamExt as _;
 use futures::future::LocalBoxFuture;
-use futures::stream::FuturesOrdered;
 use sailtrack_net::task::Held;
 
 use crate::entry::Entry;
@@ -27,12 +25,18 @@
 /// answers to those begun before come on top, each of which holds 128 KiB at the most.
 const MOST_READY_BYTES: usize = 256 * 1024;
 
+/// A request that has been begun.
+enum Slot {
+    Working(LocalBoxFuture<'static, Answer>),
+    Ended(Answer),
+}
+
 /// The requests of a connection that have been begun and not been answered.
 pub(super) struct Line {
     entry: Rc<Entry>,
-    working: RefCell<FuturesOrdered<LocalBoxFuture<'static, Answer>>>,
-    /// The answers that come next.
-    finished: RefCell<VecDeque<Answer>>,
+    /// Those whose answers have not been begun. All are polled whenever the task is woken: they are
+    /// few, and a waker for each costs more where a connection has one request at a time.
+    slots: RefCell<VecDeque<Slot>>,
     /// The bytes of finished answers.
     ready: Rc<Cell<usize>>,
     /// All of them, with the one whose answer is written.
@@ -68,8 +72,7 @@
     pub(super) fn new(entry: &Rc<Entry>) -> Self {
         Self {
             entry: Rc::clone(entry),
-            working: RefCell::default(),
-            finished: RefCell::default(),
+            slots: RefCell::default(),
             ready: Rc::default(),
             count: Cell::new(0),
             is_exclusive: Cell::new(false),
@@ -113,7 +116,8 @@
 
     /// Adds what will be answered after everything that is there.
     pub(super) fn push(&self, answer: impl Future<Output = Answer> + 'static, exclusive: bool) {
-        self.working.borrow_mut().push_back(Box::pin(answer));
+        let slot = Slot::Working(Box::pin(answer));
+        self.slots.borrow_mut().push_back(slot);
         self.count.set(self.len() + 1);
         if self.len() > 1 {
             self.was_pipelined.set(true);
@@ -125,8 +129,15 @@
     /// Returns the next answer once it is there.
     pub(super) async fn next(&self) -> Answer {
         poll_fn(|_| {
-            let next = self.finished.borrow_mut().pop_front();
-            next.map_or(Poll::Pending, Poll::Ready)
+            let mut slots = self.slots.borrow_mut();
+            match slots.pop_front() {
+                Some(Slot::Ended(answer)) => Poll::Ready(answer),
+                Some(working) => {
+                    slots.push_front(working);
+                    Poll::Pending
+                }
+                None => Poll::Pending,
+            }
         })
         .await
     }
@@ -188,9 +199,12 @@
     }
 
     fn work(&self, context: &mut Context<'_>) {
-        let mut working = self.working.borrow_mut();
-        while let Poll::Ready(Some(answer)) = working.poll_next_unpin(context) {
-            self.finished.borrow_mut().push_back(answer);
+        for slot in self.slots.borrow_mut().iter_mut() {
+            if let Slot::Working(work) = slot
+                && let Poll::Ready(answer) = work.as_mut().poll(context)
+            {
+                *slot = Slot::Ended(answer);
+            }
         }
     }
 }
