--- a/crates/mesh/src/entry/line.rs
+++ b/crates/mesh/src/entry/line.rs
@@ -4,6 +4,9 @@
 //! connection, for as long as one of them changes the line. So whoever waits for the line needs no
 //! waker of its own.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::poll_fn;
@@ -48,6 +51,48 @@
     closed: Rc<Cell<bool>>,
 }
 
+/// What decides whether a connection begins one more request.
+#[derive(Debug, Clone, Copy, Default)]
+struct State {
+    /// The requests that have been begun and not been answered.
+    count: usize,
+    /// One of them must not run twice.
+    is_exclusive: bool,
+    end: End,
+    /// The bytes of finished answers on this connection.
+    ready_bytes: usize,
+    /// Those on all connections are too many.
+    is_node_full: bool,
+}
+
+/// Whether the connection goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum End {
+    #[default]
+    Open,
+    /// It is to end with its last answer.
+    Soon,
+    /// The answer that is written ends it.
+    Now,
+}
+
+impl State {
+    /// Returns true if one more request may be begun.
+    ///
+    /// One that must not run twice begins when everything before it has been answered, and nothing
+    /// begins behind it. Where the connection is to end nothing more is begun, so that the last
+    /// answer can say so.
+    fn has_place(self, is_idempotent: bool) -> bool {
+        if self.count == 0 {
+            return self.end != End::Now;
+        }
+        let is_open = self.end == End::Open;
+        let has_room =
+            self.count < MOST_BEGUN && self.ready_bytes < MOST_READY_BYTES && !self.is_node_full;
+        is_open && has_room && is_idempotent && !self.is_exclusive
+    }
+}
+
 /// What a request holds from its beginning until it has been answered.
 pub(super) struct Place {
     held: Held,
@@ -88,21 +133,23 @@
     }
 
     /// Returns true if one more request may be begun.
-    ///
-    /// One that must not run twice begins when everything before it has been answered, and nothing
-    /// begins behind it. Where the connection is to end nothing more is begun, so that the last
-    /// answer can say so.
     pub(super) fn has_place(&self, is_idempotent: bool) -> bool {
-        if self.len() == 0 {
-            return !self.is_closed();
-        }
-        is_idempotent
-            && !self.is_exclusive.get()
-            && !self.is_closed()
-            && self.len() < MOST_BEGUN
-            && self.ready.get() < MOST_READY_BYTES
-            && self.entry.ready_bytes.get() < self.entry.most_ready_bytes
-            && !self.entry.is_ending()
+        let entry = &self.entry;
+        let end = if self.is_closed() {
+            End::Now
+        } else if self.len() > 0 && entry.is_ending() {
+            End::Soon
+        } else {
+            End::Open
+        };
+        let state = State {
+            count: self.len(),
+            is_exclusive: self.is_exclusive.get(),
+            end,
+            ready_bytes: self.ready.get(),
+            is_node_full: entry.ready_bytes.get() >= entry.most_ready_bytes,
+        };
+        state.has_place(is_idempotent)
     }
 
     /// Returns what a request needs that is begun now.
