--- a/crates/mesh/src/entry/line.rs
+++ b/crates/mesh/src/entry/line.rs
@@ -4,6 +4,9 @@
 //! connection, for as long as one of them changes the line. So whoever waits for the line needs no
 //! waker of its own.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::poll_fn;
@@ -11,9 +14,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
-use futures::StreamExt as _;
 use futures::future::LocalBoxFuture;
-use futures::stream::FuturesOrdered;
 use sailtrack_net::task::Held;
 
 use crate::entry::Entry;
@@ -27,12 +28,18 @@
 /// answers to those begun before come on top, each of which holds 128 KiB at the most.
 const MOST_READY_BYTES: usize = 256 * 1024;
 
+/// A request that has been begun.
+enum Slot {
+    Working(LocalBoxFuture<'static, Answer>),
+    Ended(Answer),
+}
+
 /// The requests of a connection that have been begun and not been answered.
 pub(super) struct Line {
     entry: Rc<Entry>,
-    working: RefCell<FuturesOrdered<LocalBoxFuture<'static, Answer>>>,
-    /// The answers that come next.
-    finished: RefCell<VecDeque<Answer>>,
+    /// Those whose answers have not been begun. All are polled whenever the task is woken: they are
+    /// few, and a waker for each costs more where a connection has one request at a time.
+    slots: RefCell<VecDeque<Slot>>,
     /// The bytes of finished answers.
     ready: Rc<Cell<usize>>,
     /// All of them, with the one whose answer is written.
@@ -44,6 +51,48 @@
     closed: Rc<Cell<bool>>,
 }
 
+/// What decides whether a connection begins one more request.
+#[derive(Debug, Clone, Copy, Default)]
+struct State {
+    /// The requests that have been begun and not been answered.
+    count: usize,
+    /// One of them must not run twice.
+    is_exclusive: bool,
+    end: End,
+    /// The bytes of finished answers on this connection.
+    ready_bytes: usize,
+    /// Those on all connections are too many.
+    is_node_full: bool,
+}
+
+/// Whether the connection goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum End {
+    #[default]
+    Open,
+    /// It is to end with its last answer.
+    Soon,
+    /// The answer that is written ends it.
+    Now,
+}
+
+impl State {
+    /// Returns true if one more request may be begun.
+    ///
+    /// One that must not run twice begins when everything before it has been answered, and nothing
+    /// begins behind it. Where the connection is to end nothing more is begun, so that the last
+    /// answer can say so.
+    fn has_place(self, is_idempotent: bool) -> bool {
+        if self.count == 0 {
+            return self.end != End::Now;
+        }
+        let is_open = self.end == End::Open;
+        let has_room =
+            self.count < MOST_BEGUN && self.ready_bytes < MOST_READY_BYTES && !self.is_node_full;
+        is_open && has_room && is_idempotent && !self.is_exclusive
+    }
+}
+
 /// What a request holds from its beginning until it has been answered.
 pub(super) struct Place {
     held: Held,
@@ -68,8 +117,7 @@
     pub(super) fn new(entry: &Rc<Entry>) -> Self {
         Self {
             entry: Rc::clone(entry),
-            working: RefCell::default(),
-            finished: RefCell::default(),
+            slots: RefCell::default(),
             ready: Rc::default(),
             count: Cell::new(0),
             is_exclusive: Cell::new(false),
@@ -85,21 +133,23 @@
     }
 
     /// Returns true if one more request may be begun.
-    ///
-    /// One that must not run twice begins when everything before it has been answered, and nothing
-    /// begins behind it. Where the connection is to end nothing more is begun, so that the last
-    /// answer can say so.
     pub(super) fn has_place(&self, is_idempotent: bool) -> bool {
-        if self.len() == 0 {
-            return !self.is_closed();
-        }
-        is_idempotent
-            && !self.is_exclusive.get()
-            && !self.is_closed()
-            && self.len() < MOST_BEGUN
-            && self.ready.get() < MOST_READY_BYTES
-            && self.entry.ready_bytes.get() < self.entry.most_ready_bytes.get()
-            && !self.entry.is_ending()
+        let entry = &self.entry;
+        let end = if self.is_closed() {
+            End::Now
+        } else if self.len() > 0 && entry.is_ending() {
+            End::Soon
+        } else {
+            End::Open
+        };
+        let state = State {
+            count: self.len(),
+            is_exclusive: self.is_exclusive.get(),
+            end,
+            ready_bytes: self.ready.get(),
+            is_node_full: entry.ready_bytes.get() >= entry.most_ready_bytes.get(),
+        };
+        state.has_place(is_idempotent)
     }
 
     /// Returns what a request needs that is begun now.
@@ -113,7 +163,8 @@
 
     /// Adds what will be answered after everything that is there.
     pub(super) fn push(&self, answer: impl Future<Output = Answer> + 'static, exclusive: bool) {
-        self.working.borrow_mut().push_back(Box::pin(answer));
+        let slot = Slot::Working(Box::pin(answer));
+        self.slots.borrow_mut().push_back(slot);
         self.count.set(self.len() + 1);
         if self.len() > 1 {
             self.was_pipelined.set(true);
@@ -125,8 +176,15 @@
     /// Returns the next answer once it is there.
     pub(super) async fn next(&self) -> Answer {
         poll_fn(|_| {
-            let next = self.finished.borrow_mut().pop_front();
-            next.map_or(Poll::Pending, Poll::Ready)
+            let mut slots = self.slots.borrow_mut();
+            match slots.pop_front() {
+                Some(Slot::Ended(answer)) => Poll::Ready(answer),
+                Some(working) => {
+                    slots.push_front(working);
+                    Poll::Pending
+                }
+                None => Poll::Pending,
+            }
         })
         .await
     }
@@ -188,9 +246,12 @@
     }
 
     fn work(&self, context: &mut Context<'_>) {
-        let mut working = self.working.borrow_mut();
-        while let Poll::Ready(Some(answer)) = working.poll_next_unpin(context) {
-            self.finished.borrow_mut().push_back(answer);
+        for slot in self.slots.borrow_mut().iter_mut() {
+            if let Slot::Working(work) = slot
+                && let Poll::Ready(answer) = work.as_mut().poll(context)
+            {
+                *slot = Slot::Ended(answer);
+            }
         }
     }
 }
