Stand-in of an upstream: silent to a share of requests, and when its queue is full

Cause: its orders knew failures and false reports only. Change: orders silent (a share) and silent_when_full.

--- a/standins/upstream/src/control.rs
+++ b/standins/upstream/src/control.rs
@@ -26,6 +26,10 @@
     pub(crate) factor: Option<f64>,
     /// The share of requests that fail after they ran.
     pub(crate) fail: Option<f64>,
+    /// The share of requests that are never answered, nor anything more on their connections.
+    pub(crate) silent: Option<f64>,
+    /// Whether what finds the queue full is never answered either, in place of being shed.
+    pub(crate) silent_when_full: Option<bool>,
     /// How the load is reported.
     pub(crate) report: Option<Report>,
     /// Announces that the upstream leaves, or that it is back.
@@ -38,6 +42,8 @@
     started: Instant,
     factor: Cell<f64>,
     fail: Cell<f64>,
+    silent: Cell<f64>,
+    silent_when_full: Cell<bool>,
     report: Cell<Report>,
     leaving: Cell<bool>,
 }
@@ -48,6 +54,8 @@
             started: Instant::now(),
             factor: Cell::new(1.0),
             fail: Cell::new(0.0),
+            silent: Cell::new(0.0),
+            silent_when_full: Cell::new(false),
             report: Cell::default(),
             leaving: Cell::new(false),
         }
@@ -61,6 +69,12 @@
         if let Some(fail) = order.fail {
             self.fail.set(fail);
         }
+        if let Some(silent) = order.silent {
+            self.silent.set(silent);
+        }
+        if let Some(silent) = order.silent_when_full {
+            self.silent_when_full.set(silent);
+        }
         if let Some(report) = order.report {
             self.report.set(report);
         }
@@ -93,6 +107,16 @@
         self.fail.get()
     }
 
+    /// Returns the share of requests that are never answered.
+    pub(crate) fn silent(&self) -> f64 {
+        self.silent.get().clamp(0.0, 1.0)
+    }
+
+    /// Returns true if what finds the queue full is never answered.
+    pub(crate) fn is_silent_when_full(&self) -> bool {
+        self.silent_when_full.get()
+    }
+
     /// Returns the load that is reported for a true load.
     pub(crate) fn reported(&self, load: f64) -> f64 {
         match self.report.get() {
--- a/standins/upstream/src/service.rs
+++ b/standins/upstream/src/service.rs
@@ -75,7 +75,13 @@
         let Some(route) = routes.find(|route| route.matches(method, &request.path)) else {
             return Response::text(StatusCode::NOT_FOUND, "no such route\n");
         };
+        if rand::rng().random_bool(self.control.silent()) {
+            return never().await;
+        }
         let Some(slot) = self.slots.take().await else {
+            if self.control.is_silent_when_full() {
+                return never().await;
+            }
             return Response::text(StatusCode::SERVICE_UNAVAILABLE, "shed\n")
                 .with(OUTCOME, "not-run");
         };
@@ -185,6 +191,11 @@
     }
 }
 
+/// Never answers; the connection takes nothing more meanwhile.
+async fn never() -> Response {
+    std::future::pending().await
+}
+
 fn time_left(request: &Request) -> Duration {
     let millis = request.header(TIMEOUT).and_then(|text| text.parse().ok());
     millis.map_or(DEFAULT_TIME, Duration::from_millis)
