A late answer is not taken for silence before seldom long work has been seen

After twenty answers the slowest hundredth of a kind is known of none of the three in a hundred that take seven times as long. Ruled out: waiting for more answers (a node may see some ten a second of a kind); proof of silence by deadlines first (served_elsewhere and own_answers would then fail). Change: unless a fifth of the kind was not answered lately a request is waited for ten times as long as half of its kind takes, and 1.5 times its slowest hundredth.

--- a/crates/mesh/src/gate/patience.rs
+++ b/crates/mesh/src/gate/patience.rs
@@ -14,7 +14,10 @@
 /// How many times as long as the slowest hundredth of its kind a request may take that later ones
 /// have overtaken.
 const OVERTAKEN_SHARE: f64 = 1.5;
-/// The same for one that none has: the upstream as a whole may be slow.
+/// How many times as long as half of its kind it may take in any case: seldom long work may not have
+/// been seen yet.
+const TAIL_SHARE: f64 = 10.0;
+/// How many times as long as the slowest hundredth one may take that none has overtaken: the upstream as a whole may be slow.
 const QUIET_SHARE: f64 = 4.0;
 /// From this share of requests without an answer on, one that is late is more likely to be silent
 /// than slow: of 100, 20 are silent and 4 of the others are late.
@@ -103,9 +106,10 @@
         if self.silent >= SILENT_SHARE && !self.is_lenient {
             return (at_pace(usual.late), at_pace(usual.longest).max(doubt));
         }
-        let least = at_pace(usual.longest.mul_f64(OVERTAKEN_SHARE));
+        let least = usual.longest.mul_f64(OVERTAKEN_SHARE);
+        let least = at_pace(least.max(usual.middle.mul_f64(TAIL_SHARE)));
         let most = at_pace(usual.longest.mul_f64(QUIET_SHARE)).max(doubt);
-        (least, most)
+        (least, most.max(least))
     }
 
     /// Returns true if the upstream answers others and not it.
