--- a/crates/mesh/src/freshness.rs
+++ b/crates/mesh/src/freshness.rs
@@ -24,12 +24,11 @@
 /// which the request counts as sent, and for an age that looks too young by the error of the clock.
 const RESERVE: Duration = CLOCK_ERROR.saturating_add(Duration::from_millis(50));
 /// Followers of the store ask again after this part of the allowed age, so that a node that is cut
-/// off goes on for the other three quarters. Nine followers make 7 calls a second at 5 s, 0.003 of
-/// what a deployment with 2,100 requests a second earns.
+/// off goes on for the other three quarters. More parts would mean more calls to the store.
 const RENEWALS: u32 = 4;
 
-/// After the store came back from a copy, how long nothing that it says proves a version the newest.
-/// Other nodes may have one that the copy lacks, and say so meanwhile.
+/// For how long after the store came back from a copy nothing that it says proves that a version is
+/// the newest: other nodes may have one that the copy lacks, and say so meanwhile.
 const SETTLE: Duration = Duration::from_millis(500);
 
 /// That a version was the newest one at some time of the store's clock.
--- a/crates/mesh/src/gate/patience.rs
+++ b/crates/mesh/src/gate/patience.rs
@@ -14,20 +14,21 @@
 /// How many times as long as the slowest hundredth of its kind a request may take that later ones
 /// have overtaken.
 const OVERTAKEN_SHARE: f64 = 1.5;
-/// How many times as long as half of its kind it may take in any case: seldom long work may not have
-/// been seen yet.
+/// How many times as long as the median of its kind it may take in any case: work that is seldom and
+/// long may not have been seen yet.
 const TAIL_SHARE: f64 = 10.0;
-/// How many times as long as the slowest hundredth one may take that none has overtaken: the upstream as a whole may be slow.
+/// How many times as long as the slowest hundredth one may take that none has overtaken: the
+/// upstream as a whole may be slow.
 const QUIET_SHARE: f64 = 4.0;
-/// From this share of requests without an answer on, one that is late is more likely to be silent
-/// than slow: of 100, 20 are silent and 4 of the others are late.
+/// From this share of requests without an answer on, one that takes longer than the usual late ones
+/// (a twentieth of those with an answer) is much more likely to be silent than slow.
 const SILENT_SHARE: f64 = 0.2;
 /// How many times as long as the last that was waited for in vain, while it is not known whether
 /// the upstream has become slow.
 const DOUBT_SHARE: f64 = 2.0;
 /// How many later requests of its kind must have been answered: one may have been quick by chance.
 const OVERTAKING: u32 = 3;
-/// A pause that an instance with little of a processor makes now and then.
+/// It is waited for at least this long: an instance with little of a processor pauses now and then.
 const LEAST: Duration = Duration::from_millis(100);
 /// How often it is looked at whether later ones were answered.
 const LOOK: Duration = Duration::from_millis(50);
--- a/crates/placement/src/candidate.rs
+++ b/crates/placement/src/candidate.rs
@@ -6,14 +6,18 @@
 
 /// The greatest share of failures that counts.
 const MOST_FAILING: f64 = 0.9;
-/// What one more request costs the others of an upstream, in times of what takes its slots. It
-/// grows slowly while there is room, so that quick upstreams are filled first,
+// What one more request costs the others of an upstream, in multiples of the time for which a
+// request usually holds a slot there. It is the sum of three parts.
+
+/// The part that grows with the pressure, its value at a pressure of one. It is small, so that quick
+/// upstreams are filled first.
 const CROWD: f64 = 0.5;
-/// steeply from here on,
-const CROWDED_FROM: f64 = 0.75;
-/// to this at the last free slot, so that the others are used before a queue begins,
+/// The part that is added while the last slots fill, its value when the last one is taken: the
+/// other upstreams are used before a queue begins.
 const CROWDED: f64 = 1.5;
-/// and by this for each full set of slots that waits.
+/// The pressure at which that part begins.
+const CROWDED_FROM: f64 = 0.75;
+/// The part of the queue, for each time that the queue could fill all slots.
 const QUEUED: f64 = 8.0;
 
 /// By how much an upstream may be fuller or emptier than it was told, as a share: others sent there
--- a/crates/placement/src/speed.rs
+++ b/crates/placement/src/speed.rs
@@ -30,7 +30,7 @@
         self.log(now).exp()
     }
 
-    /// Returns how many answers it is known by, as far as that counts.
+    /// Returns true if an answer of it was seen.
     #[must_use]
     pub fn is_known(&self) -> bool {
         self.answered.is_some()
--- a/crates/placement/src/times.rs
+++ b/crates/placement/src/times.rs
@@ -23,7 +23,8 @@
 const MEAN_WEIGHT: f64 = 0.05;
 /// The most kinds of a service that are known; the one that was answered longest ago is forgotten.
 const MOST_KINDS: usize = 64;
-/// The longest wait before an upstream, in times of its answers, that is taken out of a time.
+/// The most that is taken out of a time for the queue before an upstream, in multiples of the time
+/// that an answer takes without it.
 const MOST_WAIT: f64 = 3.0;
 
 /// An answer, or the end of waiting for one.
