Entry: Line is Pipeline, the guard of a token is Reservation

What stopped the reader: a line is a metaphor of our own (and stands for lines of text and request lines beside it); entry::line::Admission shared its name with the module entry::admission and with sailtrack_admission::Admission, and is neither, but a token that is spent or given back. Also the figure in the comment on CROWDED. Renames only; the test keeps its assertions.

--- a/crates/mesh/src/entry/answering.rs
+++ b/crates/mesh/src/entry/answering.rs
@@ -19,7 +19,7 @@
 use crate::entry::answer::{Asked, Refusal, Written, conclude, refuse};
 use crate::entry::connection::Next;
 use crate::entry::exchange::{Answer, Ended};
-use crate::entry::line::Line;
+use crate::entry::pipeline::Pipeline;
 use crate::entry::request::Incoming;
 use crate::events::End;
 use crate::work::Returned;
@@ -31,32 +31,32 @@
 pub(super) struct Answering<'a> {
     entry: &'a Rc<Entry>,
     writer: &'a mut OwnedWriteHalf<TcpStream>,
-    line: &'a Line,
+    pipeline: &'a Pipeline,
 }
 
 impl<'a> Answering<'a> {
     pub(super) fn new(
         entry: &'a Rc<Entry>,
         writer: &'a mut OwnedWriteHalf<TcpStream>,
-        line: &'a Line,
+        pipeline: &'a Pipeline,
     ) -> Self {
         Self {
             entry,
             writer,
-            line,
+            pipeline,
         }
     }
 
     /// Writes answers until one ends the connection.
     pub(super) async fn run(mut self) -> Next {
         loop {
-            let next = match self.line.next().await {
+            let next = match self.pipeline.next().await {
                 Answer::Of(ended) => self.answer(*ended).await,
                 Answer::NoKey(incoming, refusal) => self.refuse_key(&incoming, refusal).await,
                 Answer::Last(refusal, retry_after) => self.refuse(refusal, retry_after).await,
                 Answer::GoOn => self.let_go_on().await,
             };
-            self.line.note_answered();
+            self.pipeline.note_answered();
             if next != Next::Request {
                 self.note_unread();
                 return next;
@@ -69,11 +69,11 @@
             incoming,
             returned,
             trail,
-            mut admission,
+            mut reservation,
             weight,
             closes,
         } = ended;
-        admission.spend();
+        reservation.spend();
         self.log(&incoming, &returned, &trail);
         let time = incoming.came.elapsed();
         let kind = &incoming.route.name;
@@ -103,13 +103,13 @@
 
     /// Returns true if the connection is to end and nothing has been begun behind this answer.
     fn is_last(&self, was_refused: bool) -> bool {
-        self.line.len() == 1 && (self.entry.is_ending() || self.entry.wants_room(was_refused))
+        self.pipeline.len() == 1 && (self.entry.is_ending() || self.entry.wants_room(was_refused))
     }
 
     /// Writes an answer; the connection closes at once if the answer is not whole.
     async fn write_whole(&mut self, written: Written) -> Next {
         if written.close {
-            self.line.close();
+            self.pipeline.close();
         }
         if !self.write(written.bytes).await {
             return Next::Close;
@@ -131,7 +131,7 @@
         loop {
             let Ok(piece) = stream.next().await else {
                 // The connection ends without the end of the body, so it cannot look whole.
-                self.line.close();
+                self.pipeline.close();
                 return false;
             };
             let is_last = piece.is_none();
@@ -163,15 +163,15 @@
                 &[("port", &"entry"), ("reason", &refusal)],
             );
         }
-        self.line.close();
+        self.pipeline.close();
         self.write(refuse(refusal, retry_after, true)).await;
         Next::Linger
     }
 
     /// Notes what was begun behind an answer that ends the connection.
     fn note_unread(&self) {
-        let count = self.line.len();
-        if self.line.is_closed() && count > 0 {
+        let count = self.pipeline.len();
+        if self.pipeline.is_closed() && count > 0 {
             self.entry.metrics.note_unread(count);
             emit(&catalogue::REQUESTS_NOT_READ, &[("count", &count)]);
         }
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -11,7 +11,7 @@
 
 use crate::entry::Entry;
 use crate::entry::answering::Answering;
-use crate::entry::line::Line;
+use crate::entry::pipeline::Pipeline;
 use crate::entry::reading::Reading;
 
 /// How long what a refused client still sends is read, so that it can read the refusal.
@@ -79,15 +79,15 @@
 
     /// Reads and answers requests until none is left.
     async fn answer_all(&mut self) -> Next {
-        let line = Line::new(&self.entry);
+        let pipeline = Pipeline::new(&self.entry);
         let next = {
-            let reading = Reading::new(&self.entry, &mut self.reader, &line).run();
-            let answering = Answering::new(&self.entry, &mut self.writer, &line).run();
+            let reading = Reading::new(&self.entry, &mut self.reader, &pipeline).run();
+            let answering = Answering::new(&self.entry, &mut self.writer, &pipeline).run();
             let (reading, answering) = (std::pin::pin!(reading), std::pin::pin!(answering));
-            line.drive(answering, reading).await
+            pipeline.drive(answering, reading).await
         };
-        let was_pipelined = line.was_pipelined();
-        drop(line);
+        let was_pipelined = pipeline.was_pipelined();
+        drop(pipeline);
         let may_reset = was_pipelined || self.reader.buffered() > 0;
         if next == Next::Linger || (next == Next::Last && may_reset) {
             self.linger().await;
--- a/crates/mesh/src/entry/exchange.rs
+++ b/crates/mesh/src/entry/exchange.rs
@@ -11,7 +11,7 @@
 use crate::entry::Entry;
 use crate::entry::KeyRefusal;
 use crate::entry::answer::Refusal;
-use crate::entry::line::{Admission, Place, Weight};
+use crate::entry::pipeline::{Place, Reservation, Weight};
 use crate::entry::request::{Incoming, Received};
 use crate::entry::room::Taken;
 use crate::work::Returned;
@@ -33,7 +33,7 @@
     pub(super) incoming: Incoming,
     pub(super) returned: Returned,
     pub(super) trail: Trail,
-    pub(super) admission: Admission,
+    pub(super) reservation: Reservation,
     pub(super) weight: Weight,
     /// The connection ends after it.
     pub(super) closes: bool,
@@ -41,7 +41,7 @@
 
 /// A request that was let in, with its body.
 pub(super) struct Admitted {
-    pub(super) admission: Admission,
+    pub(super) reservation: Reservation,
     pub(super) received: Received,
     pub(super) room: Taken,
 }
@@ -57,7 +57,7 @@
         incoming,
         returned,
         trail: Trail::default(),
-        admission: place.keep(None),
+        reservation: place.keep(None),
         weight: place.weigh(0),
         closes,
     }))
@@ -66,19 +66,19 @@
 /// Lets a request without a body in, and brings it to its end.
 pub(super) async fn let_in(entry: Rc<Entry>, incoming: Incoming, place: Place) -> Answer {
     let trail = Trail::default();
-    let (returned, admission) = match entry.take_token(&incoming).await {
+    let (returned, reservation) = match entry.take_token(&incoming).await {
         Ok(token) => {
-            let admission = place.keep(token);
+            let reservation = place.keep(token);
             let received = Received {
                 body: Bytes::new(),
                 identity: incoming.hasher(&entry.service).finish(),
             };
             let returned = run(&entry, &incoming, received, &trail).await;
-            (returned, admission)
+            (returned, reservation)
         }
         Err(returned) => (returned, place.keep(None)),
     };
-    end(incoming, returned, trail, admission, place)
+    end(incoming, returned, trail, reservation, place)
 }
 
 /// Brings a request that was let in to its end.
@@ -91,18 +91,18 @@
     let trail = Trail::default();
     let returned = run(&entry, &incoming, admitted.received, &trail).await;
     drop(admitted.room);
-    end(incoming, returned, trail, admitted.admission, place)
+    end(incoming, returned, trail, admitted.reservation, place)
 }
 
 fn end(
     incoming: Incoming,
     returned: Returned,
     trail: Trail,
-    mut admission: Admission,
+    mut reservation: Reservation,
     place: Place,
 ) -> Answer {
     if returned.outcome == Outcome::NotRun {
-        admission.give_back();
+        reservation.give_back();
     }
     let body = returned.body.whole().map_or(0, Bytes::len);
     Answer::Of(Box::new(Ended {
@@ -110,7 +110,7 @@
         incoming,
         returned,
         trail,
-        admission,
+        reservation,
         closes: false,
     }))
 }
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -6,7 +6,7 @@
 mod caller;
 mod connection;
 mod exchange;
-mod line;
+mod pipeline;
 mod reading;
 mod request;
 mod room;
@@ -35,8 +35,7 @@
 /// thousand, and up to some 20 KiB of memory.
 const MOST_CONNECTIONS: usize = 1500;
 /// From this many on the answer to a request that was refused ends its connection: its client
-/// comes back on a new one, and the old ones stood unused until the node took no more. With a
-/// retry storm of 60 refusals a second that was reached in 13 s.
+/// comes back on a new one, and the old one would stand unused until the node takes no more.
 const CROWDED: usize = MOST_CONNECTIONS / 2;
 /// From this many on every answer does.
 const FULL: usize = MOST_CONNECTIONS * 3 / 4;
--- a/crates/mesh/src/entry/line.rs
+++ b/crates/mesh/src/entry/pipeline.rs
@@ -1,7 +1,7 @@
 //! The requests of a connection that have been begun, in their order.
 //!
 //! Reading, the work on each request and answering are polled in turn by the task of the
-//! connection, for as long as one of them changes the line. So whoever waits for the line needs no
+//! connection, for as long as one of them changes the pipeline. So whoever waits for it needs no
 //! waker of its own.
 
 #[cfg(test)]
@@ -35,7 +35,7 @@
 }
 
 /// The requests of a connection that have been begun and not been answered.
-pub(super) struct Line {
+pub(super) struct Pipeline {
     entry: Rc<Entry>,
     /// Those whose answers have not been begun. All are polled whenever the task is woken: they are
     /// few, and a waker for each costs more where a connection has one request at a time.
@@ -108,12 +108,12 @@
 }
 
 /// The token of a request; it goes back if the request counts as not read.
-pub(super) struct Admission {
+pub(super) struct Reservation {
     token: Option<Token>,
     closed: Rc<Cell<bool>>,
 }
 
-impl Line {
+impl Pipeline {
     pub(super) fn new(entry: &Rc<Entry>) -> Self {
         Self {
             entry: Rc::clone(entry),
@@ -258,8 +258,8 @@
 
 impl Place {
     /// Returns a guard for the token of the request.
-    pub(super) fn keep(&self, token: Option<Token>) -> Admission {
-        Admission {
+    pub(super) fn keep(&self, token: Option<Token>) -> Reservation {
+        Reservation {
             token,
             closed: Rc::clone(&self.closed),
         }
@@ -286,7 +286,7 @@
     }
 }
 
-impl Admission {
+impl Reservation {
     /// Gives the token back, since its request did not run and never will.
     pub(super) fn give_back(&mut self) {
         if let Some(token) = self.token.take() {
@@ -300,7 +300,7 @@
     }
 }
 
-impl Drop for Admission {
+impl Drop for Reservation {
     fn drop(&mut self) {
         if self.closed.get() {
             self.give_back();
--- a/crates/mesh/src/entry/line/tests.rs
+++ b/crates/mesh/src/entry/pipeline/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-/// A line in which reads run.
+/// A pipeline in which reads run.
 const READS: State = State {
     count: 2,
     is_exclusive: false,
--- a/crates/mesh/src/entry/reading.rs
+++ b/crates/mesh/src/entry/reading.rs
@@ -17,7 +17,7 @@
 use crate::entry::answer::Refusal;
 use crate::entry::connection::Next;
 use crate::entry::exchange::{Admitted, Answer, bring, let_in, turned_away};
-use crate::entry::line::{Line, Place};
+use crate::entry::pipeline::{Pipeline, Place};
 use crate::entry::request::{Incoming, Received};
 use crate::work::Returned;
 
@@ -56,15 +56,19 @@
 pub(super) struct Reading<'a> {
     entry: &'a Rc<Entry>,
     reader: &'a mut Reader,
-    line: &'a Line,
+    pipeline: &'a Pipeline,
 }
 
 impl<'a> Reading<'a> {
-    pub(super) fn new(entry: &'a Rc<Entry>, reader: &'a mut Reader, line: &'a Line) -> Self {
+    pub(super) fn new(
+        entry: &'a Rc<Entry>,
+        reader: &'a mut Reader,
+        pipeline: &'a Pipeline,
+    ) -> Self {
         Self {
             entry,
             reader,
-            line,
+            pipeline,
         }
     }
 
@@ -80,10 +84,10 @@
                 continue;
             };
             if let Stop::Refused(answer) = stop {
-                self.line.push(ready(answer), true);
+                self.pipeline.push(ready(answer), true);
                 // With nothing ahead of it the refusal goes out even to a client that has ended
                 // its side.
-                if self.wait(|line| line.len() <= 1).await {
+                if self.wait(|pipeline| pipeline.len() <= 1).await {
                     std::future::pending::<()>().await;
                 }
             } else if matches!(stop, Stop::Asked) {
@@ -95,7 +99,7 @@
 
     async fn wait_for_bytes(&mut self) -> Came {
         while self.reader.buffered() == 0 {
-            let quiet = std::pin::pin!(self.line.until(|line| line.len() == 0));
+            let quiet = std::pin::pin!(self.pipeline.until(|pipeline| pipeline.len() == 0));
             let fill = std::pin::pin!(self.reader.fill());
             match select(fill, quiet).await {
                 Either::Left((Ok(count), _)) if count > 0 => {}
@@ -107,8 +111,8 @@
     }
 
     /// Waits until `condition` holds; returns false if the client leaves before.
-    async fn wait(&mut self, condition: impl Fn(&Line) -> bool) -> bool {
-        let holds = std::pin::pin!(self.line.until(condition));
+    async fn wait(&mut self, condition: impl Fn(&Pipeline) -> bool) -> bool {
+        let holds = std::pin::pin!(self.pipeline.until(condition));
         let leaving = std::pin::pin!(wait_for_end(self.reader));
         matches!(select(holds, leaving).await, Either::Left(_))
     }
@@ -121,14 +125,17 @@
         let came = self.reader.last_came().unwrap_or_else(Instant::now);
         let mut incoming = self.parse(&bytes, came)?;
         let is_idempotent = incoming.route.is_idempotent();
-        if !self.line.has_place(is_idempotent) {
-            if !self.wait(|line| line.has_place(is_idempotent)).await {
+        if !self.pipeline.has_place(is_idempotent) {
+            if !self
+                .wait(|pipeline| pipeline.has_place(is_idempotent))
+                .await
+            {
                 return Err(Stop::Gone);
             }
             // Its key may have been taken away meanwhile.
             incoming = self.parse(&bytes, came)?;
         }
-        let place = self.line.place(held);
+        let place = self.pipeline.place(held);
         let has_body = incoming.framing != Framing::None;
         let keeps_alive = incoming.head.keeps_alive();
         let entry = Rc::clone(self.entry);
@@ -158,13 +165,13 @@
         if has_body {
             return Err(Stop::Refused(answer));
         }
-        self.line.push(ready(answer), false);
+        self.pipeline.push(ready(answer), false);
         Ok(())
     }
 
     fn begin(&self, exchange: impl Future<Output = Answer> + 'static, is_idempotent: bool) {
-        self.line.push(exchange, !is_idempotent);
-        let depth = self.line.len();
+        self.pipeline.push(exchange, !is_idempotent);
+        let depth = self.pipeline.len();
         if depth > 1 {
             self.entry.metrics.note_pipelined(depth);
         }
@@ -213,10 +220,10 @@
                 return Err(Stop::Refused(answer));
             }
         };
-        let mut admission = place.keep(token);
+        let mut reservation = place.keep(token);
         let room = self.entry.room.take(incoming.framing, limits.body_bytes);
         let Some(room) = room else {
-            admission.give_back();
+            reservation.give_back();
             let returned = Returned::refused(Reason::Overload).come_back(ROOM_RETURN);
             let answer = turned_away(incoming, returned, place, true);
             return Err(Stop::Refused(answer));
@@ -224,7 +231,7 @@
         match self.body(&incoming, limits.body_bytes).await {
             Ok(received) => {
                 let admitted = Admitted {
-                    admission,
+                    reservation,
                     received,
                     room,
                 };
@@ -232,7 +239,7 @@
             }
             Err(stop) => {
                 // Nothing of it runs.
-                admission.give_back();
+                reservation.give_back();
                 Err(stop)
             }
         }
@@ -241,7 +248,7 @@
     async fn body(&mut self, incoming: &Incoming, limit: usize) -> Result<Received, Stop> {
         if incoming.expects_continue() && self.reader.buffered() == 0 {
             let is_exclusive = !incoming.route.is_idempotent();
-            self.line.push(ready(Answer::GoOn), is_exclusive);
+            self.pipeline.push(ready(Answer::GoOn), is_exclusive);
         }
         let mut hasher = incoming.hasher(&self.entry.service);
         let see = |piece: &[u8]| hasher.update(piece);
