Entry: the memory for bodies is Memory, not Room

What stopped the reader: Room in entry bounds the bytes of request bodies, Room in gate keeps the slots of the own upstream; both are built in node/start. Renames only.

--- a/crates/mesh/src/entry/exchange.rs
+++ b/crates/mesh/src/entry/exchange.rs
@@ -11,9 +11,9 @@
 use crate::entry::Entry;
 use crate::entry::KeyRefusal;
 use crate::entry::answer::Refusal;
+use crate::entry::memory::Claim;
 use crate::entry::pipeline::{Place, Reservation, Weight};
 use crate::entry::request::{Incoming, Received};
-use crate::entry::room::Taken;
 use crate::work::Returned;
 
 /// What is written when its turn comes.
@@ -43,7 +43,7 @@
 pub(super) struct Admitted {
     pub(super) reservation: Reservation,
     pub(super) received: Received,
-    pub(super) room: Taken,
+    pub(super) memory: Claim,
 }
 
 /// Returns the end of a request that is not let in.
@@ -90,7 +90,7 @@
 ) -> Answer {
     let trail = Trail::default();
     let returned = run(&entry, &incoming, admitted.received, &trail).await;
-    drop(admitted.room);
+    drop(admitted.memory);
     end(incoming, returned, trail, admitted.reservation, place)
 }
 
--- a/crates/mesh/src/entry/room.rs
+++ b/crates/mesh/src/entry/memory.rs
@@ -10,19 +10,19 @@
 
 /// How much memory the bodies of requests may take up together.
 #[derive(Debug)]
-pub(crate) struct Room {
+pub(crate) struct Memory {
     bytes: Cell<usize>,
     taken: Rc<Cell<usize>>,
 }
 
-/// The place of one body, given back when it is dropped.
+/// The memory of one body, given back when it is dropped.
 #[derive(Debug)]
-pub(crate) struct Taken {
+pub(crate) struct Claim {
     taken: Rc<Cell<usize>>,
     bytes: usize,
 }
 
-impl Room {
+impl Memory {
     pub(crate) fn new(bytes: usize) -> Self {
         Self {
             bytes: Cell::new(bytes),
@@ -35,27 +35,27 @@
         self.bytes.set(bytes);
     }
 
-    /// Takes room for a body, or returns nothing if there is not enough.
-    pub(crate) fn take(&self, framing: Framing, limit: usize) -> Option<Taken> {
+    /// Claims memory for a body, or returns nothing if there is not enough.
+    pub(crate) fn claim(&self, framing: Framing, limit: usize) -> Option<Claim> {
         let bytes = match framing {
             Framing::None => 0,
             Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX).min(limit),
             Framing::Chunked | Framing::UntilClose => UNSTATED.min(limit),
         };
         let taken = self.taken.get().checked_add(bytes)?;
-        // Without a body no room is needed.
+        // Without a body no memory is needed.
         if bytes > 0 && taken > self.bytes.get() {
             return None;
         }
         self.taken.set(taken);
-        Some(Taken {
+        Some(Claim {
             taken: Rc::clone(&self.taken),
             bytes,
         })
     }
 }
 
-impl Drop for Taken {
+impl Drop for Claim {
     fn drop(&mut self) {
         self.taken.set(self.taken.get() - self.bytes);
     }
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -6,10 +6,10 @@
 mod caller;
 mod connection;
 mod exchange;
+mod memory;
 mod pipeline;
 mod reading;
 mod request;
-mod room;
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -29,7 +29,7 @@
 use crate::metrics::Metrics;
 use crate::quota::Quotas;
 pub(crate) use caller::KeyRefusal;
-pub(crate) use room::Room;
+pub(crate) use memory::Memory;
 
 /// The most client connections open at once: each has a descriptor, of which an instance has some
 /// thousand, and up to some 20 KiB of memory.
@@ -63,7 +63,7 @@
     pub(crate) events: Rc<Events>,
     pub(crate) metrics: Rc<Metrics>,
     pub(crate) in_flight: Rc<Cell<usize>>,
-    pub(crate) room: Room,
+    pub(crate) memory: Memory,
     /// The bytes of finished answers, most of which wait for those ahead of them,
     pub(crate) ready_bytes: Rc<Cell<usize>>,
     /// and from how many on no connection begins a request behind another.
--- a/crates/mesh/src/entry/reading.rs
+++ b/crates/mesh/src/entry/reading.rs
@@ -25,8 +25,8 @@
 const MOST_READ_AHEAD: usize = 64 * 1024;
 /// When a client of a node without a configuration may come back.
 const UNCONFIGURED_RETURN: Duration = Duration::from_millis(500);
-/// When a client may come back for whose body there was no room.
-const ROOM_RETURN: Duration = Duration::from_millis(500);
+/// When a client may come back for whose body there was no memory.
+const MEMORY_RETURN: Duration = Duration::from_millis(500);
 
 /// What became of waiting for bytes.
 enum Came {
@@ -221,10 +221,10 @@
             }
         };
         let mut reservation = place.keep(token);
-        let room = self.entry.room.take(incoming.framing, limits.body_bytes);
-        let Some(room) = room else {
+        let memory = self.entry.memory.claim(incoming.framing, limits.body_bytes);
+        let Some(memory) = memory else {
             reservation.give_back();
-            let returned = Returned::refused(Reason::Overload).come_back(ROOM_RETURN);
+            let returned = Returned::refused(Reason::Overload).come_back(MEMORY_RETURN);
             let answer = turned_away(incoming, returned, place, true);
             return Err(Stop::Refused(answer));
         };
@@ -233,7 +233,7 @@
                 let admitted = Admitted {
                     reservation,
                     received,
-                    room,
+                    memory,
                 };
                 Ok((incoming, admitted, place))
             }
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -18,7 +18,7 @@
 use crate::contexts::Contexts;
 use crate::directory::{Directory, Member, Observer};
 use crate::dispatch::Dispatcher;
-use crate::entry::{Entry, Room};
+use crate::entry::{Entry, Memory};
 use crate::events::Events;
 use crate::freshness::Freshness;
 use crate::gate::{Builder as GateBuilder, Gate, Records, Upstream};
@@ -259,9 +259,9 @@
         events: table.find()?,
         metrics: table.find()?,
         in_flight: Rc::clone(in_flight),
-        room: Room::new(settings.body_room()),
+        memory: Memory::new(settings.body_memory()),
         ready_bytes: Rc::default(),
-        most_ready_bytes: Cell::new(settings.ready_room()),
+        most_ready_bytes: Cell::new(settings.ready_memory()),
         closed: Cell::new(false),
         connections: Rc::default(),
     });
--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -142,8 +142,8 @@
             return;
         };
         parts.budget.set_bounds(next.retry);
-        parts.entry.room.resize(next.body_room());
-        parts.entry.most_ready_bytes.set(next.ready_room());
+        parts.entry.memory.resize(next.body_memory());
+        parts.entry.most_ready_bytes.set(next.ready_memory());
         parts
             .freshness
             .set_bound(next.revoke_time.map(|time| time.0));
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -107,13 +107,13 @@
     }
 
     /// Returns how much memory the bodies of requests may take up together.
-    pub(crate) fn body_room(&self) -> usize {
+    pub(crate) fn body_memory(&self) -> usize {
         self.memory.as_usize() / BODY_SHARE
     }
 
     /// Returns how much memory finished answers may take up before connections begin requests one
     /// at a time.
-    pub(crate) fn ready_room(&self) -> usize {
+    pub(crate) fn ready_memory(&self) -> usize {
         self.memory.as_usize() / READY_SHARE
     }
 
