Routing: who keeps a load is an Owner, not a Load

What stopped the reader: Load in routing is a place to look for a PeerLoad and no load, dialect::Load is what an upstream tells. Two impl blocks in a row are one.

--- a/crates/mesh/src/routing/mod.rs
+++ b/crates/mesh/src/routing/mod.rs
@@ -115,13 +115,13 @@
 
     /// Notes that a request goes to a target; the guard notes its end.
     pub(crate) fn begin(&self, work: &Work, target: &Target) -> Outstanding {
-        let load = match target {
-            Target::Local => Load::Local(Rc::clone(&self.local)),
-            Target::Remote(link) => Load::Remote(Rc::clone(link)),
+        let owner = match target {
+            Target::Local => Owner::Local(Rc::clone(&self.local)),
+            Target::Remote(link) => Owner::Remote(Rc::clone(link)),
         };
-        load.with(|load| load.outstanding += 1);
+        owner.with(|load| load.outstanding += 1);
         Outstanding {
-            load,
+            owner,
             learning: self.learned.of(&work.service),
             class: work.class,
             kind: work.kind.clone(),
@@ -162,22 +162,20 @@
     is_usable(link, tried).then(candidate)
 }
 
-/// Where the load of a target is kept.
-enum Load {
+/// Who keeps what is known of the load of a target.
+enum Owner {
     Local(Rc<RefCell<PeerLoad>>),
     Remote(Rc<Link>),
 }
 
-impl Load {
+impl Owner {
     fn with<T>(&self, change: impl FnOnce(&mut PeerLoad) -> T) -> T {
         match self {
             Self::Local(load) => change(&mut load.borrow_mut()),
             Self::Remote(link) => change(&mut link.load.borrow_mut()),
         }
     }
-}
 
-impl Load {
     /// Returns the name of the node for the log.
     fn name(&self) -> &str {
         match self {
@@ -189,7 +187,7 @@
 
 /// A request that is on its way to a target.
 pub(crate) struct Outstanding {
-    load: Load,
+    owner: Owner,
     learning: Rc<Learning>,
     class: Class,
     kind: KindName,
@@ -202,9 +200,9 @@
     pub(crate) fn note(&self, returned: &Returned) {
         self.is_noted.set(true);
         let now = Instant::now();
-        let pause = self.load.with(|load| load.note(now, self.class, returned));
+        let pause = self.owner.with(|load| load.note(now, self.class, returned));
         if let Some(pause) = pause {
-            let node = self.load.name();
+            let node = self.owner.name();
             let fields: [(&str, &dyn Display); 2] =
                 [("node", &node), ("for_ms", &pause.as_millis())];
             emit(&catalogue::NODE_LEFT_OUT, &fields);
@@ -218,7 +216,7 @@
         let now = Instant::now();
         let time = now.saturating_duration_since(self.began);
         let mut times = self.learning.times.borrow_mut();
-        self.load
+        self.owner
             .with(|load| load.note_time(now, &mut times, (self.class, &self.kind), time, returned));
     }
 }
@@ -229,6 +227,6 @@
             // Nobody waits any longer; how long it took so far tells something all the same.
             self.learn(None);
         }
-        self.load.with(|load| load.outstanding -= 1);
+        self.owner.with(|load| load.outstanding -= 1);
     }
 }
