--- a/crates/placement/src/level.rs
+++ b/crates/placement/src/level.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::fade::left;
+use crate::decay::remaining;
 
 /// Over how long what upstreams tell is averaged: the calls in one come and go by a tenth of its
 /// slots within the time of an answer, and that is no difference between failure domains.
@@ -44,6 +44,6 @@
             .heard
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let age = age.saturating_sub(AVERAGED);
-        self.value * left(age, HALF_LIFE)
+        self.value * remaining(age, HALF_LIFE)
     }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,7 +5,8 @@
 
 mod candidate;
 mod choice;
-mod fade;
+mod decay;
+
 mod level;
 mod need;
 mod news;
--- a/crates/placement/src/news.rs
+++ b/crates/placement/src/news.rs
@@ -5,7 +5,7 @@
 use sailtrack_admission::Pressure;
 use sailtrack_units::Pace;
 
-use crate::fade::left;
+use crate::decay::remaining;
 use crate::level::Level;
 
 /// A pace is taken at its word for this long.
@@ -71,6 +71,6 @@
         };
         let age = now.saturating_duration_since(heard);
         let old = age.saturating_sub(PACE_HOLD);
-        1.0 + (pace.factor() - 1.0) * left(old, PACE_HALF_LIFE)
+        1.0 + (pace.factor() - 1.0) * remaining(old, PACE_HALF_LIFE)
     }
 }
--- a/crates/placement/src/speed.rs
+++ b/crates/placement/src/speed.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::fade::left;
+use crate::decay::remaining;
 
 /// The weight of the newest answer once some are known.
 const NEWEST_WEIGHT: f64 = 0.08;
@@ -50,6 +50,6 @@
         let age = self
             .answered
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.log * left(age, HALF_LIFE)
+        self.log * remaining(age, HALF_LIFE)
     }
 }
