Mesh: shorter functions to send to the upstream and to install services

What sends a request and reads the first head is a function; what takes in requests and messages is installed apart from the path of a request. Same order, behaviour unchanged.

--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -120,24 +120,7 @@
     let taken = pool.take(!work.idempotent).await;
     let mut connection = taken.map_err(ExchangeError::Connect)?;
     let request = request_bytes(fields, upstream, work);
-    let Connection { reader, writer, .. } = &mut connection;
-    let early = {
-        let writing = std::pin::pin!(writer.write_all(request));
-        let reading = std::pin::pin!(reader.response_head(HEAD_BYTES));
-        match select(writing, reading).await {
-            Either::Left(((written, _), reading)) => {
-                // An upstream may answer and close before it has read a whole request.
-                let head = reading.await;
-                if let (Err(error), Err(_)) = (written, &head) {
-                    return Err(ExchangeError::Io(error));
-                }
-                (head, true)
-            }
-            Either::Right((head, _)) => (head, false),
-        }
-    };
-    let (first, was_sent) = early;
-    let first = first.map_err(ExchangeError::Message)?;
+    let (first, was_sent) = send(&mut connection, request).await?;
     let is_head = work.head.starts_with(b"HEAD ");
     let own = find_own(&mut connection, fields, &work.attempt, first, is_head).await?;
     let Own {
@@ -166,6 +149,28 @@
     Ok(UpstreamAnswer { head, body })
 }
 
+/// Sends a request and returns the first head that comes back, and whether all of the request was
+/// written by then: an upstream may answer and close before it has read a whole request.
+async fn send(
+    connection: &mut Connection,
+    request: BytesMut,
+) -> Result<(Bytes, bool), ExchangeError> {
+    let Connection { reader, writer, .. } = connection;
+    let writing = std::pin::pin!(writer.write_all(request));
+    let reading = std::pin::pin!(reader.response_head(HEAD_BYTES));
+    let (head, was_sent) = match select(writing, reading).await {
+        Either::Left(((written, _), reading)) => {
+            let head = reading.await;
+            if let (Err(error), Err(_)) = (written, &head) {
+                return Err(ExchangeError::Io(error));
+            }
+            (head, true)
+        }
+        Either::Right((head, _)) => (head, false),
+    };
+    Ok((head.map_err(ExchangeError::Message)?, was_sent))
+}
+
 /// Reads a body to its end, or as far as it is held in memory.
 async fn read_begin(
     connection: &mut Connection,
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -65,7 +65,8 @@
     let (wanted, wishes) = mpsc::channel(1);
     install_state(table, settings, surroundings, life, wanted)?;
     let holders = install_network(table, settings)?;
-    install_path(table, settings, surroundings, life, in_flight)?;
+    install_path(table, settings, surroundings, in_flight)?;
+    install_intake(table, settings, surroundings, life, in_flight)?;
     tasks::listen(table, settings)?;
     tasks::follow_settings(table)?;
     tasks::keep_quotas(table, surroundings, wishes)?;
@@ -203,11 +204,11 @@
     Ok(receiver)
 }
 
+/// Installs what brings a request to an upstream.
 fn install_path(
     table: &Table,
     settings: &Settings,
     surroundings: &Surroundings,
-    life: &Life<Joining>,
     in_flight: &Rc<Cell<usize>>,
 ) -> Result<(), Error> {
     let identity = &settings.identity;
@@ -246,6 +247,19 @@
         events: table.find()?,
         metrics: table.find()?,
     });
+    Ok(())
+}
+
+/// Installs what takes in requests, the messages of other nodes and those of the own upstream.
+fn install_intake(
+    table: &Table,
+    settings: &Settings,
+    surroundings: &Surroundings,
+    life: &Life<Joining>,
+    in_flight: &Rc<Cell<usize>>,
+) -> Result<(), Error> {
+    let identity = &settings.identity;
+    let dialect = &surroundings.dialect;
     table.install(Entry {
         dialect: Rc::clone(dialect),
         phase: life.watch(),
