Gate: a Decision to wait, factors are called factors

What stopped the reader: verdicts are the quarantine's (and the sampler's); four constants named share are multiples above one; patience was the name of a module and of a moment. The tests keep their assertions, with the new names.

--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -212,8 +212,8 @@
         let (sender, receiver) = oneshot::channel();
         let held = Held::new(&self.in_flight);
         task::spawn("execution", async move {
-            let patience = work.deadline + ANSWER_GRACE;
-            let mut returned = gate.send(&work, &entered, patience).await;
+            let until = work.deadline + ANSWER_GRACE;
+            let mut returned = gate.send(&work, &entered, until).await;
             place.end(&returned, Instant::now());
             entered.note(&returned, gate.shared_pressure(&work));
             returned.body.hold((entered, held));
--- a/crates/mesh/src/gate/patience.rs
+++ b/crates/mesh/src/gate/patience.rs
@@ -13,19 +13,19 @@
 
 /// How many times as long as the slowest hundredth of its kind a request may take that later ones
 /// have overtaken.
-const OVERTAKEN_SHARE: f64 = 1.5;
+const OVERTAKEN_FACTOR: f64 = 1.5;
 /// How many times as long as the median of its kind it may take in any case: work that is seldom and
 /// long may not have been seen yet.
-const TAIL_SHARE: f64 = 10.0;
+const TAIL_FACTOR: f64 = 10.0;
 /// How many times as long as the slowest hundredth one may take that none has overtaken: the
 /// upstream as a whole may be slow.
-const QUIET_SHARE: f64 = 4.0;
+const QUIET_FACTOR: f64 = 4.0;
 /// From this share of requests without an answer on, one that takes longer than the usual late ones
 /// (a twentieth of those with an answer) is much more likely to be silent than slow.
 const SILENT_SHARE: f64 = 0.2;
 /// How many times as long as the last that was waited for in vain, while it is not known whether
 /// the upstream has become slow.
-const DOUBT_SHARE: f64 = 2.0;
+const DOUBT_FACTOR: f64 = 2.0;
 /// How many later requests of its kind must have been answered: one may have been quick by chance.
 const OVERTAKING: u32 = 3;
 /// It is waited for at least this long: an instance with little of a processor pauses now and then.
@@ -67,9 +67,9 @@
     pub(super) is_lenient: bool,
 }
 
-/// What follows.
+/// Whether it is still waited for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Verdict {
+pub(super) enum Decision {
     /// It is waited for, and looked at again after this time.
     Wait(Duration),
     /// No answer is expected any more.
@@ -78,38 +78,38 @@
 
 impl Waiting {
     /// Decides whether it is waited for.
-    pub(super) fn judge(&self) -> Verdict {
+    pub(super) fn decide(&self) -> Decision {
         let Some(usual) = self.usual else {
-            return Verdict::Wait(self.left);
+            return Decision::Wait(self.left);
         };
         // Another upstream would need about this long.
         if self.left < usual.middle.mul_f64(self.slowness) {
-            return Verdict::Wait(self.left);
+            return Decision::Wait(self.left);
         }
         let (least, most) = self.bounds(usual);
         let due = if self.is_passed_over() { least } else { most };
         if self.waited >= due {
-            return Verdict::GiveUp;
+            return Decision::GiveUp;
         }
         let next = if self.waited < least { least } else { most };
         let rest = next.saturating_sub(self.waited);
         if self.waited < least {
-            Verdict::Wait(rest)
+            Decision::Wait(rest)
         } else {
-            Verdict::Wait(rest.min(LOOK))
+            Decision::Wait(rest.min(LOOK))
         }
     }
 
     /// Returns how long it is waited for if others have passed it, and if none has.
     fn bounds(&self, usual: Usual) -> (Duration, Duration) {
         let at_pace = |time: Duration| time.mul_f64(self.slowness).max(LEAST);
-        let doubt = self.doubted.mul_f64(DOUBT_SHARE);
+        let doubt = self.doubted.mul_f64(DOUBT_FACTOR);
         if self.silent >= SILENT_SHARE && !self.is_lenient {
             return (at_pace(usual.late), at_pace(usual.longest).max(doubt));
         }
-        let least = usual.longest.mul_f64(OVERTAKEN_SHARE);
-        let least = at_pace(least.max(usual.middle.mul_f64(TAIL_SHARE)));
-        let most = at_pace(usual.longest.mul_f64(QUIET_SHARE)).max(doubt);
+        let least = usual.longest.mul_f64(OVERTAKEN_FACTOR);
+        let least = at_pace(least.max(usual.middle.mul_f64(TAIL_FACTOR)));
+        let most = at_pace(usual.longest.mul_f64(QUIET_FACTOR)).max(doubt);
         (least, most.max(least))
     }
 
--- a/crates/mesh/src/gate/patience/tests.rs
+++ b/crates/mesh/src/gate/patience/tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{LEAST, Usual, Verdict, Waiting};
+use super::{Decision, LEAST, Usual, Waiting};
 
 const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -30,10 +30,10 @@
 fn given_up_after(begin: Waiting) -> Option<Duration> {
     let mut now = begin;
     loop {
-        match now.judge() {
-            Verdict::GiveUp => return Some(now.waited),
-            Verdict::Wait(_) if now.left.is_zero() => return None,
-            Verdict::Wait(time) => {
+        match now.decide() {
+            Decision::GiveUp => return Some(now.waited),
+            Decision::Wait(_) if now.left.is_zero() => return None,
+            Decision::Wait(time) => {
                 assert!(
                     time > Duration::ZERO,
                     "it is looked at again at once: {now:?}"
@@ -73,12 +73,12 @@
         left: ms(3900),
         ..WAITING
     };
-    let Verdict::Wait(time) = waiting.judge() else {
+    let Decision::Wait(time) = waiting.decide() else {
         panic!("nobody has passed it");
     };
     assert!(time <= ms(50), "{time:?}");
     waiting.overtaken = 3;
-    assert_eq!(waiting.judge(), Verdict::GiveUp);
+    assert_eq!(waiting.decide(), Decision::GiveUp);
 }
 
 #[test]
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -23,11 +23,12 @@
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
 impl Gate {
+    /// Sends a request and waits for its answer until a moment at most.
     pub(super) async fn send(
         self: &Rc<Self>,
         work: &Work,
         entered: &Entered,
-        patience: Moment,
+        until: Moment,
     ) -> Returned {
         let upstream = &entered.upstream;
         let entry = self.contexts.open(work, upstream);
@@ -37,7 +38,7 @@
         let exchange = until_ended(exchange, entered.ended.clone());
         let sent = self.begin_wait(work, entered);
         let result = self
-            .wait_for(&sent, &entry.context, clock::until(patience, exchange))
+            .wait_for(&sent, &entry.context, clock::until(until, exchange))
             .await;
         sent.note_end(&result, entered);
         let returned = match result {
--- a/crates/mesh/src/gate/silence.rs
+++ b/crates/mesh/src/gate/silence.rs
@@ -13,7 +13,7 @@
 use super::entered::Entered;
 use super::exchange::{ExchangeError, UpstreamAnswer};
 use super::kinds::{Kind, Open};
-use super::patience::{Verdict, Waiting};
+use super::patience::{Decision, Waiting};
 use crate::clock::{self, Late};
 use crate::contexts::Context;
 use crate::events::Silence;
@@ -125,16 +125,16 @@
         let mut is_second_look = false;
         loop {
             let waiting = self.waiting(sent, context);
-            match waiting.judge() {
-                Verdict::Wait(time) => {
+            match waiting.decide() {
+                Decision::Wait(time) => {
                     is_second_look = false;
                     sleep(time.min(LONGEST_LOOK)).await;
                 }
-                Verdict::GiveUp if !is_second_look => {
+                Decision::GiveUp if !is_second_look => {
                     is_second_look = true;
                     sleep(LAST_LOOK).await;
                 }
-                Verdict::GiveUp => {
+                Decision::GiveUp => {
                     self.note_silence(sent, &waiting);
                     return;
                 }
