--- a/crates/mesh/src/entry/exchange.rs
+++ b/crates/mesh/src/entry/exchange.rs
@@ -11,7 +11,7 @@
 use crate::entry::Entry;
 use crate::entry::KeyRefusal;
 use crate::entry::answer::Refusal;
-use crate::entry::memory::Claim;
+use crate::entry::memory::Guard;
 use crate::entry::pipeline::{Place, Reservation, Weight};
 use crate::entry::request::{Incoming, Received};
 use crate::work::Returned;
@@ -43,7 +43,7 @@
 pub(super) struct Admitted {
     pub(super) reservation: Reservation,
     pub(super) received: Received,
-    pub(super) memory: Claim,
+    pub(super) memory: Guard,
 }
 
 /// Returns the end of a request that is not let in.
--- a/crates/mesh/src/entry/memory.rs
+++ b/crates/mesh/src/entry/memory.rs
@@ -17,7 +17,7 @@
 
 /// The memory of one body, given back when it is dropped.
 #[derive(Debug)]
-pub(crate) struct Claim {
+pub(crate) struct Guard {
     taken: Rc<Cell<usize>>,
     bytes: usize,
 }
@@ -35,8 +35,8 @@
         self.bytes.set(bytes);
     }
 
-    /// Claims memory for a body, or returns nothing if there is not enough.
-    pub(crate) fn claim(&self, framing: Framing, limit: usize) -> Option<Claim> {
+    /// Takes memory for a body, or returns nothing if there is not enough.
+    pub(crate) fn take(&self, framing: Framing, limit: usize) -> Option<Guard> {
         let bytes = match framing {
             Framing::None => 0,
             Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX).min(limit),
@@ -48,14 +48,14 @@
             return None;
         }
         self.taken.set(taken);
-        Some(Claim {
+        Some(Guard {
             taken: Rc::clone(&self.taken),
             bytes,
         })
     }
 }
 
-impl Drop for Claim {
+impl Drop for Guard {
     fn drop(&mut self) {
         self.taken.set(self.taken.get() - self.bytes);
     }
--- a/crates/mesh/src/entry/reading.rs
+++ b/crates/mesh/src/entry/reading.rs
@@ -221,7 +221,7 @@
             }
         };
         let mut reservation = place.keep(token);
-        let memory = self.entry.memory.claim(incoming.framing, limits.body_bytes);
+        let memory = self.entry.memory.take(incoming.framing, limits.body_bytes);
         let Some(memory) = memory else {
             reservation.give_back();
             let returned = Returned::refused(Reason::Overload).come_back(MEMORY_RETURN);
