--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -6,10 +6,10 @@
 mod caller;
 mod connection;
 mod exchange;
-mod line;
+mod memory;
+mod pipeline;
 mod reading;
 mod request;
-mod room;
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -29,14 +29,13 @@
 use crate::metrics::Metrics;
 use crate::quota::Quotas;
 pub(crate) use caller::KeyRefusal;
-pub(crate) use room::Room;
+pub(crate) use memory::Memory;
 
 /// The most client connections open at once: each has a descriptor, of which an instance has some
 /// thousand, and up to some 20 KiB of memory.
 const MOST_CONNECTIONS: usize = 1500;
 /// From this many on the answer to a request that was refused ends its connection: its client
-/// comes back on a new one, and the old ones stood unused until the node took no more. With a
-/// retry storm of 60 refusals a second that was reached in 13 s.
+/// comes back on a new one, and the old one would stand unused until the node takes no more.
 const CROWDED: usize = MOST_CONNECTIONS / 2;
 /// From this many on every answer does.
 const FULL: usize = MOST_CONNECTIONS * 3 / 4;
@@ -64,7 +63,7 @@
     pub(crate) events: Rc<Events>,
     pub(crate) metrics: Rc<Metrics>,
     pub(crate) in_flight: Rc<Cell<usize>>,
-    pub(crate) room: Room,
+    pub(crate) memory: Memory,
     /// The bytes of finished answers, most of which wait for those ahead of them,
     pub(crate) ready_bytes: Rc<Cell<usize>>,
     /// and from how many on no connection begins a request behind another.
--- a/crates/placement/src/speed.rs
+++ b/crates/placement/src/speed.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::fade::left;
+use crate::decay::remaining;
 
 /// The weight of the newest answer once some are known.
 const NEWEST_WEIGHT: f64 = 0.08;
@@ -30,7 +30,7 @@
         self.log(now).exp()
     }
 
-    /// Returns how many answers it is known by, as far as that counts.
+    /// Returns true if an answer of it was seen.
     #[must_use]
     pub fn is_known(&self) -> bool {
         self.answered.is_some()
@@ -50,6 +50,6 @@
         let age = self
             .answered
             .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.log * left(age, HALF_LIFE)
+        self.log * remaining(age, HALF_LIFE)
     }
 }
