--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -27,8 +27,8 @@
 
 /// A node that has run for no longer, among others that have run for no longer, is one of many
 /// that were started at once, and their clients come back at once. One that is started anew while
-/// the others serve takes its usual share: beginning small there refused 1.4 % of the requests of
-/// a day with stops in turn.
+/// the others serve takes its usual share: beginning small there would refuse requests at
+/// each planned stop.
 const YOUNG_TIME: Duration = Duration::from_secs(5);
 /// How often the ages of the other nodes are looked at.
 const AGE_LOOK: Duration = Duration::from_millis(20);
--- a/crates/quota/src/limit.rs
+++ b/crates/quota/src/limit.rs
@@ -4,8 +4,8 @@
 
 /// The part of what may run beyond a limit that is used on purpose, as room for tokens, and the
 /// part that a new allocator uses while nodes may hold tokens of the one before that it has not heard
-/// of. Together they leave a twentieth for the clocks. With 0.8 and 0.1 seven in a hundred requests
-/// were refused after a change of allocators at nine tenths of the limits, with these two.
+/// of. Together they leave a twentieth for the clocks. With less for a new allocator, requests are
+/// refused below their limits after each change of allocators.
 const ROOM_SHARE: f64 = 0.55;
 const YOUNG_ROOM_SHARE: f64 = 0.4;
 
