--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,6 +1,8 @@
 //! Decides which calls the own upstream gets, and when.
 
 mod breaker;
+mod carry;
+mod floor;
 mod level;
 mod limit;
 mod outset;
@@ -29,6 +31,8 @@
 use queue::{Place, Queue, Verdict};
 use returns::Returns;
 
+pub use carry::{Allowance, Carry};
+pub use floor::{Floor, Floors};
 pub use outset::{Hold, Met, Outset, Place as OutsetPlace};
 pub use pressure::Pressure;
 pub use rules::{Policy, PolicyError, Rules};
--- a/crates/admission/src/outset.rs
+++ b/crates/admission/src/outset.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use sailtrack_units::KindName;
+use sailtrack_units::{KindName, Rank};
 
 use crate::breaker::Breaker;
+use crate::floor::Floors;
 use crate::pressure::Pressure;
 use crate::window::{Place as WindowPlace, Windows};
 
@@ -16,33 +17,45 @@
     Window,
     /// A service further down has no upstream.
     Path,
+    /// A service further down can finish requests of higher ranks only.
+    Floor,
 }
 
 /// Whether requests of clients may begin at one node.
 pub struct Outset {
     windows: Rc<Windows>,
+    floors: Rc<Floors>,
     breaker: Breaker,
 }
 
 impl Outset {
-    /// Returns an outset over these windows.
+    /// Returns an outset over these windows and floors.
     #[must_use]
-    pub fn new(windows: Rc<Windows>) -> Rc<Self> {
+    pub fn new(windows: Rc<Windows>, floors: Rc<Floors>) -> Rc<Self> {
         Rc::new(Self {
             windows,
+            floors,
             breaker: Breaker::default(),
         })
     }
 
-    /// Takes a place for a request of this kind.
+    /// Takes a place for a request of this kind and rank.
     ///
     /// # Errors
     ///
     /// The request is not to begin now, and why.
-    pub fn begin(self: &Rc<Self>, kind: &KindName, now: Instant) -> Result<Place, Hold> {
+    pub fn begin(
+        self: &Rc<Self>,
+        kind: &KindName,
+        rank: Rank,
+        now: Instant,
+    ) -> Result<Place, Hold> {
         if !self.breaker.lets_in(kind, now) {
             return Err(Hold::Path);
         }
+        if !self.floors.lets_in(kind, rank, now) {
+            return Err(Hold::Floor);
+        }
         let window = self.windows.enter(kind, now).ok_or(Hold::Window)?;
         Ok(Place {
             outset: Rc::clone(self),
--- a/crates/mesh/src/contexts.rs
+++ b/crates/mesh/src/contexts.rs
@@ -14,8 +14,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Instant;
 
-use sailtrack_admission::Pressure;
+use sailtrack_admission::{Floor, Floors, Pressure};
 use sailtrack_kernel::Service;
 use sailtrack_quarantine::{Identity, Ran};
 use sailtrack_units::{Class, KindName, Rank, WorkspaceName};
@@ -41,8 +42,13 @@
     pub(crate) workspace: Option<WorkspaceName>,
     /// Whether it was sent to another upstream before.
     pub(crate) repeated: bool,
+    /// A client made it, so that it is begun here.
+    is_root: bool,
     /// The greatest pressure that a call made for it met.
     pub(crate) pressure: Cell<Pressure>,
+    /// The highest floor that a call made for it told.
+    pub(crate) floor: Cell<Floor>,
+    floors: Rc<Floors>,
     /// How many calls made for it were answered well.
     pub(crate) answered: Cell<u32>,
     /// Whether a call made for it failed,
@@ -55,6 +61,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Contexts {
     running: RefCell<HashMap<AttemptKey, Rc<Context>>>,
+    floors: Rc<Floors>,
 }
 
 impl Service for Contexts {
@@ -73,7 +80,10 @@
             class: work.class,
             workspace: work.workspace.clone(),
             repeated: work.repeated,
+            is_root: !work.begun,
             pressure: Cell::default(),
+            floor: Cell::default(),
+            floors: Rc::clone(&self.floors),
             answered: Cell::new(0),
             failed_below: Cell::new(false),
             absent_below: Cell::new(false),
@@ -109,6 +119,11 @@
         of_life.cloned().collect()
     }
 
+    /// Returns what calls told of the ranks that can be finished, for the requests that begin here.
+    pub(crate) fn floors(&self) -> &Rc<Floors> {
+        &self.floors
+    }
+
     /// Returns how many requests run in the own upstream.
     pub(crate) fn len(&self) -> usize {
         self.running.borrow().len()
@@ -129,6 +144,11 @@
     pub(crate) fn note(&self, returned: &Returned) {
         let met = returned.met_pressure();
         self.pressure.set(self.pressure.get().greater(met));
+        self.floor.set(self.floor.get().higher(returned.floor));
+        if self.is_root {
+            let (kind, rank) = (&self.kind, self.rank);
+            self.floors.note(kind, rank, returned.floor, Instant::now());
+        }
         if returned.is_success() {
             self.answered.set(self.answered.get() + 1);
         } else {
--- a/crates/mesh/src/entry/request.rs
+++ b/crates/mesh/src/entry/request.rs
@@ -121,9 +121,12 @@
             Some(workspace) => Rank::within(workspace, kind, id),
             None => Rank::new(kind, id),
         };
-        self.parent
-            .as_ref()
-            .map_or(own, |parent| parent.rank.max(own))
+        match &self.parent {
+            // All calls of a request have its place among those that matter as much, so that the
+            // same requests are finished everywhere.
+            Some(parent) if parent.rank.importance() >= own.importance() => parent.rank,
+            _ => own,
+        }
     }
 
     /// Returns true if the client waits for a word before it sends the body.
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -39,6 +39,8 @@
     Window,
     /// path
     Path,
+    /// floor
+    Floor,
 }
 
 /// A request that was refused at the gate, and what decided it.
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -19,7 +19,9 @@
 use bytes::{Bytes, BytesMut};
 use futures::channel::oneshot;
 use futures::future::{Either, select};
-use sailtrack_admission::{Admission, Hold, Met, Outset, OutsetPlace, Permit, Pressure, Windows};
+use sailtrack_admission::{
+    Admission, Floor, Hold, Met, Outset, OutsetPlace, Permit, Pressure, Windows,
+};
 use sailtrack_kernel::Service;
 use sailtrack_net::task::{self, Held};
 use sailtrack_net::transparent::ResponseHead;
@@ -107,6 +109,7 @@
 /// Builds a gate from the services that it uses.
 pub(crate) struct Builder {
     gate: Gate,
+    windows: Rc<Windows>,
 }
 
 impl Builder {
@@ -124,7 +127,7 @@
             service,
             upstream,
             admission: Rc::new(Admission::new(rules, Instant::now())),
-            outset: Outset::new(Rc::default()),
+            outset: Outset::new(Rc::default(), Rc::default()),
             contexts: Rc::default(),
             records: Rc::default(),
             events: Rc::default(),
@@ -136,7 +139,10 @@
             trials: Trials::default(),
             in_flight: Rc::default(),
         };
-        Self { gate }
+        Self {
+            gate,
+            windows: Rc::default(),
+        }
     }
 
     /// Sets the count of what the node works on.
@@ -148,7 +154,7 @@
     /// Sets who may enter the upstream.
     pub(crate) fn admission(mut self, admission: Rc<Admission>, windows: Rc<Windows>) -> Self {
         self.gate.admission = admission;
-        self.gate.outset = Outset::new(windows);
+        self.windows = windows;
         self
     }
 
@@ -167,7 +173,9 @@
     }
 
     /// Returns the gate.
-    pub(crate) fn build(self) -> Gate {
+    pub(crate) fn build(mut self) -> Gate {
+        let floors = Rc::clone(self.gate.contexts.floors());
+        self.gate.outset = Outset::new(self.windows, floors);
         self.gate
     }
 }
@@ -341,12 +349,17 @@
         if work.begun {
             return Ok(None);
         }
-        self.outset.begin(&work.kind, now).map(Some)
+        self.outset.begin(&work.kind, work.rank, now).map(Some)
     }
 
     fn hold_back(&self, work: &Work, hold: Hold) -> Returned {
         match hold {
             Hold::Window => self.refuse_at(work, Reason::Overload, Bound::Window),
+            // Other nodes would refuse it for the same reason.
+            Hold::Floor => Returned {
+                floor: Floor::above(work.rank),
+                ..self.refuse_at(work, Reason::Overload, Bound::Floor)
+            },
             Hold::Path => Returned {
                 absent_below: true,
                 ..self.refuse_at(work, Reason::NoUpstream, Bound::Path)
@@ -390,6 +403,7 @@
         }
         Returned {
             path_pressure: entry.context.pressure.get(),
+            floor: entry.context.floor.get(),
             failed_below: entry.context.failed_below.get(),
             absent_below: entry.context.absent_below.get(),
             ..returned
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
-use sailtrack_admission::Pressure;
+use sailtrack_admission::{Floor, Pressure};
 use sailtrack_quarantine::Identity;
 use sailtrack_units::{Class, Pace, Rank};
 use sailtrack_wire::{Forward, Reply};
@@ -103,6 +103,7 @@
         offered: returned.offered,
         pressure_percent: returned.pressure.percent(),
         path_pressure_percent: returned.path_pressure.percent(),
+        floor: returned.floor.number(),
         failed_below: returned.failed_below,
         absent_below: returned.absent_below,
         pace_percent: returned.pace.map_or(0, Pace::percent),
@@ -121,6 +122,7 @@
         path_pressure: Pressure::from_percent(message.path_pressure_percent),
         // Zero, for an upstream that tells none, is no pace either.
         pace: Pace::from_percent(message.pace_percent).ok(),
+        floor: Floor::from_number(message.floor),
         failed_below: message.failed_below,
         absent_below: message.absent_below,
         retry_after: Duration::from_millis(message.retry_after_ms),
--- a/crates/mesh/src/work.rs
+++ b/crates/mesh/src/work.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use sailtrack_admission::Pressure;
+use sailtrack_admission::{Floor, Pressure};
 use sailtrack_quarantine::Identity;
 use sailtrack_units::{Class, KindName, Moment, Pace, Rank, ServiceName, WorkspaceName};
 use sailtrack_wire::{Outcome, Reason};
@@ -67,6 +67,8 @@
     pub(crate) pace: Option<Pace>,
     /// The greatest pressure that the request met, at the upstream or further down.
     pub(crate) path_pressure: Pressure,
+    /// From which rank on requests that need the services it met can be finished.
+    pub(crate) floor: Floor,
     /// Whether a call that was made for it failed, as far as is known.
     pub(crate) failed_below: bool,
     /// Whether a call that was made for it found no upstream of its service, as far as is known.
@@ -87,6 +89,7 @@
             pressure: Pressure::default(),
             pace: None,
             path_pressure: Pressure::default(),
+            floor: Floor::NONE,
             failed_below: false,
             absent_below: false,
             retry_after: Duration::ZERO,
--- a/crates/model/src/run/gate.rs
+++ b/crates/model/src/run/gate.rs
@@ -33,7 +33,7 @@
         let (kind, rank, deadline) = (run.kind, run.rank, run.deadline);
         let begun = matches!(run.maker, Maker::Run(_));
         if !begun && self.rules.has(Mechanism::Windows) {
-            match outset.begin(&self.names[kind], now) {
+            match outset.begin(&self.names[kind], rank, now) {
                 Ok(place) => self.run(id).place = Some(place),
                 Err(hold) => {
                     self.run(id).found_nobody |= hold == Hold::Path;
--- a/crates/model/src/run/mod.rs
+++ b/crates/model/src/run/mod.rs
@@ -11,7 +11,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
-use sailtrack_admission::{Admission, Outset, Policy, Rules as AdmissionRules, Windows};
+use sailtrack_admission::{Admission, Floors, Outset, Policy, Rules as AdmissionRules, Windows};
 use sailtrack_declaration::Limit;
 use sailtrack_units::{KindName, Period, Rank, RequestId};
 
@@ -103,7 +103,7 @@
                     domain: upstream.domain,
                     speed: upstream.speed,
                     admission: Rc::new(admission),
-                    outset: Outset::new(Rc::new(Windows::default())),
+                    outset: Outset::new(Rc::new(Windows::default()), Floors::new()),
                     waiting: Vec::new(),
                 });
             }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -293,6 +293,9 @@
     /// not known.
     #[prost(uint32, tag = "16")]
     pub pace_percent: u32,
+    /// The lowest rank whose requests the services that it met can finish; zero holds nothing back.
+    #[prost(uint32, tag = "17")]
+    pub floor: u32,
 }
 /// Grants more chunks of a streamed body.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
