--- a/crates/admission/src/floor.rs
+++ b/crates/admission/src/floor.rs
@@ -24,8 +24,8 @@
 const FORGET: Duration = Duration::from_secs(3);
 /// The weight of the newest answer in a floor where it tells a higher one, and a lower one. Several
 /// nodes tell each their own, and a request may need the one that can finish the fewest.
-const RISING_WEIGHT: f64 = 0.4;
-const FALLING_WEIGHT: f64 = 0.15;
+const RISING_WEIGHT: f64 = 0.2;
+const FALLING_WEIGHT: f64 = 0.2;
 /// The ranks of one importance.
 const RANKS_EACH: usize = Rank::COUNT / 4;
 
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod breaker;
 mod carry;
+mod fill;
 mod floor;
 mod level;
 mod limit;
@@ -9,6 +10,7 @@
 mod pressure;
 mod queue;
 mod returns;
+mod room;
 mod rules;
 #[cfg(test)]
 mod tests;
@@ -30,6 +32,7 @@
 use limit::Limit;
 use queue::{Place, Queue, Verdict};
 use returns::Returns;
+use room::{Occupancy, Room};
 
 pub use carry::{Allowance, Carry};
 pub use floor::{Floor, Floors};
@@ -70,6 +73,7 @@
     declared: DeclaredLimit,
     queue: Queue,
     level: Level,
+    room: Room,
     returns: Returns,
     own_time: Option<f64>,
     /// When a call came last that was made for a request further up.
@@ -100,6 +104,7 @@
                 declared: DeclaredLimit::Auto,
                 queue: Queue::default(),
                 level: Level::new(now),
+                room: Room::new(now),
                 returns: Returns::new(now),
                 own_time: None,
                 called: None,
@@ -177,6 +182,11 @@
         self.state.borrow_mut().level.current(now)
     }
 
+    /// Returns from which rank on requests that call this upstream find room here.
+    pub fn floor(&self) -> Floor {
+        self.state.borrow().room.floor()
+    }
+
     /// Returns the time that the upstream itself takes for a call, on average.
     pub fn own_time(&self) -> Duration {
         let seconds = self.state.borrow().own_time.unwrap_or_default();
@@ -238,6 +248,12 @@
         if begun {
             self.state.borrow_mut().called = Some(now);
         }
+        let found = Occupancy {
+            running: self.in_flight(),
+            waiting: self.waiting(),
+            limit,
+        };
+        self.state.borrow_mut().room.note(now, place.1, found);
         if self.rules.policy == Policy::Adaptive {
             self.state.borrow_mut().level.note_arrival(now, place.1);
         }
@@ -369,6 +385,7 @@
 
     fn leave(&self) {
         self.in_flight.set(self.in_flight() - 1);
+        self.state.borrow_mut().room.note_answered();
         self.admit_waiting();
     }
 }
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -193,7 +193,7 @@
     pub(crate) async fn run(self: &Rc<Self>, work: Work) -> Returned {
         let held = Held::new(&self.in_flight);
         let (attempt, kind) = (work.attempt.clone(), work.kind.clone());
-        let class = work.class;
+        let (class, begun) = (work.class, work.begun);
         let mut returned = self.admit(work).await;
         returned.body.hold(held);
         let pressure = self.admission.pressure(Instant::now(), class);
@@ -202,7 +202,14 @@
         }
         self.metrics
             .note_end(Stage::Gate, &kind, returned.outcome, returned.reason);
+        // Who brings a request here directly finds a place in the queue or goes elsewhere.
+        let here = if begun {
+            self.admission.floor()
+        } else {
+            Floor::NONE
+        };
         Returned {
+            floor: returned.floor.higher(here),
             pressure,
             path_pressure: returned.path_pressure.greater(pressure),
             ..returned
--- a/crates/model/src/rules.rs
+++ b/crates/model/src/rules.rs
@@ -15,16 +15,19 @@
     BegunFirst,
     /// A full upstream's requests are brought to another one.
     Redirects,
+    /// Full services tell which requests are to begin.
+    Floors,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Breaker,
         Self::OwnPressure,
         Self::Windows,
         Self::BegunFirst,
         Self::Redirects,
+        Self::Floors,
     ];
 }
 
@@ -36,6 +39,7 @@
             Self::Windows => "windows",
             Self::BegunFirst => "begun first",
             Self::Redirects => "redirects",
+            Self::Floors => "floors",
         })
     }
 }
--- a/crates/model/src/run/client.rs
+++ b/crates/model/src/run/client.rs
@@ -56,6 +56,9 @@
         let age = clock::now().saturating_duration_since(first);
         let left = described.patience.saturating_sub(age);
         let comes_back = tries < MOST_TRIES && !left.is_zero();
+        if end == End::Failed {
+            self.tally.kinds[kind].broken += 1;
+        }
         let ending = match end {
             End::Done if age <= described.objective => Ending::InTime,
             End::Done => Ending::Late,
--- a/crates/model/src/run/gate.rs
+++ b/crates/model/src/run/gate.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use sailtrack_admission::{Admission, Arrival, Hold, Met, Outset, Permit, Pressure, Waiting};
+use sailtrack_admission::{Admission, Arrival, Floors, Hold, Met, Outset, Permit, Pressure, Waiting};
 
 use crate::clock::{self, seconds};
 use crate::process::{End, Maker, Run, RunId};
@@ -18,6 +18,7 @@
     pub(super) speed: f64,
     pub(super) admission: Rc<Admission>,
     pub(super) outset: Rc<Outset>,
+    pub(super) floors: Rc<Floors>,
     pub(super) waiting: Vec<RunId>,
 }
 
--- a/crates/model/src/run/mod.rs
+++ b/crates/model/src/run/mod.rs
@@ -11,7 +11,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
-use sailtrack_admission::{Admission, Floors, Outset, Policy, Rules as AdmissionRules, Windows};
+use sailtrack_admission::{Admission, Floor, Floors, Outset, Policy, Rules as AdmissionRules, Windows};
 use sailtrack_declaration::Limit;
 use sailtrack_units::{KindName, Period, Rank, RequestId};
 
@@ -97,13 +97,15 @@
                 let admission = Admission::with_clock(admission_rules(), clock::now, start);
                 admission.reset(start, Some(upstream.slots));
                 admission.declare_limit(Limit::Fixed(upstream.slots));
+                let floors = Floors::new();
                 gates.push(Gate {
                     service,
                     place,
                     domain: upstream.domain,
                     speed: upstream.speed,
                     admission: Rc::new(admission),
-                    outset: Outset::new(Rc::new(Windows::default()), Floors::new()),
+                    outset: Outset::new(Rc::new(Windows::default()), Rc::clone(&floors)),
+                    floors,
                     waiting: Vec::new(),
                 });
             }
@@ -186,6 +188,7 @@
             light: false,
             calls_made: 0,
             below: 0.0,
+            floor: Floor::NONE,
             found_nobody: false,
         };
         let id = self.free.pop().unwrap_or_else(|| {
@@ -256,7 +259,12 @@
             return self.end(id, End::Done);
         };
         let own = &self.graph.kinds[call.kind];
-        let rank = rank.max(Rank::new(own.importance, RequestId::draw(&mut self.random)));
+        let drawn = Rank::new(own.importance, RequestId::draw(&mut self.random));
+        let rank = if rank.importance() >= own.importance {
+            rank
+        } else {
+            drawn
+        };
         let deadline = deadline.min(clock::now() + own.timeout);
         let domain = self.gates[gate].domain;
         self.make(call.kind, Maker::Run(id), rank, deadline, domain);
@@ -279,19 +287,36 @@
         }
         match run.maker {
             Maker::Client(client) => self.end_client(client, end, &run),
-            Maker::Run(parent) => self.end_call(parent, end, met, run.found_nobody),
+            Maker::Run(parent) => {
+                let here = self.gates[gate].admission.floor();
+                let floor = run.floor.higher(here);
+                self.end_call(parent, end, (met, floor), run.found_nobody);
+            }
         }
         if run.permit.take().is_some() {
             self.settle(gate);
         }
     }
 
-    fn end_call(&mut self, parent: RunId, end: End, met: f64, found_nobody: bool) {
+    fn end_call(
+        &mut self,
+        parent: RunId,
+        end: End,
+        (met, floor): (f64, Floor),
+        found_nobody: bool,
+    ) {
         if self.runs[parent].is_none() {
             return;
         }
         let run = self.run(parent);
         run.below = run.below.max(met);
+        run.floor = run.floor.higher(floor);
+        let (kind, rank, gate) = (run.kind, run.rank, run.gate);
+        if matches!(run.maker, Maker::Client(_)) && self.rules.has(Mechanism::Floors) {
+            let floors = &self.gates[gate].floors;
+            floors.note(&self.names[kind], rank, floor, clock::now());
+        }
+        let run = self.run(parent);
         if end == End::Done {
             return self.call_next(parent);
         }
--- a/crates/model/src/tally.rs
+++ b/crates/model/src/tally.rs
@@ -13,6 +13,8 @@
     pub refused: u32,
     /// Those whose last try failed.
     pub failed: u32,
+    /// Tries that failed after they had begun, whatever came of the request.
+    pub broken: u32,
 }
 
 impl GroupTally {
