--- a/crates/admission/src/floor.rs
+++ b/crates/admission/src/floor.rs
@@ -17,6 +17,8 @@
 use sailtrack_kernel::Service;
 use sailtrack_units::{KindName, Rank};
 
+use crate::fill::floor_of;
+
 /// How long a floor holds after the last news of it; answers come several times in that time while
 /// any requests of the kind are under way.
 const HOLD: Duration = Duration::from_millis(300);
@@ -90,6 +92,36 @@
     }
 }
 
+/// The floors that the calls of one request told, by the kinds of the calls.
+///
+/// Calls of a kind go to several upstreams, and what one of them cannot take another one does, so
+/// they count by their mean. Calls of other kinds go to other services, and the request needs all.
+#[derive(Debug, Default)]
+pub struct Tellings {
+    kinds: Vec<(KindName, f64, f64)>,
+}
+
+impl Tellings {
+    /// Notes the floor that a call of this kind told.
+    pub fn note(&mut self, kind: &KindName, floor: Floor) {
+        let told = f64::from(floor.0);
+        match self.kinds.iter_mut().find(|(known, ..)| known == kind) {
+            Some((_, sum, calls)) => {
+                *sum += told;
+                *calls += 1.0;
+            }
+            None => self.kinds.push((kind.clone(), told, 1.0)),
+        }
+    }
+
+    /// Returns the floor of the request.
+    #[must_use]
+    pub fn floor(&self) -> Floor {
+        let means = self.kinds.iter().map(|(_, sum, calls)| sum / calls);
+        floor_of(means.fold(0.0, f64::max))
+    }
+}
+
 /// What was told of one kind.
 #[derive(Debug, Clone, Copy)]
 struct Told {
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -35,7 +35,7 @@
 use room::{Occupancy, Room};
 
 pub use carry::{Allowance, Carry};
-pub use floor::{Floor, Floors};
+pub use floor::{Floor, Floors, Tellings};
 pub use outset::{Hold, Met, Outset, Place as OutsetPlace};
 pub use pressure::Pressure;
 pub use rules::{Policy, PolicyError, Rules};
--- a/crates/admission/src/room.rs
+++ b/crates/admission/src/room.rs
@@ -15,7 +15,7 @@
 const KEPT: f64 = 0.8;
 /// The part of what the upstream can answer that is given out while no calls wait, and by how much
 /// less it is for each share of its limit that waits.
-const GIVEN: f64 = 1.05;
+const GIVEN: f64 = 1.1;
 const GIVEN_LESS: f64 = 0.3;
 /// The least part that is given out.
 const LEAST_GIVEN: f64 = 0.5;
--- a/crates/mesh/src/contexts.rs
+++ b/crates/mesh/src/contexts.rs
@@ -16,7 +16,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use sailtrack_admission::{Floor, Floors, Pressure};
+use sailtrack_admission::{Floor, Floors, Pressure, Tellings};
 use sailtrack_kernel::Service;
 use sailtrack_quarantine::{Identity, Ran};
 use sailtrack_units::{Class, KindName, Rank, WorkspaceName};
@@ -46,8 +46,8 @@
     is_root: bool,
     /// The greatest pressure that a call made for it met.
     pub(crate) pressure: Cell<Pressure>,
-    /// The highest floor that a call made for it told.
-    pub(crate) floor: Cell<Floor>,
+    /// The floors that calls made for it told.
+    told: RefCell<Tellings>,
     floors: Rc<Floors>,
     /// How many calls made for it were answered well.
     pub(crate) answered: Cell<u32>,
@@ -82,7 +82,7 @@
             repeated: work.repeated,
             is_root: !work.begun,
             pressure: Cell::default(),
-            floor: Cell::default(),
+            told: RefCell::default(),
             floors: Rc::clone(&self.floors),
             answered: Cell::new(0),
             failed_below: Cell::new(false),
@@ -140,11 +140,16 @@
         }
     }
 
-    /// Notes what became of a call made for the request.
-    pub(crate) fn note(&self, returned: &Returned) {
+    /// Returns from which rank on the services below can finish requests like this one.
+    pub(crate) fn floor(&self) -> Floor {
+        self.told.borrow().floor()
+    }
+
+    /// Notes what became of a call of this kind that was made for the request.
+    pub(crate) fn note(&self, call: &KindName, returned: &Returned) {
         let met = returned.met_pressure();
         self.pressure.set(self.pressure.get().greater(met));
-        self.floor.set(self.floor.get().higher(returned.floor));
+        self.told.borrow_mut().note(call, returned.floor);
         if self.is_root {
             let (kind, rank) = (&self.kind, self.rank);
             self.floors.note(kind, rank, returned.floor, Instant::now());
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -282,7 +282,7 @@
             Either::Right(_) => return None,
         };
         if let Some(parent) = &incoming.parent {
-            parent.note(&returned);
+            parent.note(&incoming.route.name, &returned);
         }
         Some(returned)
     }
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -410,7 +410,7 @@
         }
         Returned {
             path_pressure: entry.context.pressure.get(),
-            floor: entry.context.floor.get(),
+            floor: entry.context.floor(),
             failed_below: entry.context.failed_below.get(),
             absent_below: entry.context.absent_below.get(),
             ..returned
--- a/crates/model/src/process.rs
+++ b/crates/model/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use sailtrack_admission::{Floor, OutsetPlace, Permit, Waiting};
+use sailtrack_admission::{OutsetPlace, Permit, Tellings, Waiting};
 use sailtrack_units::Rank;
 
 /// The place of a request among those that are under way.
@@ -62,8 +62,8 @@
     pub(crate) calls_made: u32,
     /// The greatest pressure that its calls met.
     pub(crate) below: f64,
-    /// The highest floor that its calls told.
-    pub(crate) floor: Floor,
+    /// The floors that its calls told.
+    pub(crate) floors: Tellings,
     /// A call found no upstream of its service.
     pub(crate) found_nobody: bool,
 }
--- a/crates/model/src/run/mod.rs
+++ b/crates/model/src/run/mod.rs
@@ -11,7 +11,9 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
-use sailtrack_admission::{Admission, Floor, Floors, Outset, Policy, Rules as AdmissionRules, Windows};
+use sailtrack_admission::{
+    Admission, Floor, Floors, Outset, Policy, Rules as AdmissionRules, Tellings, Windows,
+};
 use sailtrack_declaration::Limit;
 use sailtrack_units::{KindName, Period, Rank, RequestId};
 
@@ -188,7 +190,7 @@
             light: false,
             calls_made: 0,
             below: 0.0,
-            floor: Floor::NONE,
+            floors: Tellings::default(),
             found_nobody: false,
         };
         let id = self.free.pop().unwrap_or_else(|| {
@@ -289,8 +291,8 @@
             Maker::Client(client) => self.end_client(client, end, &run),
             Maker::Run(parent) => {
                 let here = self.gates[gate].admission.floor();
-                let floor = run.floor.higher(here);
-                self.end_call(parent, end, (met, floor), run.found_nobody);
+                let floor = run.floors.floor().higher(here);
+                self.end_call(parent, end, (met, floor, run.kind), run.found_nobody);
             }
         }
         if run.permit.take().is_some() {
@@ -302,15 +304,16 @@
         &mut self,
         parent: RunId,
         end: End,
-        (met, floor): (f64, Floor),
+        (met, floor, of): (f64, Floor, usize),
         found_nobody: bool,
     ) {
         if self.runs[parent].is_none() {
             return;
         }
+        let of = self.names[of].clone();
         let run = self.run(parent);
         run.below = run.below.max(met);
-        run.floor = run.floor.higher(floor);
+        run.floors.note(&of, floor);
         let (kind, rank, gate) = (run.kind, run.rank, run.gate);
         if matches!(run.maker, Maker::Client(_)) && self.rules.has(Mechanism::Floors) {
             let floors = &self.gates[gate].floors;
