A full upstream's floor falls little by little also while it is not full

Cause: below 0.8 of its limit a floor opened altogether within one tick, and what came then had to be cut again. Change: room is reckoned from the answers of a second for each running call at any load; an upstream below 0.6 of its limit holds back no more than it does. Seen to fail: room::tests::full_upstream_tells on the code before (floor 0).

--- a/crates/admission/src/room.rs
+++ b/crates/admission/src/room.rs
@@ -4,6 +4,9 @@
 //! several of them is late or lost. So no more are to come than the upstream
 //! answers when it is full.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::{Duration, Instant};
 
 use sailtrack_units::Rank;
@@ -19,8 +22,11 @@
 const GIVEN_LESS: f64 = 0.3;
 /// The least part that is given out.
 const LEAST_GIVEN: f64 = 0.5;
-/// Below this share of its limit an upstream has room for everybody.
-const LIGHT: f64 = 0.8;
+/// Below this share of its limit an upstream holds back no more than it does: the first answers come
+/// later than the first calls.
+const LIGHT: f64 = 0.6;
+/// The least calls that are reckoned with in the upstream.
+const LEAST_RUNNING: f64 = 1.0;
 /// After this time without calls nothing is known any more.
 const STALE: Duration = Duration::from_secs(2);
 
@@ -88,15 +94,15 @@
         }
         let running = self.running / self.calls;
         let waiting = self.waiting / self.calls;
+        // So many are answered in a second when all of the limit is in use.
+        let reach = TICK.as_secs_f64() / (1.0 - KEPT);
+        let most = self.answered / reach * limit / running.max(LEAST_RUNNING);
+        let given = GIVEN - GIVEN_LESS * waiting / limit;
+        let mut room = most * given.max(LEAST_GIVEN);
         if running < limit * LIGHT {
-            self.fill.fit(0.0, 1.0);
-        } else {
-            // So many are answered in a second when all of the limit is in use.
-            let reach = TICK.as_secs_f64() / (1.0 - KEPT);
-            let most = self.answered / reach * limit / running;
-            let given = GIVEN - GIVEN_LESS * waiting / limit;
-            self.fill.fit(1.0, most * given.max(LEAST_GIVEN));
+            room = room.max(self.calls / reach);
         }
+        self.fill.fit(1.0, room);
         self.fill.fade(age);
         let kept = faded(KEPT, age);
         for sum in [
