Floors for want of repeats are taken out again

Cause: a service that turns away a part of what comes leaves fewer repeats than its callers need; requests were refused where they begin below the rank that the repeats can carry. To have it back: revert this commit.

--- a/crates/admission/src/fill.rs
+++ b/crates/admission/src/fill.rs
@@ -44,21 +44,11 @@
         self.by_rank[usize::from(rank.index())] += 1.0;
     }
 
-    /// Returns the number of the floor.
-    pub(crate) fn number(&self) -> f64 {
-        self.number
-    }
-
     /// Returns the floor.
     pub(crate) fn floor(&self) -> Floor {
         floor_of(self.number)
     }
 
-    /// Holds nothing back.
-    pub(crate) fn open(&mut self) {
-        self.number = 0.0;
-    }
-
     /// Moves the floor to where the calls of a second need no more than `room`, if each of them
     /// needs `each` of it.
     pub(crate) fn fit(&mut self, each: f64, room: f64) {
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,7 +1,6 @@
 //! Decides which calls the own upstream gets, and when.
 
 mod breaker;
-mod carry;
 mod fill;
 mod floor;
 mod level;
@@ -34,7 +33,6 @@
 use returns::Returns;
 use room::{Occupancy, Room};
 
-pub use carry::{Allowance, Carry};
 pub use floor::{Floor, Floors, Tellings};
 pub use outset::{Hold, Met, Outset, Place as OutsetPlace};
 pub use pressure::Pressure;
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -31,9 +31,9 @@
 
 /// How often a request that no upstream has seen is brought elsewhere.
 const MOST_REDIRECTS: u32 = 2;
-/// How often a request that upstreams turned away is sent to another one, within the budget. Where
-/// half of what comes is turned away, eight calls in a row get through in 98 of 100 requests.
-const MOST_TURNED_AWAY: u32 = 8;
+/// How often a request that upstreams turned away is sent to another one, within the budget. An
+/// upstream that turns away half of its requests lets 31 in 32 in at the fifth try.
+const MOST_TURNED_AWAY: u32 = 4;
 /// How often a node that may stand still is looked at while it works on a request.
 const SILENCE_LOOK: Duration = Duration::from_millis(250);
 
@@ -105,20 +105,10 @@
 impl Dispatcher {
     /// Brings a request to its final answer; dropping the future cancels it.
     pub(crate) async fn dispatch(&self, mut work: Work, route: &Route, trail: &Trail) -> Returned {
-        self.wake.news().await;
-        self.budget.note_request(&work, clock::now());
-        let returned = self.bring(&mut work, route, trail).await;
-        let floor = self.budget.floor(&work, clock::now());
-        Returned {
-            floor: returned.floor.higher(floor),
-            ..returned
-        }
-    }
-
-    /// Brings a request to upstreams until one of them answers it or no more may be tried.
-    async fn bring(&self, work: &mut Work, route: &Route, trail: &Trail) -> Returned {
         let mut tries = Tries::default();
         let mut last = None;
+        self.wake.news().await;
+        self.budget.note_request(&work, clock::now());
         loop {
             // What is held against it may have become known while it ran.
             let standing = self.quarantine.standing(&work.identity);
@@ -127,12 +117,12 @@
                 break;
             }
             work.known_crashes = standing.known();
-            let Some(target) = self.choose(work, standing, &mut tries) else {
+            let Some(target) = self.choose(&work, standing, &mut tries) else {
                 break;
             };
             trail.note(target.name(&self.routing.name));
-            let returned = self.attempt(work, &target).await;
-            let goes_on = self.goes_on(work, route, &returned, &mut tries);
+            let returned = self.attempt(&work, &target).await;
+            let goes_on = self.goes_on(&work, route, &returned, &mut tries);
             if !goes_on {
                 return conclude(tries.ran, Some(more_telling(last, returned)));
             }
--- a/crates/mesh/src/retry.rs
+++ b/crates/mesh/src/retry.rs
@@ -4,8 +4,6 @@
 //! part by what it sees itself, so the bound holds without agreement. The
 //! window goes on while an instance is suspended: upstreams count by it too.
 
-#[cfg(test)]
-mod carried;
 #[cfg(test)]
 mod tests;
 
@@ -14,7 +12,6 @@
 use std::time::Duration;
 
 use rand::Rng as _;
-use sailtrack_admission::{Allowance, Carry, Floor};
 use sailtrack_kernel::Service;
 use sailtrack_units::{Moment, Rank, ServiceName};
 
@@ -41,9 +38,6 @@
 /// a repeat of the fourth of four calls completes the whole request more often than one of the
 /// first.
 const PROGRESS_PART: f64 = 0.45;
-/// How much of that stays for calls below the floor that the repeats can carry: they are of
-/// requests that began before it was told.
-const BELOW_FLOOR_SHARE: f64 = 0.2;
 /// The wanted repeats, as a share of those allowed, from which they begin to be scarce, and by how
 /// much more they are so fully.
 const SCARCE_FROM: f64 = 0.5;
@@ -85,8 +79,6 @@
 pub(crate) struct Budget {
     bounds: RetryBounds,
     windows: RefCell<HashMap<ServiceName, Window>>,
-    /// Which calls the repeats for a service can carry.
-    carries: RefCell<HashMap<ServiceName, Carry>>,
     /// What fractions are rounded up by, and since when.
     draws: RefCell<HashMap<ServiceName, (Moment, f64)>>,
     /// Whether calls of upstreams can be told from requests of clients.
@@ -102,7 +94,6 @@
         Self {
             bounds,
             windows: RefCell::default(),
-            carries: RefCell::default(),
             draws: RefCell::default(),
             is_told: Cell::new(false),
         }
@@ -119,43 +110,11 @@
             slice.requests += 1;
             slice.repeats += u32::from(work.repeated);
         });
-        self.with_carry(&work.service, now, |carry| carry.note_call(work.rank));
-    }
-
-    /// Returns from which rank on the repeats for the service of this call can carry calls.
-    pub(crate) fn floor(&self, work: &Work, now: Moment) -> Floor {
-        let allowed = || self.allowance(&work.service, now);
-        self.with_carry(&work.service, now, |carry| carry.floor(now, allowed))
-    }
-
-    /// Returns the repeats for a service that are allowed, spread over the window.
-    ///
-    /// The slack is left out: it is shared by all nodes, and few of them carry the same calls.
-    fn allowance(&self, service: &ServiceName, now: Moment) -> Allowance {
-        let sums = self.sums(service, now);
-        let allowed = sums.requests * self.bounds.ratio.0 * self.share();
-        Allowance {
-            each_second: allowed / self.bounds.window.0.as_secs_f64(),
-            left: ((allowed - sums.repeats) / allowed.max(f64::MIN_POSITIVE)).max(0.0),
-        }
-    }
-
-    /// Returns the part of the allowed ratio that this node uses.
-    fn share(&self) -> f64 {
-        if self.is_told.get() {
-            TOLD_SHARE
-        } else {
-            UNTOLD_SHARE
-        }
     }
 
     /// Takes the right to send a request once more; `nodes` share the budget.
     pub(crate) fn take(&self, work: &Work, now: Moment, nodes: usize) -> bool {
         self.with_slice(&work.service, now, |slice| slice.wanted += 1);
-        let (floor, granted) = self.with_carry(&work.service, now, |carry| {
-            carry.note_turned_away();
-            (carry.current(), carry.granted())
-        });
         let Sums {
             requests,
             repeats,
@@ -163,23 +122,20 @@
         } = self.sums(&work.service, now);
         #[allow(clippy::cast_precision_loss)]
         let slack = self.bounds.slack * SLACK_SHARE / nodes.max(1) as f64;
-        let allowed = requests * self.bounds.ratio.0 * self.share() + slack;
+        let share = if self.is_told.get() {
+            TOLD_SHARE
+        } else {
+            UNTOLD_SHARE
+        };
+        let allowed = requests * self.bounds.ratio.0 * share + slack;
         let place = f64::from(work.rank.index()) / f64::from(Rank::HIGHEST.index());
         let common = COMMON_PART * (1.0 - scarcity(wanted, allowed));
-        let progress = progress_part(work);
-        let by_rank = place.powi(RANK_POWER);
-        let part = match floor {
-            Floor::NONE => by_rank.max(common).max(progress),
-            // What was begun for these is to be carried to its end.
-            _ if granted.lets_in(work.rank) => 1.0,
-            _ => by_rank.max(progress * BELOW_FLOOR_SHARE),
-        };
+        let part = place.powi(RANK_POWER).max(common).max(progress_part(work));
         let whole = (allowed * part + self.draw(&work.service, now)).floor();
         if repeats + 1.0 > whole {
             return false;
         }
         self.with_slice(&work.service, now, |slice| slice.repeats += 1);
-        self.with_carry(&work.service, now, Carry::note_repeat);
         true
     }
 
@@ -224,20 +180,6 @@
         draw
     }
 
-    fn with_carry<T>(
-        &self,
-        service: &ServiceName,
-        now: Moment,
-        change: impl FnOnce(&mut Carry) -> T,
-    ) -> T {
-        let mut carries = self.carries.borrow_mut();
-        if let Some(carry) = carries.get_mut(service) {
-            return change(carry);
-        }
-        let carry = carries.entry(service.clone());
-        change(carry.or_insert_with(|| Carry::new(now)))
-    }
-
     fn with_slice(&self, service: &ServiceName, now: Moment, change: impl FnOnce(&mut Slice)) {
         let mut windows = self.windows.borrow_mut();
         if !windows.contains_key(service) {
--- a/crates/mesh/src/retry/tests.rs
+++ b/crates/mesh/src/retry/tests.rs
@@ -12,13 +12,13 @@
 use crate::settings::RetryBounds;
 use crate::work::Work;
 
-pub(super) const BOUNDS: RetryBounds = RetryBounds {
+const BOUNDS: RetryBounds = RetryBounds {
     ratio: Ratio(0.2),
     slack: 49.0,
     window: Period::from_millis(10_000),
 };
 
-pub(super) fn work(rank: Rank, repeated: bool) -> Work {
+fn work(rank: Rank, repeated: bool) -> Work {
     Work {
         workspace: None,
         progress: 0,
@@ -53,7 +53,7 @@
 }
 
 /// Lets the budget see one call that can be told from a request of a client.
-pub(super) fn tell(budget: &Budget, now: Moment) {
+fn tell(budget: &Budget, now: Moment) {
     let call = Work {
         begun: true,
         ..work(Rank::HIGHEST, false)
