--- a/crates/admission/src/room.rs
+++ b/crates/admission/src/room.rs
@@ -16,8 +16,8 @@
 
 /// The part of the counts that stays at each tick: a burst is to be seen within half a second.
 const KEPT: f64 = 0.8;
-/// The part of what the upstream can answer that is given out while no calls wait, and by how much
-/// less it is for each share of its limit that waits.
+/// The part of what the upstream can answer that is given out while no calls wait, more than all so
+/// that no slot is free, and by how much less it is for each share of its limit that waits.
 const GIVEN: f64 = 1.1;
 const GIVEN_LESS: f64 = 0.3;
 /// The least part that is given out.
