--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -52,6 +52,14 @@
     assert_cause(&logs, &["the services that its kind calls", "200 %"]);
 }
 
+#[test]
+fn held_back_by_rank() {
+    let gate = json!({"request": "a1", "at": "gate", "bound": "floor", "calls": "9"});
+    let logs = line("pay-1", 4990, 800, "request refused", &gate)
+        + &refused("REASON_OVERLOAD", &json!({"pressure": "200"}));
+    assert_cause(&logs, &["the services that its kind calls", "200 %"]);
+}
+
 #[test]
 fn nobody_there() {
     let left = json!({"upstream": "i-1", "reason": "leaving"});
