Sight: what a lost answer's upstream showed, and when other nodes hear of a crash

Two tests of requests under which upstreams end failed now and then, and logs could not tell why: whether a lost answer was a crash is asked of the upstream's port, and neither what the port showed nor when the others knew was written.

Event 425 has what the port showed (refused, accepted, neither in time) and how long that took, bounded like other events of lost answers; event 426 is written at each node that another one told of a crash.

Hypotheses that these tell apart: the port is asked for 100 ms and says nothing (425 'neither in time'), it still takes connections (425 'accepted' and a second one 30 ms later), or the news is late (426 against 420).

--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -20,6 +20,7 @@
 use crate::contexts::Context;
 use crate::dispatch::Trail;
 use crate::entry::KeyRefusal;
+use crate::gate::Finding;
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::metrics::Stage;
 use crate::work::Returned;
@@ -137,6 +138,29 @@
         );
     }
 
+    /// Notes what the port of the own upstream showed after the answer to a request was lost.
+    pub(crate) fn note_look(&self, attempt: &AttemptKey, finding: Finding, took: Duration) {
+        write(
+            &self.failures,
+            attempt,
+            &catalogue::UPSTREAM_LOOKED_AT,
+            &[
+                ("request", attempt),
+                ("finding", &finding),
+                ("took_ms", &took.as_millis()),
+            ],
+        );
+    }
+
+    /// Notes that another node told of a crash.
+    #[allow(clippy::unused_self, reason = "events are written through one service")]
+    pub(crate) fn note_evidence(&self, upstream: &str, requests: usize) {
+        emit(
+            &catalogue::CRASH_TOLD,
+            &[("upstream", &upstream), ("requests", &requests)],
+        );
+    }
+
     /// Notes that no answer of the own upstream to a request is expected any more.
     pub(crate) fn note_silence(&self, silence: &Silence<'_>) {
         write(
--- a/crates/mesh/src/gate/crash.rs
+++ b/crates/mesh/src/gate/crash.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use displaydoc::Display;
 use futures::FutureExt as _;
 use futures::future::{LocalBoxFuture, Shared};
 use monoio::time::sleep;
@@ -34,11 +35,22 @@
 /// The most requests that are doubted at once: as many as the event of a crash names.
 const MOST_DOUBTED: usize = 200;
 
+/// What a connection that is tried shows of the own upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) enum Finding {
+    /// refused
+    Refused,
+    /// accepted
+    Accepted,
+    /// neither in time
+    Unanswered,
+}
+
 /// Finds out whether the own upstream has crashed.
 pub(super) struct Watcher {
     target: SocketAddr,
     /// The connection that is being tried; all losses of the same moment wait for one.
-    probe: RefCell<Option<Shared<LocalBoxFuture<'static, bool>>>>,
+    probe: RefCell<Option<Shared<LocalBoxFuture<'static, Finding>>>>,
     /// A second look is due; it serves all losses until then.
     is_looking: Cell<bool>,
     /// The last life that crashed.
@@ -105,8 +117,8 @@
         Some((doubt.upstream, doubt.ran))
     }
 
-    /// Returns true if nothing listens at the address of the upstream.
-    pub(super) async fn is_gone(&self) -> bool {
+    /// Tries a connection to the upstream.
+    pub(super) async fn look(&self) -> Finding {
         let known = self.probe.borrow().clone();
         let probe = match known {
             Some(probe) if probe.peek().is_none() => probe,
@@ -121,17 +133,22 @@
     }
 
     /// Tries the port once more after a moment.
-    pub(super) async fn look_again(&self) -> bool {
+    pub(super) async fn look_again(&self) -> Finding {
         sleep(SECOND_LOOK).await;
-        let is_gone = self.is_gone().await;
+        let finding = self.look().await;
         self.is_looking.set(false);
-        is_gone
+        finding
     }
 
-    fn start_probe(&self) -> Shared<LocalBoxFuture<'static, bool>> {
+    fn start_probe(&self) -> Shared<LocalBoxFuture<'static, Finding>> {
         let target = self.target;
-        let probe =
-            async move { matches!(dial(target, None, PROBE_TIME).await, Err(DialError::Io(_))) };
+        let probe = async move {
+            match dial(target, None, PROBE_TIME).await {
+                Ok(_) => Finding::Accepted,
+                Err(DialError::Io(_)) => Finding::Refused,
+                Err(DialError::Timeout) => Finding::Unanswered,
+            }
+        };
         let probe = probe.boxed_local().shared();
         self.probe.replace(Some(probe.clone()));
         probe
--- a/crates/mesh/src/gate/loss.rs
+++ b/crates/mesh/src/gate/loss.rs
@@ -6,10 +6,11 @@
 use sailtrack_net::task;
 
 use super::Gate;
+use super::crash::Finding;
 use super::exchange::ExchangeError;
 use crate::clock;
 use crate::contexts::Context;
-use crate::key::UpstreamKey;
+use crate::key::{AttemptKey, UpstreamKey};
 
 impl Gate {
     /// Returns true if a life of the upstream has ended without having announced it.
@@ -18,6 +19,7 @@
     pub(super) async fn has_crashed(
         self: &Rc<Self>,
         upstream: &UpstreamKey,
+        attempt: &AttemptKey,
         error: &ExchangeError,
     ) -> bool {
         if self.watcher.has_seen(upstream) {
@@ -25,7 +27,7 @@
         }
         let has_ended = match error {
             ExchangeError::Restarted => self.upstream.was_replaced(upstream),
-            error if error.is_broken() => self.watcher.is_gone().await,
+            error if error.is_broken() => self.look(attempt).await,
             _ => return false,
         };
         let ran = self.contexts.running_in(upstream);
@@ -34,11 +36,19 @@
         }
         self.watcher.doubt(upstream, &ran, clock::now());
         if self.watcher.wants_second_look() {
-            self.look_again(upstream.clone(), ran);
+            self.look_again(upstream.clone(), attempt.clone(), ran);
         }
         false
     }
 
+    /// Returns true if nothing listens any more where an answer was lost.
+    async fn look(&self, attempt: &AttemptKey) -> bool {
+        let began = Instant::now();
+        let finding = self.watcher.look().await;
+        self.events.note_look(attempt, finding, began.elapsed());
+        finding == Finding::Refused
+    }
+
     /// Takes in that a life of the upstream ended; returns false if it had said that it would.
     fn note_crash(&self, upstream: &UpstreamKey, ran: &[Rc<Context>]) -> bool {
         if self.upstream.has_left(upstream) {
@@ -53,10 +63,18 @@
 
     /// Looks again in a moment whether the upstream that broke a connection is there, without
     /// holding up the request that was lost.
-    fn look_again(self: &Rc<Self>, upstream: UpstreamKey, ran: Vec<Rc<Context>>) {
+    fn look_again(
+        self: &Rc<Self>,
+        upstream: UpstreamKey,
+        attempt: AttemptKey,
+        ran: Vec<Rc<Context>>,
+    ) {
         let gate = Rc::clone(self);
         task::spawn("second look", async move {
-            if gate.watcher.look_again().await {
+            let began = Instant::now();
+            let finding = gate.watcher.look_again().await;
+            gate.events.note_look(&attempt, finding, began.elapsed());
+            if finding == Finding::Refused {
                 gate.note_crash(&upstream, &ran);
             }
         });
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -44,6 +44,7 @@
 use crate::wake::Wake;
 use crate::work::{Returned, Work};
 pub(crate) use builder::Builder;
+pub(crate) use crash::Finding;
 use crash::Watcher;
 use entered::Entered;
 use kinds::Kinds;
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -100,7 +100,7 @@
             self.upstream.note_unreachable(Instant::now());
             return Returned::refused(Reason::NoUpstream);
         }
-        if self.has_crashed(upstream, error).await {
+        if self.has_crashed(upstream, &work.attempt, error).await {
             return Returned::unknown(Reason::UpstreamCrashed);
         }
         Returned::unknown(Reason::Connection)
--- a/crates/mesh/src/quarantine.rs
+++ b/crates/mesh/src/quarantine.rs
@@ -116,6 +116,7 @@
         let now = clock::now();
         let (crash, cleared, held) = wire::read(evidence);
         if let Some(crash) = crash {
+            self.events.note_evidence(&crash.life, crash.ran.len());
             self.take_crash(&crash.life, &crash.ran, crash.is_whole);
         }
         let mut ledger = self.ledger.borrow_mut();
