What was lost before an end was seen is named as having run there

Callers saw: more ends of upstreams under one request than promised, since nothing was held against it.

Found while the causes of the known failures were looked for in gate/loss.rs. Reproduced by a test that brings the moment about (connection_first): an upstream closes the connection of the request that ends it first, its port and the others 8 ms later. An upstream that is a pool of processes ends like that.

Cause: the first loss finds the port open, is answered and remembered under doubt; the next one finds it closed and tells the crash with what has no answer yet, and that closes the matter, so the second look tells nothing more.

Change: one function takes in an end, whoever saw it, and joins what has no answer and what was doubted. An answer to a request sent after the loss ends the doubt, so that a lost answer of an upstream that lives is not named when it ends later.

The same class, mended with it: a further life that announces itself while some connections of the earlier one are still open; a second look that told what ran at an earlier loss; a life replaced without a broken connection put its successor out of reach until its next beat.

--- a/crates/mesh/src/contexts.rs
+++ b/crates/mesh/src/contexts.rs
@@ -9,7 +9,7 @@
 //! own gains nothing that its key would not give.
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/crates/mesh/src/contexts/tests.rs
+++ b/crates/mesh/src/contexts/tests.rs
@@ -9,7 +9,7 @@
 
 use crate::body::Body;
 use crate::clock;
-use crate::contexts::Contexts;
+use crate::contexts::{Context, Contexts};
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::work::{Returned, Work};
 
@@ -33,6 +33,13 @@
     }
 }
 
+/// Returns what that many requests leave that run in a life of the upstream.
+pub(crate) fn contexts_of(upstream: &UpstreamKey, count: usize) -> Vec<Rc<Context>> {
+    let contexts = Rc::new(Contexts::default());
+    let opened = (0..count).map(|number| contexts.open(&work(&number.to_string()), upstream));
+    opened.map(|open| Rc::clone(&open.context)).collect()
+}
+
 fn upstream() -> UpstreamKey {
     UpstreamKey::new("i-1", None).expect("a sound id")
 }
--- a/crates/mesh/src/gate/crash.rs
+++ b/crates/mesh/src/gate/crash.rs
@@ -17,6 +17,7 @@
 use sailtrack_net::dial::{DialError, dial};
 use sailtrack_units::Moment;
 
+use super::doubt::Doubt;
 use crate::contexts::Context;
 use crate::key::UpstreamKey;
 
@@ -28,13 +29,6 @@
 /// ends are closed one after the other, its port may be among the last.
 const SECOND_LOOK: Duration = Duration::from_millis(30);
 
-/// For how long a loss may turn out to have been a crash. Whatever holds the port of an upstream
-/// starts it again within a second or two, and connections that are closed at once keep the doubt
-/// alive meanwhile.
-const DOUBT_TIME: Duration = Duration::from_secs(3);
-/// The most requests that are doubted at once: as many as the event of a crash names.
-const MOST_DOUBTED: usize = 200;
-
 /// What a connection that is tried shows of the own upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) enum Finding {
@@ -59,14 +53,6 @@
     doubt: RefCell<Option<Doubt>>,
 }
 
-/// Losses that a later life may show to have been a crash.
-struct Doubt {
-    upstream: UpstreamKey,
-    ran: Vec<Rc<Context>>,
-    /// When the last one was.
-    at: Moment,
-}
-
 impl Watcher {
     pub(super) fn new(target: SocketAddr) -> Self {
         Self {
@@ -94,27 +80,31 @@
 
     /// Notes what ran when a connection broke whose upstream still takes new ones.
     pub(super) fn doubt(&self, upstream: &UpstreamKey, ran: &[Rc<Context>], now: Moment) {
-        let mut doubt = self.doubt.borrow_mut();
-        let known = doubt.take();
-        let known = known.filter(|known| known.upstream == *upstream && known.is_fresh(now));
-        let mut all = known.map(|known| known.ran).unwrap_or_default();
-        for one in ran {
-            let is_known = all.iter().any(|known| Rc::ptr_eq(known, one));
-            if !is_known && all.len() < MOST_DOUBTED {
-                all.push(Rc::clone(one));
-            }
-        }
-        *doubt = Some(Doubt {
-            upstream: upstream.clone(),
-            ran: all,
-            at: now,
-        });
+        let doubt = self
+            .take_doubt(now)
+            .filter(|known| known.is_about(upstream));
+        let mut doubt = doubt.unwrap_or_else(|| Doubt::new(upstream.clone(), now));
+        doubt.add(ran, now);
+        self.doubt.replace(Some(doubt));
+    }
+
+    /// Returns what is doubted, which is not doubted any more.
+    pub(super) fn take_doubt(&self, now: Moment) -> Option<Doubt> {
+        self.doubt.take().filter(|doubt| doubt.is_fresh(now))
+    }
+
+    /// Returns the life that is doubted.
+    pub(super) fn doubted(&self, now: Moment) -> Option<UpstreamKey> {
+        let doubt = self.doubt.borrow();
+        let doubt = doubt.as_ref().filter(|doubt| doubt.is_fresh(now));
+        doubt.map(|doubt| doubt.upstream().clone())
     }
 
-    /// Returns the life and what ran there whose connections broke just before the present one.
-    pub(super) fn take_doubt(&self, now: Moment) -> Option<(UpstreamKey, Vec<Rc<Context>>)> {
-        let doubt = self.doubt.take().filter(|doubt| doubt.is_fresh(now))?;
-        Some((doubt.upstream, doubt.ran))
+    /// Takes in that a life answered a request that was sent to it at this moment.
+    pub(super) fn note_answer(&self, upstream: &UpstreamKey, sent: Moment) {
+        self.doubt
+            .borrow_mut()
+            .take_if(|doubt| doubt.is_about(upstream) && doubt.is_settled_by(sent));
     }
 
     /// Tries a connection to the upstream.
@@ -154,9 +144,3 @@
         probe
     }
 }
-
-impl Doubt {
-    fn is_fresh(&self, now: Moment) -> bool {
-        now.since(self.at) < DOUBT_TIME
-    }
-}
--- /dev/null
+++ b/crates/mesh/src/gate/doubt.rs
@@ -0,0 +1,81 @@
+//! What ran when connections to the own upstream broke although its port took new ones.
+//!
+//! An upstream that lives breaks a connection now and then. One that ends may
+//! let go of its connections first and of its port last, or leave the port to
+//! a process that it started. Until it is known which of the two it was, what
+//! ran there is remembered.
+
+#[cfg(test)]
+mod tests;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use sailtrack_units::Moment;
+
+use crate::contexts::Context;
+use crate::key::UpstreamKey;
+
+/// For how long a loss may turn out to have been a crash. Whatever holds the port of an upstream
+/// starts it again within a second or two, and connections that are closed at once keep the doubt
+/// alive meanwhile.
+const DOUBT_TIME: Duration = Duration::from_secs(3);
+/// The most requests that are doubted at once: as many as the event of a crash names.
+const MOST_DOUBTED: usize = 200;
+
+/// What ran in one life of the upstream when connections to it broke.
+#[derive(Debug)]
+pub(super) struct Doubt {
+    upstream: UpstreamKey,
+    ran: Vec<Rc<Context>>,
+    /// When the last connection broke.
+    at: Moment,
+}
+
+impl Doubt {
+    /// Returns a doubt about a life of the upstream whose connection has just broken.
+    pub(super) fn new(upstream: UpstreamKey, now: Moment) -> Self {
+        Self {
+            upstream,
+            ran: Vec::new(),
+            at: now,
+        }
+    }
+
+    /// Adds what ran when a further connection broke.
+    pub(super) fn add(&mut self, ran: &[Rc<Context>], now: Moment) {
+        self.at = now;
+        for one in ran {
+            let is_known = self.ran.iter().any(|known| Rc::ptr_eq(known, one));
+            if !is_known && self.ran.len() < MOST_DOUBTED {
+                self.ran.push(Rc::clone(one));
+            }
+        }
+    }
+
+    /// Returns true if the doubt is about this life.
+    pub(super) fn is_about(&self, upstream: &UpstreamKey) -> bool {
+        self.upstream == *upstream
+    }
+
+    /// Returns true while the loss may turn out to have been a crash.
+    pub(super) fn is_fresh(&self, now: Moment) -> bool {
+        now.since(self.at) < DOUBT_TIME
+    }
+
+    /// Returns true if an answer to a request that was sent at this moment shows that the upstream
+    /// lives on.
+    pub(super) fn is_settled_by(&self, sent: Moment) -> bool {
+        sent > self.at
+    }
+
+    /// Returns the life that it is about.
+    pub(super) fn upstream(&self) -> &UpstreamKey {
+        &self.upstream
+    }
+
+    /// Returns what ran there.
+    pub(super) fn into_ran(self) -> Vec<Rc<Context>> {
+        self.ran
+    }
+}
--- a/crates/mesh/src/gate/loss.rs
+++ b/crates/mesh/src/gate/loss.rs
@@ -7,6 +7,7 @@
 
 use super::Gate;
 use super::crash::Finding;
+use super::doubt::Doubt;
 use super::exchange::ExchangeError;
 use crate::clock;
 use crate::contexts::Context;
@@ -30,13 +31,13 @@
             error if error.is_broken() => self.look(attempt).await,
             _ => return false,
         };
-        let ran = self.contexts.running_in(upstream);
         if has_ended {
-            return self.note_crash(upstream, &ran);
+            return self.note_crash(upstream);
         }
+        let ran = self.contexts.running_in(upstream);
         self.watcher.doubt(upstream, &ran, clock::now());
         if self.watcher.wants_second_look() {
-            self.look_again(upstream.clone(), attempt.clone(), ran);
+            self.look_again(upstream.clone(), attempt.clone());
         }
         false
     }
@@ -50,32 +51,40 @@
     }
 
     /// Takes in that a life of the upstream ended; returns false if it had said that it would.
-    fn note_crash(&self, upstream: &UpstreamKey, ran: &[Rc<Context>]) -> bool {
+    pub(super) fn note_crash(&self, upstream: &UpstreamKey) -> bool {
         if self.upstream.has_left(upstream) {
             return false;
         }
         if self.watcher.note(upstream) {
-            self.upstream.note_unreachable(Instant::now());
-            self.quarantine.note_crash(upstream, ran);
+            let ran = self.ran_at_end(upstream);
+            if !self.upstream.was_replaced(upstream) {
+                self.upstream.note_unreachable(Instant::now());
+            }
+            self.quarantine.note_crash(upstream, &ran);
         }
         true
     }
 
+    /// Returns what ran when a life of the upstream ended: what has no answer yet, and what was
+    /// lost before the end was seen.
+    fn ran_at_end(&self, upstream: &UpstreamKey) -> Vec<Rc<Context>> {
+        let now = clock::now();
+        self.watcher
+            .doubt(upstream, &self.contexts.running_in(upstream), now);
+        let doubt = self.watcher.take_doubt(now);
+        doubt.map(Doubt::into_ran).unwrap_or_default()
+    }
+
     /// Looks again in a moment whether the upstream that broke a connection is there, without
     /// holding up the request that was lost.
-    fn look_again(
-        self: &Rc<Self>,
-        upstream: UpstreamKey,
-        attempt: AttemptKey,
-        ran: Vec<Rc<Context>>,
-    ) {
+    fn look_again(self: &Rc<Self>, upstream: UpstreamKey, attempt: AttemptKey) {
         let gate = Rc::clone(self);
         task::spawn("second look", async move {
             let began = Instant::now();
             let finding = gate.watcher.look_again().await;
             gate.events.note_look(&attempt, finding, began.elapsed());
             if finding == Finding::Refused {
-                gate.note_crash(&upstream, &ran);
+                gate.note_crash(&upstream);
             }
         });
     }
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -6,6 +6,7 @@
 
 mod builder;
 mod crash;
+mod doubt;
 mod entered;
 mod exchange;
 mod kinds;
@@ -241,12 +242,9 @@
         self.pool.clear();
         self.room.clear();
         self.adopt();
-        let Some((upstream, ran)) = self.watcher.take_doubt(clock::now()) else {
-            return;
-        };
-        // The present life is there; only the earlier one is told of.
-        if self.upstream.was_replaced(&upstream) && self.watcher.note(&upstream) {
-            self.quarantine.note_crash(&upstream, &ran);
+        let earlier = self.watcher.doubted(clock::now());
+        if let Some(earlier) = earlier.filter(|earlier| self.upstream.was_replaced(earlier)) {
+            self.note_crash(&earlier);
         }
     }
 
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -37,12 +37,13 @@
         let exchange = exchange.boxed_local();
         let exchange = until_ended(exchange, entered.ended.clone());
         let sent = self.begin_wait(work, entered);
+        let sent_at = clock::now();
         let result = self
             .wait_for(&sent, &entry.context, clock::until(until, exchange))
             .await;
         sent.note_end(&result, entered);
         let returned = match result {
-            Waited::Over(Ok(Ok(answer))) => self.take_answer(work, upstream, answer),
+            Waited::Over(Ok(Ok(answer))) => self.take_answer(work, upstream, sent_at, answer),
             Waited::Over(Ok(Err(error))) => self.take_error(work, upstream, &error).await,
             Waited::Over(Err(_)) => Returned::unknown(Reason::Deadline),
             Waited::Silent => Returned::unknown(Reason::Connection),
@@ -59,7 +60,13 @@
         }
     }
 
-    fn take_answer(&self, work: &Work, upstream: &UpstreamKey, answer: UpstreamAnswer) -> Returned {
+    fn take_answer(
+        &self,
+        work: &Work,
+        upstream: &UpstreamKey,
+        sent_at: Moment,
+        answer: UpstreamAnswer,
+    ) -> Returned {
         let UpstreamAnswer { head, body } = answer;
         let fields = self.dialect.fields();
         if let Some(value) = head.fields.all(fields.load).next()
@@ -77,6 +84,7 @@
             self.pool.clear();
             return Returned::turned_away(Reason::NoUpstream);
         }
+        self.watcher.note_answer(upstream, sent_at);
         if says_not_run {
             self.admission.note_shed(Instant::now());
             return Returned::turned_away(Reason::UpstreamShed);
