An end behind an open port is known when the port closes

Callers saw: a request that ends upstreams ended more of them than allowed, and what was sent meanwhile was lost.

Cause: a lost answer's port was tried twice, at once and 30 ms later. If both connections are accepted, since a process that the upstream started still holds the port, the end is known only from the next life.

Change: the node keeps the connection with which it tried the port. When it ends the port is tried again, with growing pauses, until it refuses, an answer to a later request shows that the upstream lives, or 3 s are over. One watch serves all losses, and one that an answer settles within 10 ms opens no connection.

The same class: each failure to connect was taken for a refusal, so a node without descriptors took lost answers for crashes; only a refusal counts now (gate::port::tests).

Ruled out: a port that says nothing, late news; see docs/incidents/ends-behind-an-open-port.md.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -107,7 +107,7 @@
     QUARANTINE_ENDED = 423 Info "quarantine ended" ["identity", "reason"];
     /// So many nodes could not be told of a crash or a verdict, since their connections were full. They hear of a verdict when they connect again.
     NODES_NOT_TOLD = 424 Warn "nodes not told" ["nodes"];
-    /// The port of the own upstream was tried after the answer to a request was lost. `finding` is `refused` if nothing listens there, `accepted`, or `neither in time`; `took_ms` is how long that took in milliseconds, a pause before a second look included.
+    /// The port of the own upstream was tried after the answer to a request was lost. `finding` is `refused` if nothing listens there, `accepted`, `neither in time` or `not tried`; `took_ms` is how long that took in milliseconds. A port that does not refuse is watched, and a second event tells what it showed at the end of that.
     UPSTREAM_LOOKED_AT = 425 Info "upstream looked at" ["request", "finding", "took_ms"];
     /// Another node told that the upstream beside it crashed. `requests` is how many of the requests that it ran are named.
     CRASH_TOLD = 426 Info "crash told" ["upstream", "requests"];
--- a/crates/mesh/src/gate/crash.rs
+++ b/crates/mesh/src/gate/crash.rs
@@ -8,45 +8,23 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
-use displaydoc::Display;
 use futures::FutureExt as _;
 use futures::future::{LocalBoxFuture, Shared};
-use monoio::time::sleep;
-use sailtrack_net::dial::{DialError, dial};
 use sailtrack_units::Moment;
 
 use super::doubt::Doubt;
+use super::port::{self, Finding};
 use crate::contexts::Context;
 use crate::key::UpstreamKey;
 
-/// How long an upstream on the same instance may take to accept or refuse a connection. One with a
-/// full queue of new connections does neither; it lives.
-const PROBE_TIME: Duration = Duration::from_millis(100);
-
-/// When a port that accepted a connection is tried once more. The connections of a process that
-/// ends are closed one after the other, its port may be among the last.
-const SECOND_LOOK: Duration = Duration::from_millis(30);
-
-/// What a connection that is tried shows of the own upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub(crate) enum Finding {
-    /// refused
-    Refused,
-    /// accepted
-    Accepted,
-    /// neither in time
-    Unanswered,
-}
-
 /// Finds out whether the own upstream has crashed.
 pub(super) struct Watcher {
     target: SocketAddr,
     /// The connection that is being tried; all losses of the same moment wait for one.
     probe: RefCell<Option<Shared<LocalBoxFuture<'static, Finding>>>>,
-    /// A second look is due; it serves all losses until then.
-    is_looking: Cell<bool>,
+    /// The port is watched; that serves all losses meanwhile.
+    is_watching: Rc<Cell<bool>>,
     /// The last life that crashed.
     crashed: RefCell<Option<Rc<UpstreamKey>>>,
     /// What ran when connections of the present life broke, although its port took new ones.
@@ -58,7 +36,7 @@
         Self {
             target,
             probe: RefCell::default(),
-            is_looking: Cell::new(false),
+            is_watching: Rc::default(),
             crashed: RefCell::default(),
             doubt: RefCell::default(),
         }
@@ -117,30 +95,30 @@
         probe.await
     }
 
-    /// Returns true if a second look has to be begun; it is over with [`Watcher::look_again`].
-    pub(super) fn wants_second_look(&self) -> bool {
-        !self.is_looking.replace(true)
+    /// Begins to watch the port, unless that is done already.
+    pub(super) fn begin_watch(&self) -> Option<Watch> {
+        let is_free = !self.is_watching.replace(true);
+        is_free.then(|| Watch(Rc::clone(&self.is_watching)))
     }
 
-    /// Tries the port once more after a moment.
-    pub(super) async fn look_again(&self) -> Finding {
-        sleep(SECOND_LOOK).await;
-        let finding = self.look().await;
-        self.is_looking.set(false);
-        finding
+    /// Returns the address of the port.
+    pub(super) fn target(&self) -> SocketAddr {
+        self.target
     }
 
     fn start_probe(&self) -> Shared<LocalBoxFuture<'static, Finding>> {
-        let target = self.target;
-        let probe = async move {
-            match dial(target, None, PROBE_TIME).await {
-                Ok(_) => Finding::Accepted,
-                Err(DialError::Io(_)) => Finding::Refused,
-                Err(DialError::Timeout) => Finding::Unanswered,
-            }
-        };
-        let probe = probe.boxed_local().shared();
+        let probe = port::probe(self.target).boxed_local().shared();
         self.probe.replace(Some(probe.clone()));
         probe
     }
 }
+
+/// Held while the port is watched.
+#[derive(Debug)]
+pub(super) struct Watch(Rc<Cell<bool>>);
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
--- a/crates/mesh/src/gate/loss.rs
+++ b/crates/mesh/src/gate/loss.rs
@@ -6,9 +6,10 @@
 use sailtrack_net::task;
 
 use super::Gate;
-use super::crash::Finding;
+use super::crash::Watch;
 use super::doubt::Doubt;
 use super::exchange::ExchangeError;
+use super::port::{self, Finding};
 use crate::clock;
 use crate::contexts::Context;
 use crate::key::{AttemptKey, UpstreamKey};
@@ -36,8 +37,8 @@
         }
         let ran = self.contexts.running_in(upstream);
         self.watcher.doubt(upstream, &ran, clock::now());
-        if self.watcher.wants_second_look() {
-            self.look_again(upstream.clone(), attempt.clone());
+        if let Some(watch) = self.watcher.begin_watch() {
+            self.watch(watch, attempt.clone());
         }
         false
     }
@@ -75,15 +76,18 @@
         doubt.map(Doubt::into_ran).unwrap_or_default()
     }
 
-    /// Looks again in a moment whether the upstream that broke a connection is there, without
-    /// holding up the request that was lost.
-    fn look_again(self: &Rc<Self>, upstream: UpstreamKey, attempt: AttemptKey) {
+    /// Watches the port of an upstream that broke a connection until it is known whether that was
+    /// a crash, without holding up the request that was lost.
+    fn watch(self: &Rc<Self>, watch: Watch, attempt: AttemptKey) {
         let gate = Rc::clone(self);
-        task::spawn("second look", async move {
+        task::spawn("watch of the port", async move {
             let began = Instant::now();
-            let finding = gate.watcher.look_again().await;
+            let doubted = || gate.watcher.doubted(clock::now());
+            let finding = port::watch(gate.watcher.target(), || doubted().is_some()).await;
+            drop(watch);
             gate.events.note_look(&attempt, finding, began.elapsed());
-            if finding == Finding::Refused {
+            // It may be a later life than the one whose loss began the watch.
+            if let Some(upstream) = doubted().filter(|_| finding == Finding::Refused) {
                 gate.note_crash(&upstream);
             }
         });
