The settings file is read on a thread of its own

Callers saw: late answers, or none.

Cause: once a second the node read its settings file on that thread. A file system that does not answer, be it full, remote or busy, stops the node for as long. Shown by a pipe in place of the file (file_not_answering): no answer for 10 s before the change.

Change: a thread reads the file and hands the text over, a byte on a socket wakes the task that waits for it. The log has such a thread already; nothing else of a running node reads or writes files.

--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -1,10 +1,11 @@
 //! Puts changes of the settings file into force while the node runs.
 //!
 //! The file is read again when a signal asks for it, and looked at from time
-//! to time, since it may change without one. A file with mistakes changes
+//! to time, since it may change without one, both on a thread of its own. A file with mistakes changes
 //! nothing. What only a start can change is told as such.
 
 mod change;
+mod reader;
 #[cfg(test)]
 mod tests;
 mod watcher;
@@ -14,7 +15,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use monoio::time::sleep;
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
 use sailtrack_settings::Problems;
@@ -25,6 +25,7 @@
 use crate::retry::Budget;
 use crate::settings::Settings;
 use change::Change;
+use reader::{Asker, Reader, Reading};
 use watcher::Watcher;
 
 /// How often the file is looked at: an operator who changes it without a signal waits two looks.
@@ -45,6 +46,8 @@
     /// The file could not be read at the last look.
     is_lost: Cell<bool>,
     parts: RefCell<Option<Parts>>,
+    /// Asks for a look, once the file is read.
+    asker: RefCell<Option<Asker>>,
 }
 
 impl Service for Reload {
@@ -59,6 +62,7 @@
             watcher: RefCell::default(),
             is_lost: Cell::new(false),
             parts: RefCell::default(),
+            asker: RefCell::default(),
         }
     }
 
@@ -72,27 +76,38 @@
         self.settings.borrow()
     }
 
-    /// Looks at the file for as long as the task lives.
+    /// Takes in what is read of the file for as long as the task lives.
     pub(crate) async fn keep_looking(self: Rc<Self>) {
-        loop {
-            sleep(LOOK).await;
-            self.look(false);
+        let Some(file) = self.settings.borrow().file.clone() else {
+            return;
+        };
+        let mut reader = match Reader::start(file.clone(), LOOK) {
+            Ok((reader, asker)) => {
+                self.asker.replace(Some(asker));
+                reader
+            }
+            Err(error) => return self.note_lost(&file, &error, true),
+        };
+        while let Some(reading) = reader.next().await {
+            self.take_reading(&file, reading);
         }
     }
 
     /// Reads the file again, since a signal asks for it.
     pub(crate) fn request(&self) {
         emit(&catalogue::RELOAD_REQUESTED, &[]);
-        self.look(true);
+        let asker = self.asker.borrow();
+        if !asker.as_ref().is_some_and(Asker::ask) {
+            let reason = "the settings file is not read";
+            emit(&catalogue::SETTINGS_REFUSED, &[("reason", &reason)]);
+        }
     }
 
-    fn look(&self, is_asked: bool) {
-        let Some(file) = self.settings.borrow().file.clone() else {
-            return;
-        };
-        let text = match std::fs::read_to_string(&file) {
+    fn take_reading(&self, file: &Path, reading: Reading) {
+        let is_asked = reading.is_asked;
+        let text = match reading.text {
             Ok(text) => text,
-            Err(error) => return self.note_lost(&file, &error, is_asked),
+            Err(error) => return self.note_lost(file, &error, is_asked),
         };
         self.is_lost.set(false);
         let Some(text) = self.watcher.borrow_mut().look(text, is_asked) else {
@@ -100,7 +115,7 @@
         };
         match Settings::parse(&file.display().to_string(), &text) {
             Ok(settings) => self.take(Settings {
-                file: Some(file),
+                file: Some(file.to_owned()),
                 ..settings
             }),
             Err(problems) => refuse(&problems),
