Nothing is sent to an upstream once its time is over

Callers saw: a 504, and the request ran after it.

Reproduced by pauses at the moments that matter (trial: POST with 0.2 s, node stopped for 230 ms at 20 to 420 us after it, 300 times): 2 times 504 with no run at the answer and one 30 ms later; 13 times 504 with a run, 33 times 503.

Cause: a connection to the upstream is opened, the node stands still past the deadline, goes on, and sends the request with no time left while the timer tells its caller that the time is over.

Change: the time is looked at between the connection and the sending; a request that is too late is told as not run.

Red before: gate::exchange::tests::nothing_sent_too_late (an answer was awaited).

--- a/crates/mesh/src/contexts/tests.rs
+++ b/crates/mesh/src/contexts/tests.rs
@@ -13,7 +13,8 @@
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::work::{Returned, Work};
 
-fn work(id: &str) -> Work {
+/// Returns a request with this id whose time is over at once.
+pub(crate) fn work(id: &str) -> Work {
     Work {
         workspace: None,
         progress: 0,
--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -1,5 +1,8 @@
 //! One request to the own upstream and its answer.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -36,6 +39,8 @@
 pub(super) enum ExchangeError {
     /// no connection, nothing was sent: {0}
     Connect(DialError),
+    /// its time was over before it was sent
+    Late,
     /// the connection was lost: {0}
     Io(std::io::Error),
     /// {0}
@@ -68,14 +73,14 @@
     /// Returns true if the upstream may still work on the request.
     pub(super) fn may_go_on(&self) -> bool {
         match self {
-            Self::Connect(_) | Self::Restarted | Self::Unsigned | Self::Coded => false,
+            Self::Connect(_) | Self::Late | Self::Restarted | Self::Unsigned | Self::Coded => false,
             Self::Io(_) | Self::Message(_) | Self::Body(_) | Self::Head(_) | Self::Foreign => true,
         }
     }
 
     /// Returns true if the upstream cannot have seen the request.
     pub(super) fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect(_))
+        matches!(self, Self::Connect(_) | Self::Late)
     }
 }
 
@@ -119,6 +124,10 @@
 ) -> Result<UpstreamAnswer, ExchangeError> {
     let taken = pool.take(!work.idempotent).await;
     let mut connection = taken.map_err(ExchangeError::Connect)?;
+    // The node may have stood still meanwhile, and its caller may have been told.
+    if work.time_left().is_zero() {
+        return Err(ExchangeError::Late);
+    }
     let request = request_bytes(fields, upstream, work);
     let (first, was_sent) = send(&mut connection, request).await?;
     let is_head = work.head.starts_with(b"HEAD ");
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -104,6 +104,9 @@
         error: &ExchangeError,
     ) -> Returned {
         self.events.note_loss(&work.attempt, error);
+        if matches!(error, ExchangeError::Late) {
+            return Returned::refused(Reason::Deadline);
+        }
         if error.is_unsent() {
             self.upstream.note_unreachable(Instant::now());
             return Returned::refused(Reason::NoUpstream);
--- a/crates/mesh/src/reload/reader.rs
+++ b/crates/mesh/src/reload/reader.rs
@@ -39,24 +39,24 @@
 impl Reader {
     /// Begins to read a file each time that `pause` is over, and when it is asked for.
     pub(super) fn start(file: PathBuf, pause: Duration) -> io::Result<(Self, Asker)> {
-        let (wakes, waker) = StdStream::pair()?;
-        wakes.set_nonblocking(true)?;
-        let (asker, asked) = mpsc::channel();
+        let (near, far) = StdStream::pair()?;
+        near.set_nonblocking(true)?;
+        let (asks, asked) = mpsc::channel();
         let (sender, readings) = mpsc::channel();
         let looks = Looks {
             file,
             pause,
             asked,
             sender,
-            waker,
+            waker: far,
         };
         let thread = std::thread::Builder::new().name("settings".to_owned());
         thread.spawn(move || looks.run())?;
         let reader = Self {
             readings,
-            wakes: UnixStream::from_std(wakes)?,
+            wakes: UnixStream::from_std(near)?,
         };
-        Ok((reader, Asker(asker)))
+        Ok((reader, Asker(asks)))
     }
 
     /// Waits for the next reading; there is none any more once the thread has ended.
