An entry that stood still looks once more before it says that it does not know

Callers saw: 504 for a request that had never run, which they must take for one that may have.

Cause: after a stall past the deadline the timer of the entry and the work of the gate are due at the same moment; if the timer comes first the caller is told 'not known', although the gate knows a moment later that nothing was sent, or has the answer.

Change: a timer that fires 20 ms late or more shows that the node stood still; for 5 ms it is looked once more at what came meanwhile. A deadline that passes while the node runs is told at once, as before.

--- a/crates/mesh/src/entry/exchange.rs
+++ b/crates/mesh/src/entry/exchange.rs
@@ -1,12 +1,17 @@
 //! Brings one request to its answer.
 
+#[cfg(test)]
+mod tests;
+
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use monoio::time::timeout;
+use sailtrack_units::Moment;
 use sailtrack_wire::{Outcome, Reason};
 
-use crate::clock;
+use crate::clock::{self, Late};
 use crate::dispatch::Trail;
 use crate::entry::Entry;
 use crate::entry::KeyRefusal;
@@ -16,6 +21,11 @@
 use crate::entry::request::{Incoming, Received};
 use crate::work::Returned;
 
+/// A timer that fires so late shows that the node stood still.
+const STOOD_STILL: Duration = Duration::from_millis(20);
+/// How long is looked once more at what came meanwhile.
+const LAST_LOOK: Duration = Duration::from_millis(5);
+
 /// What is written when its turn comes.
 pub(super) enum Answer {
     /// What came of a request.
@@ -115,6 +125,18 @@
     }))
 }
 
+/// Returns what came of a request whose time is over.
+///
+/// Where the node itself stood still, answers may have come meanwhile, or nothing was sent; both
+/// are better for the caller than not to know.
+async fn look_once_more(deadline: Moment, dispatch: impl Future<Output = Returned>) -> Returned {
+    if clock::now().since(deadline) < STOOD_STILL {
+        return Returned::unknown(Reason::Deadline);
+    }
+    let returned = timeout(LAST_LOOK, dispatch).await;
+    returned.unwrap_or_else(|_| Returned::unknown(Reason::Deadline))
+}
+
 /// Brings a request to an upstream and back; dropping the future cancels it.
 async fn run(entry: &Entry, incoming: &Incoming, received: Received, trail: &Trail) -> Returned {
     trail.identify(received.identity);
@@ -131,9 +153,11 @@
         return returned;
     }
     // Boxed, since each future around it would keep room for it once more.
-    let dispatch = Box::pin(entry.dispatcher.dispatch(work, &incoming.route, trail));
-    let returned = clock::until(incoming.deadline, dispatch).await;
-    let returned = returned.unwrap_or_else(|_| Returned::unknown(Reason::Deadline));
+    let mut dispatch = Box::pin(entry.dispatcher.dispatch(work, &incoming.route, trail));
+    let returned = match clock::until(incoming.deadline, &mut dispatch).await {
+        Ok(returned) => returned,
+        Err(Late) => look_once_more(incoming.deadline, dispatch).await,
+    };
     if let Some(parent) = &incoming.parent {
         parent.note(&returned);
     }
