All that runs when an upstream ends is named, however much that is

Of an upstream that runs more, any of them could be left out, also those that were there at an earlier end.

Change: the doubted ones are joined to those that run. Test: joined_whole.

--- a/crates/mesh/src/gate/doubt.rs
+++ b/crates/mesh/src/gate/doubt.rs
@@ -46,9 +46,8 @@
     pub(super) fn add(&mut self, ran: &[Rc<Context>], now: Moment) {
         self.at = now;
         for one in ran {
-            let is_known = self.ran.iter().any(|known| Rc::ptr_eq(known, one));
-            if !is_known && self.ran.len() < MOST_DOUBTED {
-                self.ran.push(Rc::clone(one));
+            if self.ran.len() < MOST_DOUBTED {
+                push_new(&mut self.ran, one);
             }
         }
     }
@@ -74,8 +73,16 @@
         &self.upstream
     }
 
-    /// Returns what ran there.
-    pub(super) fn into_ran(self) -> Vec<Rc<Context>> {
-        self.ran
+    /// Joins what ran there to what has no answer yet, all of it.
+    pub(super) fn join_to(&self, running: &mut Vec<Rc<Context>>) {
+        for one in &self.ran {
+            push_new(running, one);
+        }
+    }
+}
+
+fn push_new(all: &mut Vec<Rc<Context>>, one: &Rc<Context>) {
+    if !all.iter().any(|known| Rc::ptr_eq(known, one)) {
+        all.push(Rc::clone(one));
     }
 }
--- a/crates/mesh/src/gate/doubt/tests.rs
+++ b/crates/mesh/src/gate/doubt/tests.rs
@@ -6,6 +6,7 @@
 use sailtrack_units::Moment;
 
 use super::{DOUBT_TIME, Doubt, MOST_DOUBTED};
+use crate::contexts::Context;
 use crate::contexts::tests::contexts_of;
 use crate::key::UpstreamKey;
 
@@ -15,6 +16,13 @@
     UpstreamKey::new(id, None).expect("a sound id")
 }
 
+/// Returns what ran when an upstream ended that is doubted and has these without an answer.
+fn joined(doubt: &Doubt, running: &[Rc<Context>]) -> Vec<Rc<Context>> {
+    let mut ran = running.to_vec();
+    doubt.join_to(&mut ran);
+    ran
+}
+
 #[test]
 fn losses_add_up() {
     let life = upstream("i-1");
@@ -22,14 +30,19 @@
     let mut doubt = Doubt::new(life, BEGAN);
     doubt.add(&ran[..2], BEGAN);
     doubt.add(&ran[1..], BEGAN);
-    let known = doubt.into_ran();
-    assert_eq!(known.len(), 3);
-    assert!(
-        known
-            .iter()
-            .zip(&ran)
-            .all(|(one, other)| Rc::ptr_eq(one, other))
-    );
+    let known = joined(&doubt, &[]);
+    let is_same = |(one, other): (&Rc<Context>, &Rc<Context>)| Rc::ptr_eq(one, other);
+    assert!(known.len() == 3 && known.iter().zip(&ran).all(is_same));
+}
+
+/// An upstream may run more than are doubted; what has no answer when it ends is named whole.
+#[test]
+fn joined_whole() {
+    let life = upstream("i-1");
+    let ran = contexts_of(&life, MOST_DOUBTED + 100);
+    let mut doubt = Doubt::new(life, BEGAN);
+    doubt.add(&ran[..2], BEGAN);
+    assert_eq!(joined(&doubt, &ran[1..]).len(), ran.len());
 }
 
 #[test]
@@ -38,7 +51,7 @@
     let ran = contexts_of(&life, MOST_DOUBTED + 1);
     let mut doubt = Doubt::new(life, BEGAN);
     doubt.add(&ran, BEGAN);
-    assert_eq!(doubt.into_ran().len(), MOST_DOUBTED);
+    assert_eq!(joined(&doubt, &[]).len(), MOST_DOUBTED);
 }
 
 #[test]
--- a/crates/mesh/src/gate/loss.rs
+++ b/crates/mesh/src/gate/loss.rs
@@ -7,7 +7,6 @@
 
 use super::Gate;
 use super::crash::Watch;
-use super::doubt::Doubt;
 use super::exchange::ExchangeError;
 use super::port::{self, Finding};
 use crate::clock;
@@ -69,11 +68,12 @@
     /// Returns what ran when a life of the upstream ended: what has no answer yet, and what was
     /// lost before the end was seen.
     fn ran_at_end(&self, upstream: &UpstreamKey) -> Vec<Rc<Context>> {
-        let now = clock::now();
-        self.watcher
-            .doubt(upstream, &self.contexts.running_in(upstream), now);
-        let doubt = self.watcher.take_doubt(now);
-        doubt.map(Doubt::into_ran).unwrap_or_default()
+        let mut ran = self.contexts.running_in(upstream);
+        let doubt = self.watcher.take_doubt(clock::now());
+        if let Some(doubt) = doubt.filter(|doubt| doubt.is_about(upstream)) {
+            doubt.join_to(&mut ran);
+        }
+        ran
     }
 
     /// Watches the port of an upstream that broke a connection until it is known whether that was
