--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -498,27 +498,22 @@
     }
 
     fn answer(&mut self, request: usize, percent: u64, pace: u32) {
+        let Some(ended) = self.end(request) else {
+            return;
+        };
         let Request {
             upstream,
             sender,
             kind,
             began,
-            done,
             ..
-        } = self.requests[request];
-        if done {
-            return;
-        }
-        self.requests[request].done = true;
-        let now = self.instant();
+        } = ended;
         let time = Duration::from_micros(self.now - began);
         if (self.load.counted_from..self.load.length - 2_000_000).contains(&began) {
             let name = self.load.kinds[kind].name;
             self.tally.kinds.get_mut(name).expect("known").1 += 1;
             *self.tally.times.get_mut(name).expect("known") += time.as_secs_f64();
         }
-        let own = &mut self.senders[sender];
-        own.outstanding[upstream] -= 1;
         let pressure = Pressure::from_percent(u32::try_from(percent).expect("small"));
         let sample = Sample {
             time,
@@ -526,10 +521,10 @@
             pace: f64::from(pace) / 100.0,
             is_whole: true,
         };
-        let known = own.means[upstream].unwrap_or(time.as_secs_f64());
-        own.means[upstream] = Some(known + (time.as_secs_f64() - known) * 0.1);
-        own.times
-            .note(&self.names[kind], &mut own.speeds[upstream], now, sample);
+        let mean = &mut self.senders[sender].means[upstream];
+        let known = mean.unwrap_or(time.as_secs_f64());
+        *mean = Some(known + (time.as_secs_f64() - known) * 0.1);
+        self.learn(&ended, sample);
     }
 
     fn percent(&self, upstream: usize) -> u64 {
@@ -549,28 +544,35 @@
     }
 
     fn give_up(&mut self, request: usize) {
-        let Request {
-            upstream,
-            sender,
-            kind,
-            began,
-            done,
-            ..
-        } = self.requests[request];
-        if done {
+        let Some(ended) = self.end(request) else {
             return;
-        }
-        self.requests[request].done = true;
-        let now = self.instant();
-        let own = &mut self.senders[sender];
-        own.outstanding[upstream] -= 1;
+        };
+        let pace = self.senders[ended.sender].paces[ended.upstream].factor(self.instant());
         let sample = Sample {
-            time: Duration::from_micros(self.now - began),
+            time: Duration::from_micros(self.now - ended.began),
             pressure: 0.0,
-            pace: own.paces[upstream].factor(now),
+            pace,
             is_whole: false,
         };
-        own.times
-            .note(&self.names[kind], &mut own.speeds[upstream], now, sample);
+        self.learn(&ended, sample);
+    }
+
+    /// Takes in that nobody waits for a request any more; returns it the first time.
+    fn end(&mut self, request: usize) -> Option<Request> {
+        let ended = self.requests[request];
+        if ended.done {
+            return None;
+        }
+        self.requests[request].done = true;
+        self.senders[ended.sender].outstanding[ended.upstream] -= 1;
+        Some(ended)
+    }
+
+    /// Lets the sender of a request learn how long it took.
+    fn learn(&mut self, ended: &Request, sample: Sample) {
+        let now = self.instant();
+        let own = &mut self.senders[ended.sender];
+        let speed = &mut own.speeds[ended.upstream];
+        own.times.note(&self.names[ended.kind], speed, now, sample);
     }
 }
