Gate: what stood twice stands once; no behaviour changes

- The guards of a trial and of the watch of the port were the same: Single and its Turn.
- A connection that is tried once is one that nobody wants to keep.
- The time of the last look after a stall, 5 ms, is one constant of the clock.
- The moment at which a request is sent was read twice for each request: once to guess its end, once for the doubt about a lost answer.
- A comment of has_crashed said that all requests of a life are still open; some may have been lost before.

--- a/crates/mesh/src/clock.rs
+++ b/crates/mesh/src/clock.rs
@@ -20,6 +20,9 @@
 /// long after it goes on a request whose time ran out meanwhile is given up.
 const LOOK: Duration = Duration::from_millis(500);
 
+/// An answer may have come while the node itself stood still; it is read in this time.
+pub(crate) const LAST_LOOK: Duration = Duration::from_millis(5);
+
 /// the time is over
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) struct Late;
--- a/crates/mesh/src/entry/exchange.rs
+++ b/crates/mesh/src/entry/exchange.rs
@@ -11,7 +11,7 @@
 use sailtrack_units::Moment;
 use sailtrack_wire::{Outcome, Reason};
 
-use crate::clock::{self, Late};
+use crate::clock::{self, LAST_LOOK, Late};
 use crate::dispatch::Trail;
 use crate::entry::Entry;
 use crate::entry::KeyRefusal;
@@ -23,8 +23,6 @@
 
 /// A timer that fires so late shows that the node stood still.
 const STOOD_STILL: Duration = Duration::from_millis(20);
-/// How long is looked once more at what came meanwhile.
-const LAST_LOOK: Duration = Duration::from_millis(5);
 
 /// What is written when its turn comes.
 pub(super) enum Answer {
--- a/crates/mesh/src/gate/builder.rs
+++ b/crates/mesh/src/gate/builder.rs
@@ -13,7 +13,7 @@
 use super::kinds::Kinds;
 use super::pool::Pool;
 use super::room::Room;
-use super::trial::Trials;
+use super::single::Single;
 use super::{Gate, Records, Upstream};
 use crate::contexts::Contexts;
 use crate::dialect::Dialect;
@@ -56,7 +56,7 @@
             watcher: Watcher::new(target),
             quarantine,
             wake,
-            trials: Trials::default(),
+            trials: Single::default(),
             in_flight: Rc::default(),
         };
         Self { gate }
--- a/crates/mesh/src/gate/crash.rs
+++ b/crates/mesh/src/gate/crash.rs
@@ -5,7 +5,7 @@
 //! comes. One that leaves has said so before; one that resets its
 //! connections, turns wrong bytes out or is slow accepts a new one.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -15,6 +15,7 @@
 
 use super::doubt::Doubt;
 use super::port::{self, Finding};
+use super::single::{Single, Turn};
 use crate::contexts::Context;
 use crate::key::UpstreamKey;
 
@@ -24,7 +25,7 @@
     /// The connection that is being tried; all losses of the same moment wait for one.
     probe: RefCell<Option<Shared<LocalBoxFuture<'static, Finding>>>>,
     /// The port is watched; that serves all losses meanwhile.
-    is_watching: Rc<Cell<bool>>,
+    watch: Single,
     /// The last life that crashed.
     crashed: RefCell<Option<Rc<UpstreamKey>>>,
     /// What ran when connections of the present life broke, although its port took new ones.
@@ -36,7 +37,7 @@
         Self {
             target,
             probe: RefCell::default(),
-            is_watching: Rc::default(),
+            watch: Single::default(),
             crashed: RefCell::default(),
             doubt: RefCell::default(),
         }
@@ -96,9 +97,8 @@
     }
 
     /// Begins to watch the port, unless that is done already.
-    pub(super) fn begin_watch(&self) -> Option<Watch> {
-        let is_free = !self.is_watching.replace(true);
-        is_free.then(|| Watch(Rc::clone(&self.is_watching)))
+    pub(super) fn begin_watch(&self) -> Option<Turn> {
+        self.watch.begin()
     }
 
     /// Returns the address of the port.
@@ -112,13 +112,3 @@
         probe
     }
 }
-
-/// Held while the port is watched.
-#[derive(Debug)]
-pub(super) struct Watch(Rc<Cell<bool>>);
-
-impl Drop for Watch {
-    fn drop(&mut self) {
-        self.0.set(false);
-    }
-}
--- a/crates/mesh/src/gate/entered.rs
+++ b/crates/mesh/src/gate/entered.rs
@@ -7,7 +7,7 @@
 use sailtrack_admission::{Met, OutsetPlace, Pressure};
 
 use super::room::Stay;
-use super::trial::Trial;
+use super::single::Turn;
 use super::upstream::Ended;
 use crate::key::UpstreamKey;
 use crate::work::Returned;
@@ -23,7 +23,7 @@
     pub(super) outset: Option<OutsetPlace>,
     /// Held if it may end the upstream.
     #[allow(dead_code, reason = "it is held, not read")]
-    pub(super) trial: Option<Trial>,
+    pub(super) trial: Option<Turn>,
     /// No answer to it is expected any more.
     pub(super) is_silent: Rc<Cell<bool>>,
 }
--- a/crates/mesh/src/gate/loss.rs
+++ b/crates/mesh/src/gate/loss.rs
@@ -6,9 +6,9 @@
 use sailtrack_net::task;
 
 use super::Gate;
-use super::crash::Watch;
 use super::exchange::ExchangeError;
 use super::port::{self, Finding};
+use super::single::Turn;
 use crate::clock;
 use crate::contexts::Context;
 use crate::key::{AttemptKey, UpstreamKey};
@@ -16,7 +16,7 @@
 impl Gate {
     /// Returns true if a life of the upstream has ended without having announced it.
     ///
-    /// The requests that it ran are all still open here: each of them waits for this answer.
+    /// What else it ran has no answer yet, or was lost just before.
     pub(super) async fn has_crashed(
         self: &Rc<Self>,
         upstream: &UpstreamKey,
@@ -36,8 +36,8 @@
         }
         let ran = self.contexts.running_in(upstream);
         self.watcher.doubt(upstream, &ran, clock::now());
-        if let Some(watch) = self.watcher.begin_watch() {
-            self.watch(watch, attempt.clone());
+        if let Some(turn) = self.watcher.begin_watch() {
+            self.watch(turn, attempt.clone());
         }
         false
     }
@@ -78,13 +78,13 @@
 
     /// Watches the port of an upstream that broke a connection until it is known whether that was
     /// a crash, without holding up the request that was lost.
-    fn watch(self: &Rc<Self>, watch: Watch, attempt: AttemptKey) {
+    fn watch(self: &Rc<Self>, turn: Turn, attempt: AttemptKey) {
         let gate = Rc::clone(self);
         task::spawn("watch of the port", async move {
             let began = Instant::now();
             let doubted = || gate.watcher.doubted(clock::now());
             let finding = port::watch(gate.watcher.target(), || doubted().is_some()).await;
-            drop(watch);
+            drop(turn);
             gate.events.note_look(&attempt, finding, began.elapsed());
             // It may be a later life than the one whose loss began the watch.
             if let Some(upstream) = doubted().filter(|_| finding == Finding::Refused) {
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -20,7 +20,7 @@
 mod room;
 mod send;
 mod silence;
-mod trial;
+mod single;
 mod upstream;
 
 use std::cell::Cell;
@@ -55,7 +55,7 @@
 pub(crate) use records::{Recalled, Records};
 use room::Room;
 use silence::until_told;
-use trial::{Trial, Trials};
+use single::{Single, Turn};
 pub(crate) use upstream::Upstream;
 
 /// How much longer than its deadline the answer to a request that must not run twice is awaited:
@@ -81,7 +81,8 @@
     watcher: Watcher,
     quarantine: Rc<Quarantine>,
     wake: Rc<Wake>,
-    trials: Trials,
+    /// A request that may end the upstream runs there alone among such requests.
+    trials: Single,
     in_flight: Rc<Cell<usize>>,
 }
 
@@ -183,7 +184,7 @@
 
     /// Lets a request in by what is held against it at this moment: it may have waited, and its
     /// sender may know less.
-    fn begin_trial(&self, work: &mut Work) -> Result<Option<Trial>, Reason> {
+    fn begin_trial(&self, work: &mut Work) -> Result<Option<Turn>, Reason> {
         let standing = self.quarantine.standing(&work.identity);
         work.known_crashes = work.known_crashes.max(standing.known());
         match standing {
--- a/crates/mesh/src/gate/port.rs
+++ b/crates/mesh/src/gate/port.rs
@@ -52,10 +52,7 @@
 
 /// Tries a connection.
 pub(super) async fn probe(target: SocketAddr) -> Finding {
-    match dial(target, None, PROBE_TIME).await {
-        Ok(_) => Finding::Accepted,
-        Err(error) => Finding::of(&error),
-    }
+    probe_to_end(target, || false).await
 }
 
 /// Tries connections until one is refused or the answer is not wanted any more; returns what the
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -37,13 +37,12 @@
         let exchange = exchange.boxed_local();
         let exchange = until_ended(exchange, entered.ended.clone());
         let sent = self.begin_wait(work, entered);
-        let sent_at = clock::now();
         let result = self
             .wait_for(&sent, &entry.context, clock::until(until, exchange))
             .await;
         sent.note_end(&result, entered);
         let returned = match result {
-            Waited::Over(Ok(Ok(answer))) => self.take_answer(work, upstream, sent_at, answer),
+            Waited::Over(Ok(Ok(answer))) => self.take_answer(work, upstream, sent.at, answer),
             Waited::Over(Ok(Err(error))) => self.take_error(work, upstream, &error).await,
             Waited::Over(Err(_)) => Returned::unknown(Reason::Deadline),
             Waited::Silent => Returned::unknown(Reason::Connection),
--- a/crates/mesh/src/gate/silence.rs
+++ b/crates/mesh/src/gate/silence.rs
@@ -14,14 +14,12 @@
 use super::exchange::{ExchangeError, UpstreamAnswer};
 use super::kinds::{Kind, Open};
 use super::patience::{Decision, Waiting};
-use crate::clock::{self, Late};
+use crate::clock::{self, LAST_LOOK, Late};
 use crate::contexts::Context;
 use crate::events::Silence;
 use crate::key::AttemptKey;
 use crate::work::{Returned, Work};
 
-/// An answer may have come while the node itself stood still; it is read in this time.
-const LAST_LOOK: Duration = Duration::from_millis(5);
 /// How long it is waited at most before it is looked again.
 const LONGEST_LOOK: Duration = Duration::from_secs(1);
 /// How long before the deadline the caller is told that no answer is expected, so that it hears
@@ -45,6 +43,8 @@
     name: &'a KindName,
     kind: Rc<Kind>,
     open: Open,
+    /// When it is sent.
+    pub(super) at: Moment,
     deadline: Moment,
     /// It may be sent elsewhere after silence.
     is_repeatable: bool,
@@ -82,7 +82,8 @@
         let kind = self.kinds.get(&work.kind);
         let usual = kind.usual();
         let slowness = self.upstream.report.slowness();
-        let done = usual.map(|usual| clock::now() + usual.longest.mul_f64(slowness));
+        let now = clock::now();
+        let done = usual.map(|usual| now + usual.longest.mul_f64(slowness));
         let until = done.map_or(work.deadline, |done| done.min(work.deadline));
         entered.stay.begin(until);
         Sent {
@@ -90,6 +91,7 @@
             name: &work.kind,
             open: kind.begin(Instant::now()),
             kind,
+            at: now,
             deadline: work.deadline,
             is_repeatable: work.idempotent,
             was_repeated: work.repeated,
