Placing: how quick an upstream is taken to be is drawn while little is known of it

What callers see: requests go on to slow upstreams while a quick one of the same service stands idle, until one request in 96 happens to try it.

Cause, by the gauges of quick_one_is_preferred: the first upstream that is known looks 1 to 3 % quicker than the unknown ones, which count as like the others; at a pressure of zero nothing else decides, so it gets everything.

Ruled out: trying any unknown upstream more often at random (it would have to be one request in two to be found within 40, also where the known ones are clearly quicker).

Change: the slowness by which upstreams are compared is drawn for each request from a range that is wide without answers and halves with the first one, as the pressure is already.

--- a/crates/mesh/src/routing/load.rs
+++ b/crates/mesh/src/routing/load.rs
@@ -164,6 +164,7 @@
             pressure: sure.unwrap_or_else(told).0,
             failing: self.failing(now),
             slowness: self.speed.slowness(now) * self.pace.factor(now),
+            doubt: self.speed.doubt(),
         }
     }
 
--- a/crates/placement/benches/choice.rs
+++ b/crates/placement/benches/choice.rs
@@ -58,6 +58,7 @@
                 pressure: news.0.pressure(now, 1, 60, &level).0,
                 failing: 0.0,
                 slowness: speed.slowness(now) * news.1.factor(now),
+                doubt: speed.doubt(),
             })
         },
         emptier: 0.0,
--- a/crates/placement/src/candidate.rs
+++ b/crates/placement/src/candidate.rs
@@ -35,13 +35,22 @@
     pub failing: f64,
     /// How many times as long as the others of its service it takes at this moment.
     pub slowness: f64,
+    /// By how much it may be quicker or slower than that, as a logarithm.
+    pub doubt: f64,
 }
 
 impl Candidate {
-    /// Returns it with a pressure as it may be now.
+    /// Returns it with a pressure and a speed as they may be now. Without the second the first
+    /// upstream that is known gets all requests if it looks a little quicker than unknown ones.
     pub(crate) fn doubted(&self, random: &mut impl Rng) -> Self {
         let pressure = self.pressure * random.random_range(1.0 - DOUBT..1.0 + DOUBT);
-        Self { pressure, ..*self }
+        let doubt = self.doubt * random.random_range(-1.0..1.0);
+        let slowness = self.slowness * doubt.exp();
+        Self {
+            pressure,
+            slowness,
+            ..*self
+        }
     }
 
     /// Returns what a request costs there, in seconds.
--- a/crates/placement/src/speed.rs
+++ b/crates/placement/src/speed.rs
@@ -13,6 +13,9 @@
 const HALF_LIFE: Duration = Duration::from_secs(6);
 /// The greatest logarithm by which one answer may differ from what is expected.
 const MOST_SURPRISE: f64 = 1.5;
+/// The logarithm by which an upstream without answers may differ from the others. Each answer
+/// leaves less of it.
+const FIRST_DOUBT: f64 = 0.5;
 
 /// How long an upstream takes beside the others of its service, whatever the kind.
 #[derive(Debug, Clone, Copy, Default)]
@@ -30,6 +33,12 @@
         self.log(now).exp()
     }
 
+    /// Returns by how much it may be quicker or slower than that, as a logarithm.
+    #[must_use]
+    pub fn doubt(&self) -> f64 {
+        FIRST_DOUBT / (1.0 + self.answers)
+    }
+
     /// Returns true if an answer of it was seen.
     #[must_use]
     pub fn is_known(&self) -> bool {
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -418,6 +418,7 @@
                     pressure: news[at].pressure(now, outstanding[at], slots(at), level).0,
                     failing: 0.0,
                     slowness: speeds[at].slowness(now) * paces[at].factor(now),
+                    doubt: speeds[at].doubt(),
                 })
             },
             emptier: levels[0].at(now) - levels[1].at(now),
