--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -97,6 +97,8 @@
     LOAD_UNREADABLE = 414 Warn "load of the upstream not readable" ["upstream", "value"];
     /// The own upstream works on so many requests that an earlier process of this node sent; their room is kept until they are over.
     REQUESTS_LEFT_BEHIND = 415 Info "requests left behind" ["requests"];
+    /// The room of requests that were dropped here came back, though their ends were not heard of. `because` is `load` if the upstream told how many requests it has, `told`, while so many others waited for their answers, `open`; or `time` if they are taken to be over.
+    ROOM_FREED = 416 Debug "room of dropped requests came back" ["requests", "because", "told", "open"];
     /// The own upstream ended without having announced it. `ran` names the requests that it ran by the first digits of their identities, with their kinds; `requests` is how many there were.
     UPSTREAM_CRASHED = 420 Warn "upstream crashed" ["upstream", "requests", "ran"];
     /// A request ran when several upstreams crashed and is sent to none any more. `upstream` is the life that ended last, `time_s` how long that holds in seconds. Each node that hears of the crash writes it.
--- a/crates/mesh/src/gate/room.rs
+++ b/crates/mesh/src/gate/room.rs
@@ -8,12 +8,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Instant;
 
 use futures::StreamExt as _;
 use futures::channel::mpsc;
 use sailtrack_admission::{Admission, Arrival, Permit};
+use sailtrack_log::{catalogue, emit};
 use sailtrack_net::task;
 use sailtrack_units::{Moment, Rank};
 
@@ -63,7 +65,9 @@
             task::spawn("kept room", async move {
                 // It is over with the time.
                 let _ = clock::until(until, std::future::pending::<()>()).await;
-                room.free(number);
+                if room.free(number) {
+                    note_freed(1, &format_args!("time"), 0, room.open.get());
+                }
             });
         }
     }
@@ -92,6 +96,7 @@
             let count = kept.len().saturating_sub(there);
             kept.drain(..count).collect::<Vec<_>>()
         };
+        note_freed(ended.len(), &format_args!("load"), told, self.open.get());
         // Each lets the next waiting request in, which may come back here.
         drop(ended);
     }
@@ -125,13 +130,28 @@
         number
     }
 
-    fn free(&self, number: u64) {
+    /// Returns true if it was kept until now.
+    fn free(&self, number: u64) -> bool {
         let freed = {
             let mut kept = self.kept.borrow_mut();
             let place = kept.iter().position(|one| one.number == number);
             place.and_then(|place| kept.remove(place))
         };
-        drop(freed);
+        freed.is_some()
+    }
+}
+
+fn note_freed(requests: usize, because: &dyn Display, told: usize, open: usize) {
+    if requests > 0 {
+        emit(
+            &catalogue::ROOM_FREED,
+            &[
+                ("requests", &requests),
+                ("because", because),
+                ("told", &told),
+                ("open", &open),
+            ],
+        );
     }
 }
 
@@ -165,7 +185,9 @@
     pub(super) fn end(&self) {
         match self.state.replace(State::Ended) {
             State::Sent(_) => self.close(),
-            State::Kept(number) => self.room.free(number),
+            State::Kept(number) => {
+                self.room.free(number);
+            }
             State::Unsent | State::Ended => {}
         }
     }
