Room is not freed by what an upstream told before it had read the request

What callers see: an upstream gets more than it takes and never answers the request that is too much; what may not run twice ends with 504.

Cause: each answer's load header freed kept room as if it told of this moment. It is written before the answer comes; what was sent in between is not in it. Such requests were taken to have ended if their client had left, and counted as present if they were open, each of which frees room that is in use.

Ruled out as the only way: counting nothing that is open. With steady load room would then come back by time only, up to the deadline where upstreams are silent. Left: an upstream that takes more than 10 ms to read a request while it answers others can still get one too many.

Unit tests sent_later, not_read_yet.

--- a/crates/mesh/src/gate/room.rs
+++ b/crates/mesh/src/gate/room.rs
@@ -7,22 +7,28 @@
 mod tests;
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Display;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use futures::StreamExt as _;
 use futures::channel::mpsc;
+use monoio::time::sleep;
 use sailtrack_admission::{Admission, Arrival, Permit};
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::task;
 use sailtrack_units::{Moment, Rank};
 
-use crate::clock;
+use crate::clock::{self, LAST_LOOK};
+
+/// What was sent this long before an answer came had been read by the upstream when it wrote that:
+/// many times the way there.
+const READ_TIME: Duration = Duration::from_millis(10);
 
 /// Room whose request has no end yet that is known here.
 struct Kept {
+    /// The number of the request, by the order of sending.
     number: u64,
     /// Given back when it is dropped.
     #[allow(dead_code, reason = "it is held, not read")]
@@ -31,8 +37,8 @@
 
 /// The room of the own upstream.
 pub(super) struct Room {
-    /// The requests that were sent and wait for their answers.
-    open: Cell<usize>,
+    /// The requests that were sent and wait for their answers, and when they were sent.
+    open: RefCell<BTreeMap<u64, Moment>>,
     kept: RefCell<VecDeque<Kept>>,
     next: Cell<u64>,
     /// What is kept from now on, for the task that frees it in time.
@@ -44,7 +50,7 @@
     pub(super) fn new() -> (Rc<Self>, mpsc::UnboundedReceiver<(Moment, u64)>) {
         let (begun, receiver) = mpsc::unbounded();
         let room = Self {
-            open: Cell::default(),
+            open: RefCell::default(),
             kept: RefCell::default(),
             next: Cell::default(),
             begun,
@@ -66,7 +72,7 @@
                 // It is over with the time.
                 let _ = clock::until(until, std::future::pending::<()>()).await;
                 if room.free(number) {
-                    note_freed(1, &format_args!("time"), 0, room.open.get());
+                    note_freed(1, &format_args!("time"), 0, room.open.borrow().len());
                 }
             });
         }
@@ -77,6 +83,7 @@
         Stay {
             room: Rc::clone(self),
             permit: RefCell::new(Some(permit)),
+            number: Cell::default(),
             state: Cell::new(State::Unsent),
         }
     }
@@ -87,16 +94,45 @@
         self.kept.borrow().len()
     }
 
-    /// Takes in how many requests the upstream works on and holds in its queue: what is neither
-    /// there nor open here has ended.
-    pub(super) fn settle(&self, told: usize) {
-        let there = told.saturating_sub(self.open.get());
+    /// Takes in how many requests the upstream works on and holds in its queue, as an answer that
+    /// has just come tells, once answers that were written before it are read as well.
+    pub(super) fn settle_soon(self: &Rc<Self>, told: usize, answered: &Stay) {
+        if self.kept.borrow().is_empty() {
+            return;
+        }
+        let (room, number) = (Rc::clone(self), answered.number.get());
+        let came = clock::now();
+        task::spawn("told room", async move {
+            sleep(LAST_LOOK).await;
+            room.settle(told, number, came);
+        });
+    }
+
+    /// Frees what is neither there nor open here, as told by the answer to a request that came at
+    /// a moment.
+    ///
+    /// It says nothing of what was sent after it was written. So it frees only what was sent before
+    /// the request that it answers, and what is open here counts if the upstream had read it.
+    fn settle(&self, told: usize, answered: u64, came: Moment) {
+        let is_counted = |(number, sent): &(&u64, &Moment)| {
+            **number < answered || came.since(**sent) >= READ_TIME
+        };
+        let counted = self.open.borrow().iter().filter(is_counted).count();
+        let there = told.saturating_sub(counted);
         let ended = {
             let mut kept = self.kept.borrow_mut();
-            let count = kept.len().saturating_sub(there);
-            kept.drain(..count).collect::<Vec<_>>()
+            let earlier = kept.iter().filter(|one| one.number < answered).count();
+            let mut count = earlier.saturating_sub(there);
+            let mut ended = Vec::with_capacity(count);
+            while let Some(place) = kept.iter().position(|one| one.number < answered)
+                && count > 0
+            {
+                ended.extend(kept.remove(place));
+                count -= 1;
+            }
+            ended
         };
-        note_freed(ended.len(), &format_args!("load"), told, self.open.get());
+        note_freed(ended.len(), &format_args!("load"), told, counted);
         // Each lets the next waiting request in, which may come back here.
         drop(ended);
     }
@@ -110,7 +146,7 @@
             let Arrival::Admitted(permit) = admission.arrive(Rank::LOWEST, false, left) else {
                 return;
             };
-            self.keep(permit, until);
+            self.keep(self.number(), permit, until);
         }
     }
 
@@ -121,12 +157,16 @@
     }
 
     /// Keeps room until a moment, unless it is known before that it is free.
-    fn keep(&self, permit: Permit, until: Moment) -> u64 {
-        let number = self.next.get();
-        self.next.set(number + 1);
+    fn keep(&self, number: u64, permit: Permit, until: Moment) {
         self.kept.borrow_mut().push_back(Kept { number, permit });
         // The task is gone at the end of the process only.
         let _ = self.begun.unbounded_send((until, number));
+    }
+
+    /// Returns the number of the next request.
+    fn number(&self) -> u64 {
+        let number = self.next.get();
+        self.next.set(number + 1);
         number
     }
 
@@ -161,8 +201,8 @@
     Unsent,
     /// Dropped now, its room is kept until this moment.
     Sent(Moment),
-    /// Its room is kept under this number.
-    Kept(u64),
+    /// Its room is kept.
+    Kept,
     Ended,
 }
 
@@ -170,6 +210,8 @@
 pub(super) struct Stay {
     room: Rc<Room>,
     permit: RefCell<Option<Permit>>,
+    /// Its number, once it is sent.
+    number: Cell<u64>,
     state: Cell<State>,
 }
 
@@ -177,7 +219,9 @@
     /// Notes that it is sent now; if nobody waits for it any more, the upstream may work on it
     /// until then.
     pub(super) fn begin(&self, until: Moment) {
-        self.room.open.set(self.room.open.get() + 1);
+        self.number.set(self.room.number());
+        let mut open = self.room.open.borrow_mut();
+        open.insert(self.number.get(), clock::now());
         self.state.set(State::Sent(until));
     }
 
@@ -185,8 +229,8 @@
     pub(super) fn end(&self) {
         match self.state.replace(State::Ended) {
             State::Sent(_) => self.close(),
-            State::Kept(number) => {
-                self.room.free(number);
+            State::Kept => {
+                self.room.free(self.number.get());
             }
             State::Unsent | State::Ended => {}
         }
@@ -198,15 +242,15 @@
             return;
         }
         self.close();
-        let kept = self
-            .permit
-            .take()
-            .map(|permit| self.room.keep(permit, until));
-        self.state.set(kept.map_or(State::Ended, State::Kept));
+        self.state.set(State::Ended);
+        if let Some(permit) = self.permit.take() {
+            self.state.set(State::Kept);
+            self.room.keep(self.number.get(), permit, until);
+        }
     }
 
     fn close(&self) {
-        self.room.open.set(self.room.open.get().saturating_sub(1));
+        self.room.open.borrow_mut().remove(&self.number.get());
     }
 }
 
--- a/crates/mesh/src/gate/room/tests.rs
+++ b/crates/mesh/src/gate/room/tests.rs
@@ -9,7 +9,7 @@
 use sailtrack_net::{runtime, task};
 use sailtrack_units::Rank;
 
-use super::{Room, Stay};
+use super::{READ_TIME, Room, Stay};
 use crate::clock;
 use crate::node::ADMISSION_RULES;
 
@@ -43,6 +43,13 @@
         stay
     }
 
+    /// Takes in what the answer to a request that is sent now tells.
+    fn settle(&self, told: usize) {
+        let answered = self.send(LEFT);
+        answered.end();
+        self.room.settle(told, answered.number.get(), clock::now());
+    }
+
     fn used(&self) -> usize {
         self.admission.in_flight()
     }
@@ -92,11 +99,11 @@
         for _ in 0..3 {
             drop(upstream.send(LEFT));
         }
-        upstream.room.settle(4);
+        upstream.settle(4);
         assert_eq!(upstream.room.kept(), 3, "all are there");
-        upstream.room.settle(2);
+        upstream.settle(2);
         assert_eq!((upstream.room.kept(), upstream.used()), (1, 2));
-        upstream.room.settle(0);
+        upstream.settle(0);
         assert_eq!((upstream.room.kept(), upstream.used()), (0, 1));
         open.end();
     });
@@ -114,7 +121,7 @@
         assert_eq!((upstream.room.kept(), upstream.used()), (0, 0));
         let stay = upstream.send(LEFT);
         stay.give_up(clock::now() + LEFT);
-        upstream.room.settle(0);
+        upstream.settle(0);
         assert_eq!(upstream.used(), 0, "it is not there");
         drop(stay);
         assert_eq!(upstream.used(), 0);
@@ -145,3 +152,40 @@
         assert_eq!(upstream.used(), 0);
     });
 }
+
+/// What was sent after the answered request may have come after that was written.
+#[test]
+fn sent_later() {
+    play(async || {
+        let upstream = Upstream::with_slots(5);
+        let answered = upstream.send(LEFT);
+        let number = answered.number.get();
+        drop(upstream.send(LEFT));
+        answered.end();
+        drop(answered);
+        upstream.room.settle(0, number, clock::now());
+        assert_eq!(upstream.room.kept(), 1, "it was not there yet");
+        upstream.settle(0);
+        assert_eq!(upstream.room.kept(), 0, "it has ended");
+    });
+}
+
+/// A request that is open is not taken for one that the upstream counts before it can have read it.
+#[test]
+fn not_read_yet() {
+    play(async || {
+        let upstream = Upstream::with_slots(5);
+        drop(upstream.send(LEFT));
+        let answered = upstream.send(LEFT);
+        let number = answered.number.get();
+        let later = upstream.send(LEFT);
+        answered.end();
+        drop(answered);
+        upstream.room.settle(1, number, clock::now());
+        assert_eq!(upstream.room.kept(), 1, "the upstream may work on it");
+        let came = clock::now() + READ_TIME;
+        upstream.room.settle(1, number, came);
+        assert_eq!(upstream.room.kept(), 0, "the other one is counted");
+        later.end();
+    });
+}
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -42,7 +42,7 @@
             .await;
         sent.note_end(&result, entered);
         let returned = match result {
-            Waited::Over(Ok(Ok(answer))) => self.take_answer(work, upstream, sent.at, answer),
+            Waited::Over(Ok(Ok(answer))) => self.take_answer(work, entered, sent.at, answer),
             Waited::Over(Ok(Err(error))) => self.take_error(work, upstream, &error).await,
             Waited::Over(Err(_)) => Returned::unknown(Reason::Deadline),
             Waited::Silent => Returned::unknown(Reason::Connection),
@@ -62,10 +62,11 @@
     fn take_answer(
         &self,
         work: &Work,
-        upstream: &UpstreamKey,
+        entered: &Entered,
         sent_at: Moment,
         answer: UpstreamAnswer,
     ) -> Returned {
+        let upstream = &entered.upstream;
         let UpstreamAnswer { head, body } = answer;
         let fields = self.dialect.fields();
         if let Some(value) = head.fields.all(fields.load).next()
@@ -73,7 +74,7 @@
         {
             let (report, dialect) = (&self.upstream.report, &*self.dialect);
             if let Some(load) = report.take(dialect, upstream, value, clock::now()) {
-                self.room.settle(load.requests());
+                self.room.settle_soon(load.requests(), &entered.stay);
             }
         }
         let says_not_run = head.fields.get(fields.not_run).is_some();
