--- a/crates/mesh/src/gate/room.rs
+++ b/crates/mesh/src/gate/room.rs
@@ -8,7 +8,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
-use std::fmt::Display;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -22,8 +21,8 @@
 
 use crate::clock::{self, LAST_LOOK};
 
-/// What was sent this long before an answer came had been read by the upstream when it wrote that:
-/// many times the way there.
+/// What was sent this long before an answer came is taken to have been read by the upstream when it
+/// wrote that: it is many times the way there.
 const READ_TIME: Duration = Duration::from_millis(10);
 
 /// Room whose request has no end yet that is known here.
@@ -72,7 +71,7 @@
                 // It is over with the time.
                 let _ = clock::until(until, std::future::pending::<()>()).await;
                 if room.free(number) {
-                    note_freed(1, &format_args!("time"), 0, room.open.borrow().len());
+                    note_freed(1, "time", 0, room.open.borrow().len());
                 }
             });
         }
@@ -132,7 +131,7 @@
             }
             ended
         };
-        note_freed(ended.len(), &format_args!("load"), told, counted);
+        note_freed(ended.len(), "load", told, counted);
         // Each lets the next waiting request in, which may come back here.
         drop(ended);
     }
@@ -181,13 +180,13 @@
     }
 }
 
-fn note_freed(requests: usize, because: &dyn Display, told: usize, open: usize) {
+fn note_freed(requests: usize, because: &str, told: usize, open: usize) {
     if requests > 0 {
         emit(
             &catalogue::ROOM_FREED,
             &[
                 ("requests", &requests),
-                ("because", because),
+                ("because", &because),
                 ("told", &told),
                 ("open", &open),
             ],
