--- a/crates/mesh/src/reload/reader.rs
+++ b/crates/mesh/src/reload/reader.rs
@@ -6,8 +6,7 @@
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::time::Duration;
 
-use monoio::io::AsyncReadRent as _;
-use monoio::net::UnixStream;
+use sailtrack_net::wakes::Wakes;
 
 /// What one look at the file found.
 #[derive(Debug)]
@@ -33,14 +32,13 @@
 pub(super) struct Reader {
     readings: Receiver<Reading>,
     /// Brings one byte for each reading, which wakes the task that waits for it.
-    wakes: UnixStream,
+    wakes: Wakes,
 }
 
 impl Reader {
     /// Begins to read a file each time that `pause` is over, and when it is asked for.
     pub(super) fn start(file: PathBuf, pause: Duration) -> io::Result<(Self, Asker)> {
-        let (near, far) = StdStream::pair()?;
-        near.set_nonblocking(true)?;
+        let (wakes, thread_side) = Wakes::pair()?;
         let (asks, asked) = mpsc::channel();
         let (sender, readings) = mpsc::channel();
         let looks = Looks {
@@ -48,22 +46,17 @@
             pause,
             asked,
             sender,
-            waker: far,
+            waker: thread_side,
         };
         let thread = std::thread::Builder::new().name("settings".to_owned());
         thread.spawn(move || looks.run())?;
-        let reader = Self {
-            readings,
-            wakes: UnixStream::from_std(near)?,
-        };
-        Ok((reader, Asker(asks)))
+        Ok((Self { readings, wakes }, Asker(asks)))
     }
 
     /// Waits for the next reading; there is none any more once the thread has ended.
     pub(super) async fn next(&mut self) -> Option<Reading> {
-        let (result, _) = self.wakes.read(vec![0; 1]).await;
-        let is_there = result.is_ok_and(|count| count > 0);
-        is_there.then(|| self.readings.try_recv().ok()).flatten()
+        let is_woken = matches!(self.wakes.next().await, Ok(true));
+        is_woken.then(|| self.readings.try_recv().ok()).flatten()
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod task;
 pub mod terminate;
 pub mod transparent;
+pub mod wakes;
--- a/crates/net/src/terminate.rs
+++ b/crates/net/src/terminate.rs
@@ -1,30 +1,29 @@
 //! Signals as something that a task can wait for.
 
 use std::io;
-use std::os::unix::net::UnixStream as StdStream;
 
 use futures::future::{Either, select};
-use monoio::io::AsyncReadRent as _;
-use monoio::net::UnixStream;
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use signal_hook::low_level::pipe;
 
+use crate::wakes::Wakes;
+
 /// Receives the SIGTERM signals of this process.
 #[derive(Debug)]
 pub struct Terminate {
-    stream: UnixStream,
+    wakes: Wakes,
 }
 
 impl Terminate {
     /// Takes over SIGTERM from its default, which would end the process.
     pub fn install() -> io::Result<Self> {
-        let stream = take_over(SIGTERM)?;
-        Ok(Self { stream })
+        let wakes = take_over(SIGTERM)?;
+        Ok(Self { wakes })
     }
 
     /// Waits for the next signal.
     pub async fn wait(&mut self) -> io::Result<()> {
-        receive(&mut self.stream).await
+        self.wakes.next().await.map(|_| ())
     }
 }
 
@@ -40,8 +39,8 @@
 /// Receives the signals of this process.
 #[derive(Debug)]
 pub struct Signals {
-    terminate: UnixStream,
-    reload: UnixStream,
+    terminate: Wakes,
+    reload: Wakes,
 }
 
 impl Signals {
@@ -55,23 +54,17 @@
 
     /// Waits for the next signal.
     pub async fn next(&mut self) -> io::Result<Signal> {
-        let terminate = std::pin::pin!(receive(&mut self.terminate));
-        let reload = std::pin::pin!(receive(&mut self.reload));
+        let terminate = std::pin::pin!(self.terminate.next());
+        let reload = std::pin::pin!(self.reload.next());
         match select(terminate, reload).await {
-            Either::Left((result, _)) => result.map(|()| Signal::Terminate),
-            Either::Right((result, _)) => result.map(|()| Signal::Reload),
+            Either::Left((result, _)) => result.map(|_| Signal::Terminate),
+            Either::Right((result, _)) => result.map(|_| Signal::Reload),
         }
     }
 }
 
-fn take_over(signal: i32) -> io::Result<UnixStream> {
-    let (receiver, sender) = StdStream::pair()?;
-    receiver.set_nonblocking(true)?;
+fn take_over(signal: i32) -> io::Result<Wakes> {
+    let (wakes, sender) = Wakes::pair()?;
     pipe::register(signal, sender)?;
-    UnixStream::from_std(receiver)
-}
-
-async fn receive(stream: &mut UnixStream) -> io::Result<()> {
-    let (result, _) = stream.read(vec![0; 1]).await;
-    result.map(|_| ())
+    Ok(wakes)
 }
