Room: what was sent earlier is taken out in one pass; the moment is read once

The list was searched from its start for each request that goes, and the clock was read again where the caller had just read it. The order in which room comes back is the same. The tests share how an answer is taken in.

--- a/crates/mesh/src/gate/room.rs
+++ b/crates/mesh/src/gate/room.rs
@@ -95,12 +95,11 @@
 
     /// Takes in how many requests the upstream works on and holds in its queue, as an answer that
     /// has just come tells, once answers that were written before it are read as well.
-    pub(super) fn settle_soon(self: &Rc<Self>, told: usize, answered: &Stay) {
+    pub(super) fn settle_soon(self: &Rc<Self>, told: usize, answered: &Stay, came: Moment) {
         if self.kept.borrow().is_empty() {
             return;
         }
         let (room, number) = (Rc::clone(self), answered.number.get());
-        let came = clock::now();
         task::spawn("told room", async move {
             sleep(LAST_LOOK).await;
             room.settle(told, number, came);
@@ -118,24 +117,29 @@
         };
         let counted = self.open.borrow().iter().filter(is_counted).count();
         let there = told.saturating_sub(counted);
-        let ended = {
-            let mut kept = self.kept.borrow_mut();
-            let earlier = kept.iter().filter(|one| one.number < answered).count();
-            let mut count = earlier.saturating_sub(there);
-            let mut ended = Vec::with_capacity(count);
-            while let Some(place) = kept.iter().position(|one| one.number < answered)
-                && count > 0
-            {
-                ended.extend(kept.remove(place));
-                count -= 1;
-            }
-            ended
-        };
+        let ended = self.take_earlier(answered, there);
         note_freed(ended.len(), "load", told, counted);
         // Each lets the next waiting request in, which may come back here.
         drop(ended);
     }
 
+    /// Takes out the oldest of what was sent before a request, and leaves so many of these.
+    fn take_earlier(&self, answered: u64, left: usize) -> VecDeque<Kept> {
+        let mut kept = self.kept.borrow_mut();
+        let earlier = kept.iter().filter(|one| one.number < answered).count();
+        let mut ending = earlier.saturating_sub(left);
+        if ending == 0 {
+            return VecDeque::new();
+        }
+        let (ended, others) = kept.drain(..).partition(|one| {
+            let ends = ending > 0 && one.number < answered;
+            ending -= usize::from(ends);
+            ends
+        });
+        *kept = others;
+        ended
+    }
+
     /// Takes in that the upstream works on this many requests that an earlier process sent, until
     /// the last of them may be over. One place is left, by whose answer their end is heard of.
     pub(super) fn adopt(&self, admission: &Rc<Admission>, told: usize, until: Moment) {
@@ -217,10 +221,10 @@
 impl Stay {
     /// Notes that it is sent now; if nobody waits for it any more, the upstream may work on it
     /// until then.
-    pub(super) fn begin(&self, until: Moment) {
+    pub(super) fn begin(&self, now: Moment, until: Moment) {
         self.number.set(self.room.number());
         let mut open = self.room.open.borrow_mut();
-        open.insert(self.number.get(), clock::now());
+        open.insert(self.number.get(), now);
         self.state.set(State::Sent(until));
     }
 
--- a/crates/mesh/src/gate/room/tests.rs
+++ b/crates/mesh/src/gate/room/tests.rs
@@ -39,15 +39,23 @@
     /// Sends a request that the upstream may work on for this time.
     fn send(&self, time: Duration) -> Stay {
         let stay = self.room.enter(self.permit().expect("there is room"));
-        stay.begin(clock::now() + time);
+        let now = clock::now();
+        stay.begin(now, now + time);
         stay
     }
 
     /// Takes in what the answer to a request that is sent now tells.
     fn settle(&self, told: usize) {
-        let answered = self.send(LEFT);
+        self.answer(self.send(LEFT), told);
+    }
+
+    /// Takes in what the answer to a request tells; returns the number of the request.
+    fn answer(&self, answered: Stay, told: usize) -> u64 {
+        let number = answered.number.get();
         answered.end();
-        self.room.settle(told, answered.number.get(), clock::now());
+        drop(answered);
+        self.room.settle(told, number, clock::now());
+        number
     }
 
     fn used(&self) -> usize {
@@ -159,11 +167,8 @@
     play(async || {
         let upstream = Upstream::with_slots(5);
         let answered = upstream.send(LEFT);
-        let number = answered.number.get();
         drop(upstream.send(LEFT));
-        answered.end();
-        drop(answered);
-        upstream.room.settle(0, number, clock::now());
+        upstream.answer(answered, 0);
         assert_eq!(upstream.room.kept(), 1, "it was not there yet");
         upstream.settle(0);
         assert_eq!(upstream.room.kept(), 0, "it has ended");
@@ -177,11 +182,8 @@
         let upstream = Upstream::with_slots(5);
         drop(upstream.send(LEFT));
         let answered = upstream.send(LEFT);
-        let number = answered.number.get();
         let later = upstream.send(LEFT);
-        answered.end();
-        drop(answered);
-        upstream.room.settle(1, number, clock::now());
+        let number = upstream.answer(answered, 1);
         assert_eq!(upstream.room.kept(), 1, "the upstream may work on it");
         let came = clock::now() + READ_TIME;
         upstream.room.settle(1, number, came);
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -73,8 +73,9 @@
             && head.status != 421
         {
             let (report, dialect) = (&self.upstream.report, &*self.dialect);
-            if let Some(load) = report.take(dialect, upstream, value, clock::now()) {
-                self.room.settle_soon(load.requests(), &entered.stay);
+            let now = clock::now();
+            if let Some(load) = report.take(dialect, upstream, value, now) {
+                self.room.settle_soon(load.requests(), &entered.stay, now);
             }
         }
         let says_not_run = head.fields.get(fields.not_run).is_some();
--- a/crates/mesh/src/gate/silence.rs
+++ b/crates/mesh/src/gate/silence.rs
@@ -85,7 +85,7 @@
         let now = clock::now();
         let done = usual.map(|usual| now + usual.longest.mul_f64(slowness));
         let until = done.map_or(work.deadline, |done| done.min(work.deadline));
-        entered.stay.begin(until);
+        entered.stay.begin(now, until);
         Sent {
             attempt: &work.attempt,
             name: &work.kind,
