--- a/crates/quota/src/allocator.rs
+++ b/crates/quota/src/allocator.rs
@@ -238,8 +238,9 @@
     /// An answer renews what its node has, so that tokens of an allocator before this one would never
     /// lapse, and those of several would add up.
     fn excess(&self, tolerance: &Tolerance) -> u32 {
-        let recalled = self.accounts.values().map(|account| account.recalled);
-        let kept = self.handed_out() - recalled.map(f64::from).sum::<f64>();
+        let kept = self.accounts.values();
+        let kept = kept.map(|account| f64::from(account.held - account.recalled));
+        let kept = kept.sum::<f64>();
         whole((kept - self.limit.room(tolerance) * self.part).ceil())
     }
 
