--- a/crates/placement/tests/newcomers.rs
+++ b/crates/placement/tests/newcomers.rs
@@ -6,20 +6,21 @@
 use rand::rngs::StdRng;
 use sailtrack_placement::{Candidate, Need, Recent, Side, Sides, Speed, choose};
 
-/// The first upstream is known to be quick, the second is new.
-#[allow(clippy::unnecessary_wraps, reason = "an upstream may take no requests")]
-fn look(_: Side, place: usize) -> Option<Candidate> {
-    Some(Candidate {
+fn candidate(pressure: f64, slowness: f64, doubt: f64) -> Candidate {
+    Candidate {
         is_available: true,
-        pressure: 0.1,
+        pressure,
         failing: 0.0,
-        slowness: [0.5, 1.0][place],
-        doubt: [0.0, Speed::default().doubt()][place],
-    })
+        slowness,
+        doubt,
+    }
 }
 
-/// Returns how many of a thousand requests the new one gets.
-fn taken_by_newcomer(near: usize, far: usize) -> usize {
+/// Returns the places that so many requests get.
+fn chosen<L>((near, far): (usize, usize), look: L, seed: u64, requests: usize) -> Vec<usize>
+where
+    L: Fn(Side, usize) -> Option<Candidate>,
+{
     let recent = Recent::default();
     let sides = Sides {
         near,
@@ -28,12 +29,19 @@
         emptier: 0.0,
         recent: &recent,
     };
-    let mut random = StdRng::seed_from_u64(1);
+    let mut random = StdRng::seed_from_u64(seed);
     let need = Need::unknown(1.0);
-    let chosen = (0..1000).map(|_| choose(&sides, &need, &mut random));
-    chosen
-        .filter(|place| place.is_some_and(|(_, place)| place == 1))
-        .count()
+    let chosen = (0..requests).filter_map(|_| choose(&sides, &need, &mut random));
+    chosen.map(|(_, place)| place).collect()
+}
+
+/// Returns how many of a thousand requests a new upstream gets beside one that is known to be quick.
+fn taken_by_newcomer(near: usize, far: usize) -> usize {
+    let unknown = Speed::default().doubt();
+    let look =
+        |_, place: usize| Some([candidate(0.1, 0.5, 0.0), candidate(0.1, 1.0, unknown)][place]);
+    let chosen = chosen((near, far), look, 1, 1000);
+    chosen.into_iter().filter(|place| *place == 1).count()
 }
 
 #[test]
@@ -50,28 +58,13 @@
 /// forty requests each of these is tried.
 #[test]
 fn beside_first_known() {
-    let look = |_: Side, place: usize| {
-        Some(Candidate {
-            is_available: true,
-            pressure: 0.0,
-            failing: 0.0,
-            slowness: [0.97, 1.0, 1.0][place],
-            doubt: [0.1, 1.0, 1.0][place] * Speed::default().doubt(),
-        })
+    let unknown = Speed::default().doubt();
+    let look = |_, place: usize| {
+        let slowness = [0.97, 1.0, 1.0][place];
+        Some(candidate(0.0, slowness, [0.1, 1.0, 1.0][place] * unknown))
     };
     for seed in 0..200 {
-        let recent = Recent::default();
-        let sides = Sides {
-            near: 3,
-            far: 0,
-            look,
-            emptier: 0.0,
-            recent: &recent,
-        };
-        let mut random = StdRng::seed_from_u64(seed);
-        let need = Need::unknown(1.0);
-        let chosen = (0..40).filter_map(|_| choose(&sides, &need, &mut random));
-        let tried: HashSet<usize> = chosen.map(|(_, place)| place).collect();
+        let tried: HashSet<usize> = chosen((3, 0), look, seed, 40).into_iter().collect();
         assert_eq!(tried.len(), 3, "seed {seed}: {tried:?}");
     }
 }
