Sight: the rate limit that an upstream names, and what is sent to it

Logs and counters could not tell whether a limit in answers is read, read and not kept, or kept by each node for itself. The head of each answer is now read for it as soon as it arrives (a body may take minutes), and nothing follows from it yet: event 417 when it begins, changes or ends, 418 for a value that is no decimal number, gauges rate_limited and rate_limit_milli, counter sent_to_upstream.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -99,6 +99,10 @@
     REQUESTS_LEFT_BEHIND = 415 Info "requests left behind" ["requests"];
     /// The slots of abandoned requests were released, although the ends of the requests were not observed. `because` is `load` if the upstream reported that it runs `told` requests while `open` others were waiting for answers, or `time` if the requests are assumed to have ended.
     ROOM_FREED = 416 Debug "room of dropped requests came back" ["requests", "because", "told", "open"];
+    /// The own upstream named another rate limit in a response, or none any more. Logged once per second at most, so `before` may differ from the last event.
+    RATE_LIMIT_NAMED = 417 Info "rate limit of the upstream changed" ["upstream", "limit", "before"];
+    /// The rate limit that the own upstream names could not be parsed; the limit before it stays in force. Logged once for each incarnation.
+    RATE_LIMIT_UNREADABLE = 418 Warn "rate limit of the upstream not readable" ["upstream", "value"];
     /// The own upstream crashed, that is, ended without deregistering. `ran` lists the requests in flight by the first digits of their identities, with their kinds; `requests` is their number.
     UPSTREAM_CRASHED = 420 Warn "upstream crashed" ["upstream", "requests", "ran"];
     /// A request was in flight when several upstreams crashed and is quarantined: it is no longer sent to any upstream. `upstream` is the incarnation that crashed last, `time_s` the duration of the quarantine in seconds. Each node that learns of the crash logs this.
--- a/crates/mesh/src/dialect.rs
+++ b/crates/mesh/src/dialect.rs
@@ -7,7 +7,7 @@
 
 use displaydoc::Display;
 use sailtrack_net::http::Request;
-use sailtrack_units::{Pace, ServiceName};
+use sailtrack_units::{Pace, Rate, ServiceName};
 
 use crate::configuration::Configuration;
 use crate::key::UpstreamKey;
@@ -33,6 +33,11 @@
     pub signature: &'static str,
     /// The load that an upstream reports.
     pub load: &'static str,
+    /// How many requests per second an upstream accepts from all nodes together; on the responses
+    /// of an upstream that limits them.
+    pub rate_limit: &'static str,
+    /// On the responses of an upstream that is leaving.
+    pub leaving: &'static str,
     /// Identifies the incarnation of an upstream, which changes when it restarts; on responses to
     /// health checks.
     pub upstream: &'static str,
@@ -133,4 +138,10 @@
 
     /// Parses the load that an upstream reports.
     fn load(&self, value: &str) -> Option<Load>;
+
+    /// Parses the rate to which an upstream limits its requests.
+    fn rate_limit(&self, value: &str) -> Option<Rate>;
+
+    /// Returns true if this value says that an upstream is leaving.
+    fn is_leaving(&self, value: &str) -> bool;
 }
--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -118,7 +118,7 @@
 }
 
 /// Sends a request to an incarnation of the upstream and returns the response, with a long body as
-/// a stream.
+/// a stream. `on_head` is called with its head before the body is read.
 ///
 /// Dropping the future or the stream closes the connection, which tells the upstream to stop.
 pub(super) async fn exchange(
@@ -126,6 +126,7 @@
     fields: &FieldNames,
     upstream: &UpstreamKey,
     request: &Request,
+    on_head: impl Fn(&ResponseHead),
 ) -> Result<UpstreamResponse, ExchangeError> {
     let acquired = pool.acquire(!request.idempotent).await;
     let mut connection = acquired.map_err(ExchangeError::Connect)?;
@@ -150,6 +151,7 @@
         framing,
         mut rest,
     } = matched;
+    on_head(&head);
     let prefix = read_prefix(&mut connection, &mut rest).await?;
     if rest.is_ended() {
         if was_sent && framing != Framing::UntilClose {
--- a/crates/mesh/src/gate/exchange/tests.rs
+++ b/crates/mesh/src/gate/exchange/tests.rs
@@ -25,6 +25,8 @@
     not_run: "not-run",
     signature: "signature",
     load: "load",
+    rate_limit: "rate-limit",
+    leaving: "leaving",
     upstream: "upstream",
 };
 
@@ -40,7 +42,7 @@
     };
     let upstream = UpstreamKey::new("i-1", None).expect("a sound id");
     let result = runtime::run(async {
-        let exchange = exchange(&pool, &FIELDS, &upstream, &expired);
+        let exchange = exchange(&pool, &FIELDS, &upstream, &expired, |_| {});
         timeout(Duration::from_secs(1), exchange).await
     });
     let result = result
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -12,6 +12,7 @@
 mod kinds;
 mod lock;
 mod loss;
+mod notice;
 mod pool;
 mod port;
 mod records;
--- a/crates/mesh/src/gate/report/tests.rs
+++ b/crates/mesh/src/gate/report/tests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sailtrack_net::http::Request;
-use sailtrack_units::{Moment, Pace};
+use sailtrack_units::{Moment, Pace, Rate};
 
 use super::{PACE_MAX_AGE, Report};
 use crate::configuration::Configuration;
@@ -44,6 +44,14 @@
             is_complete: pace.is_some(),
         })
     }
+
+    fn rate_limit(&self, _value: &str) -> Option<Rate> {
+        None
+    }
+
+    fn is_leaving(&self, _value: &str) -> bool {
+        false
+    }
 }
 
 const NOW: Moment = Moment::since_boot(Duration::from_secs(100));
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -32,7 +32,14 @@
     ) -> Response {
         let upstream = &admitted.upstream;
         let guard = self.contexts.open(request, upstream);
-        let exchange = exchange(&self.pool, self.dialect.fields(), upstream, request);
+        let on_head = |head: &ResponseHead| self.handle_head(upstream, head);
+        let exchange = exchange(
+            &self.pool,
+            self.dialect.fields(),
+            upstream,
+            request,
+            on_head,
+        );
         // Boxed, since each of the enclosing futures would otherwise reserve space for its state.
         let exchange = exchange.boxed_local();
         let exchange = until_ended(exchange, admitted.ended.clone());
@@ -61,6 +68,12 @@
         }
     }
 
+    /// Handles what a response demands. This does not wait for the body, which may take minutes.
+    fn handle_head(&self, upstream: &UpstreamKey, head: &ResponseHead) {
+        let notices = &self.upstream.notices;
+        notices.read(&*self.dialect, upstream, head);
+    }
+
     fn handle_response(
         &self,
         request: &Request,
--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -18,8 +18,10 @@
 
 use crate::clock;
 use crate::dialect::{Heartbeat, Load, Readiness};
+use crate::gate::notice::Notices;
 use crate::gate::report::Report;
 use crate::key::UpstreamKey;
+use crate::rate_limit::RateLimit;
 use crate::retired::Retired;
 
 /// How long an upstream gets no requests after it refused a connection, unless it sends a heartbeat
@@ -101,6 +103,8 @@
     unreachable_until: Cell<Option<Instant>>,
     /// The load that the current incarnation reported.
     pub(crate) report: Report,
+    /// What the current incarnation demands in its responses.
+    pub(super) notices: Notices,
     /// The load that was reported before this process had sent any request, and when.
     initial_load: Cell<Option<(Load, Moment)>>,
     /// Whether the node is shutting down and admits nothing new.
@@ -124,6 +128,7 @@
             replaced: RefCell::default(),
             unreachable_until: Cell::default(),
             report: Report::default(),
+            notices: Notices::default(),
             initial_load: Cell::default(),
             closed: Cell::new(false),
             on_availability: RefCell::default(),
@@ -189,6 +194,11 @@
         self.end.borrow().ended.clone()
     }
 
+    /// Returns what is known of the rate limit that the current incarnation names.
+    pub(crate) fn rate_limit(&self) -> RateLimit {
+        self.notices.limit()
+    }
+
     /// Returns true if the upstream reports its start time.
     pub(crate) fn reports_start(&self) -> bool {
         self.reports_start.get()
@@ -269,6 +279,7 @@
         self.record_start(heartbeat);
         self.end.replace(End::new());
         self.report.reset();
+        self.notices.reset();
         self.admission.reset(now, Some(heartbeat.slots));
         self.admission
             .declare_limit(Limit::Fixed(limit(heartbeat.slots)));
--- a/crates/mesh/src/gate/wait.rs
+++ b/crates/mesh/src/gate/wait.rs
@@ -79,6 +79,7 @@
 impl Gate {
     /// Starts tracking a request that is sent now.
     pub(super) fn track<'a>(&self, request: &'a Request, admitted: &'a Admitted) -> Sent<'a> {
+        self.metrics.record_sent();
         let kind = self.kinds.get(&request.kind);
         let latency = kind.latency();
         let slowdown = self.upstream.report.slowdown();
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -26,6 +26,7 @@
 mod peer;
 mod quarantine;
 mod quota;
+mod rate_limit;
 mod ready;
 mod reload;
 mod request;
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -202,6 +202,11 @@
         self.counters.unanswered.inc();
     }
 
+    /// Counts a request that is sent to the own upstream.
+    pub(crate) fn record_sent(&self) {
+        self.counters.sent.inc();
+    }
+
     /// Records a pipelined request; `depth` is the number of unanswered requests of its connection,
     /// including this one.
     pub(crate) fn record_pipelined(&self, depth: usize) {
--- a/crates/mesh/src/metrics/counters.rs
+++ b/crates/mesh/src/metrics/counters.rs
@@ -15,6 +15,7 @@
     pub(super) over_quota: Counter<u64, AtomicU64>,
     pub(super) unanswered: Counter<u64, AtomicU64>,
     pub(super) unread: Counter<u64, AtomicU64>,
+    pub(super) sent: Counter<u64, AtomicU64>,
 }
 
 impl Counters {
@@ -55,6 +56,11 @@
                 "unanswered",
                 "Requests to which no answer of the own upstream was expected any more",
             ),
+            sent: counter(
+                registry,
+                "sent_to_upstream",
+                "Requests sent to the own upstream",
+            ),
             unread: counter(
                 registry,
                 "requests_not_read",
--- a/crates/mesh/src/metrics/gauges.rs
+++ b/crates/mesh/src/metrics/gauges.rs
@@ -2,6 +2,7 @@
 
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
+use sailtrack_units::Rate;
 
 /// The values of all gauges at the time of a scrape.
 #[derive(Debug, Clone, Copy, Default)]
@@ -41,6 +42,8 @@
     /// How long work currently takes on the own instance, in percent of the usual time; zero if
     /// not reported.
     pub(crate) pace_percent: u32,
+    /// The rate limit that the own upstream names.
+    pub(crate) rate_limit: Option<Rate>,
 }
 
 /// A gauge and the function that reads its value from a snapshot.
@@ -75,6 +78,16 @@
     (gauge, value)
 }
 
+/// Returns the rate in requests per 1000 s.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "rates are not negative, and the conversion saturates"
+)]
+fn milli(rate: Rate) -> u64 {
+    (rate.0 * 1000.0) as u64
+}
+
 /// Registers the gauges of requests, nodes and connections.
 fn register_traffic(registry: &mut Registry) -> Vec<Sampled> {
     let mut gauge = |name, help, value| register(registry, name, help, value);
@@ -145,6 +158,16 @@
             "Time of work on the instance in percent of the usual, 0 if not told",
             |now| u64::from(now.pace_percent),
         ),
+        gauge(
+            "rate_limited",
+            "1 while the own upstream names a rate limit",
+            |now| u64::from(now.rate_limit.is_some()),
+        ),
+        gauge(
+            "rate_limit_milli",
+            "Rate limit that the own upstream names, in requests per 1000 s; 0 if it names none",
+            |now| now.rate_limit.map_or(0, milli),
+        ),
         gauge(
             "suspects",
             "Requests remembered since they ran when upstreams ended",
