--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,12 +1,15 @@
-//! Admission control for the upstream of this node: an adaptive concurrency limit, a priority queue
-//! in front of it, and load shedding by rank.
+//! Admission control for the upstream of this node: an adaptive concurrency limit, a rate limit, a
+//! priority queue in front of them, and load shedding by rank.
 
 mod breaker;
 mod config;
+mod decision;
 mod level;
 mod limit;
+mod pacing;
 mod pressure;
 mod queue;
+mod rate;
 mod refusal;
 #[cfg(test)]
 mod tests;
@@ -17,7 +20,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures::channel::oneshot;
 use monoio::time::timeout;
 use sailtrack_declaration::Limit as DeclaredLimit;
 use sailtrack_kernel::Service;
@@ -27,10 +29,12 @@
 
 use level::Level;
 use limit::Limit;
-use queue::{Key, Outcome, Queue};
+use queue::Queue;
+use rate::{Limiter, Recent};
 use refusal::Ratio;
 
 pub use config::{Config, Policy, PolicyError};
+pub use decision::{Decision, Permit, Waiting};
 pub use pressure::Pressure;
 pub use throttle::{Feedback, Permit as ThrottlePermit, Rejection, Throttle};
 pub use window::{Permit as WindowPermit, Windows};
@@ -60,11 +64,17 @@
     clock: Clock,
     state: RefCell<State>,
     in_flight: Cell<usize>,
+    /// Whether a task admits waiting calls at the rate of the limit.
+    is_pacing: Cell<bool>,
 }
 
 struct State {
     limit: Limit,
     declared: DeclaredLimit,
+    /// The rate limit, if there is one.
+    limiter: Option<Limiter>,
+    /// The calls admitted in the last second.
+    recent: Recent,
     queue: Queue,
     level: Level,
     refusal_ratio: Ratio,
@@ -95,6 +105,8 @@
             state: RefCell::new(State {
                 limit: Limit::new(now, None),
                 declared: DeclaredLimit::Auto,
+                limiter: None,
+                recent: Recent::new(now),
                 queue: Queue::default(),
                 level: Level::new(now),
                 refusal_ratio: Ratio::new(now),
@@ -104,12 +116,15 @@
                 logged_limit: 0,
             }),
             in_flight: Cell::new(0),
+            is_pacing: Cell::new(false),
         }
     }
 
-    /// Resets the limit and the self time for an upstream that has just announced itself.
+    /// Resets the limits and the self time for an upstream that has just announced itself.
     pub fn reset(&self, now: Instant, slots: Option<u32>) {
         let mut state = self.state.borrow_mut();
+        state.limiter = None;
+        state.recent = Recent::new(now);
         state.limit = Limit::new(now, slots);
         state.limit.ramp_up(now, self.config.warm_up.0);
         state.self_time = None;
@@ -218,6 +233,7 @@
             Decision::Admitted(permit) => Ok(permit),
             Decision::Refused(reason) => Err(reason),
             Decision::Waiting(mut waiting) => {
+                self.start_pacing();
                 let outcome = timeout(waiting.max_wait, &mut waiting.outcome).await;
                 waiting.resolve(outcome.ok().and_then(Result::ok))
             }
@@ -246,11 +262,15 @@
                 .level
                 .record_arrival(now, priority.1);
         }
-        if self.in_flight() < limit && self.waiting() == 0 {
+        let has_slot = self.in_flight() < limit;
+        if has_slot && self.waiting() == 0 && self.has_token(now) {
             self.record_decision(true);
-            return Decision::Admitted(self.permit());
+            self.count_admitted(now);
+            return Decision::Admitted(Permit::new(self));
+        }
+        if !has_slot {
+            self.record_saturation();
         }
-        self.record_saturation();
         let waiting = match self.config.policy {
             Policy::Adaptive => self.enqueue(priority, nested, limit, time_left),
             Policy::Forward | Policy::Fixed => Err(Reason::Overload),
@@ -279,6 +299,7 @@
     ) -> Result<Waiting, Reason> {
         let max_wait = self.max_wait(nested, time_left)?;
         let capacity = self.queue_capacity(limit, max_wait);
+        let capacity = capacity.min(self.admissible_within(max_wait));
         let queued = self
             .state
             .borrow_mut()
@@ -321,14 +342,26 @@
         limit.saturating_mul(turns).clamp(MIN_QUEUE, MAX_QUEUE)
     }
 
-    fn permit(self: &Rc<Self>) -> Permit {
-        self.in_flight.set(self.in_flight() + 1);
-        self.reserved_permit()
+    /// Returns how many calls the rate limit admits within a time.
+    fn admissible_within(&self, time: Duration) -> usize {
+        let now = (self.clock)();
+        let mut state = self.state.borrow_mut();
+        let limiter = state.limiter.as_mut();
+        limiter.map_or(usize::MAX, |limiter| limiter.calls_within(time, now))
     }
 
-    fn reserved_permit(self: &Rc<Self>) -> Permit {
-        Permit {
-            admission: Rc::clone(self),
+    fn has_token(&self, now: Instant) -> bool {
+        let mut state = self.state.borrow_mut();
+        let limiter = state.limiter.as_mut();
+        limiter.is_none_or(|limiter| limiter.has_token(now))
+    }
+
+    fn count_admitted(&self, now: Instant) {
+        self.in_flight.set(self.in_flight() + 1);
+        let mut state = self.state.borrow_mut();
+        state.recent.record(now);
+        if let Some(limiter) = &mut state.limiter {
+            limiter.take();
         }
     }
 
@@ -373,15 +406,16 @@
         self.state.borrow_mut().limit.record_shed(now, in_flight);
     }
 
-    /// Admits waiting calls up to the limit; each counts as in flight from here on, before its task
+    /// Admits waiting calls up to the limits; each counts as in flight from here on, before its task
     /// wakes up.
     fn admit_waiting(&self) {
-        let limit = self.limit((self.clock)());
-        while self.in_flight() < limit {
+        let now = (self.clock)();
+        let limit = self.limit(now);
+        while self.in_flight() < limit && self.waiting() > 0 && self.has_token(now) {
             if !self.state.borrow_mut().queue.admit_next() {
                 return;
             }
-            self.in_flight.set(self.in_flight() + 1);
+            self.count_admitted(now);
         }
     }
 
@@ -408,75 +442,3 @@
         }
     }
 }
-
-/// Permission for one call to run in the upstream, released when dropped.
-pub struct Permit {
-    admission: Rc<Admission>,
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.admission.release();
-    }
-}
-
-/// The admission decision on a call.
-pub enum Decision {
-    /// The call may run.
-    Admitted(Permit),
-    /// The call waits in the queue.
-    Waiting(Waiting),
-    /// The call is refused.
-    Refused(Reason),
-}
-
-/// A queued call, removed from the queue when dropped.
-pub struct Waiting {
-    admission: Rc<Admission>,
-    key: Key,
-    outcome: oneshot::Receiver<Outcome>,
-    max_wait: Duration,
-}
-
-impl Waiting {
-    /// Returns the maximum time that the call may wait.
-    #[must_use]
-    pub fn max_wait(&self) -> Duration {
-        self.max_wait
-    }
-
-    /// Returns true once the call has been admitted or displaced.
-    #[must_use]
-    pub fn is_decided(&self) -> bool {
-        self.admission.state.borrow().queue.is_resolved(self.key)
-    }
-
-    /// Stops waiting and returns the permit if the call has been admitted by now.
-    ///
-    /// # Errors
-    ///
-    /// [`Reason::Overload`] if the call has not been admitted.
-    pub fn end(mut self) -> Result<Permit, Reason> {
-        let outcome = self.outcome.try_recv().ok().flatten();
-        self.resolve(outcome)
-    }
-
-    fn resolve(&self, outcome: Option<Outcome>) -> Result<Permit, Reason> {
-        let is_admitted = outcome == Some(Outcome::Admitted);
-        self.admission.record_decision(is_admitted);
-        if is_admitted {
-            Ok(self.admission.reserved_permit())
-        } else {
-            Err(Reason::Overload)
-        }
-    }
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        self.admission.state.borrow_mut().queue.remove(self.key);
-        if let Ok(Some(Outcome::Admitted)) = self.outcome.try_recv() {
-            self.admission.release();
-        }
-    }
-}
--- a/crates/mesh/src/announcement/mod.rs
+++ b/crates/mesh/src/announcement/mod.rs
@@ -21,7 +21,7 @@
 use crate::clock;
 use crate::configuration::Current;
 use crate::dialect::{Announcement, Dialect, Heartbeat, Readiness};
-use crate::gate::Upstream;
+use crate::gate::{Demands, Upstream};
 use crate::key::UpstreamKey;
 use crate::metrics::Metrics;
 use crate::peer::Peers;
@@ -206,6 +206,15 @@
         let load = response.header(fields.load);
         let load = load.and_then(|value| self.dialect.load(value));
         let upstream = response.header(fields.upstream);
+        let values = |name| response.header(name).map(str::as_bytes).into_iter();
+        let demands = Demands::read(
+            &*self.dialect,
+            values(fields.rate_limit),
+            values(fields.leaving),
+        );
+        if let Some(id) = upstream {
+            self.upstream.record_initial_limit(id, &demands);
+        }
         // The response lacks the start time of the upstream; its first heartbeat contains it.
         let upstream = upstream.and_then(|id| UpstreamKey::new(id, None).ok());
         let (StatusCode::OK, Some(upstream), Some(load)) = (response.status, upstream, load) else {
--- a/crates/mesh/src/contexts/tests.rs
+++ b/crates/mesh/src/contexts/tests.rs
@@ -12,7 +12,7 @@
 use crate::clock;
 use crate::contexts::{Context, Contexts};
 use crate::key::{AttemptKey, UpstreamKey};
-use crate::request::{Request, Response};
+use crate::request::{OverLimit, Request, Response};
 
 /// Returns a request with this id whose deadline is now.
 pub(crate) fn request(id: &str) -> Request {
@@ -29,6 +29,7 @@
         rank: Rank::HIGHEST,
         is_nested: false,
         is_retry: true,
+        over_limit: OverLimit::default(),
         deadline: clock::now(),
         head: Bytes::new(),
         body: Bytes::new(),
--- a/crates/mesh/src/dispatch.rs
+++ b/crates/mesh/src/dispatch.rs
@@ -23,7 +23,7 @@
 use crate::metrics::Metrics;
 use crate::peer::{Delivery, Link};
 use crate::quarantine::Quarantine;
-use crate::request::{Request, Response};
+use crate::request::{OverLimit, Request, Response};
 use crate::retry::Budget;
 use crate::retry_after;
 use crate::routing::{Routing, Target};
@@ -31,6 +31,10 @@
 
 /// The most times a request that could not be sent to its target is redirected to another one.
 const MAX_REDIRECTS: u32 = 2;
+/// The most times a request that was refused for the rate limit of an upstream is redirected. It is
+/// refused only by upstreams that this node did not know to be at their limits, such as when many
+/// have just named one.
+const MAX_RATE_REDIRECTS: u32 = 4;
 /// The most times a request rejected by an upstream is sent to another one, within the retry
 /// budget. If each upstream rejects half of its requests, 31 of 32 requests are accepted by the
 /// fifth attempt.
@@ -99,6 +103,8 @@
     rejections: u32,
     /// The number of times the request was redirected without having been sent.
     redirects: u32,
+    /// The number of times it was redirected for the rate limit of an upstream.
+    rate_redirects: u32,
     /// The first response after which the request may have run; no later refusal can prove
     /// otherwise.
     executed: Option<Response>,
@@ -127,6 +133,7 @@
             let Some(target) = self.choose(&request, standing, &mut attempts) else {
                 break;
             };
+            request.over_limit = self.over_limit(&target);
             trail.record(target.name(&self.routing.name));
             let response = self.send(&request, &target).await;
             let may_retry = self.may_retry(&request, route, &response, &mut attempts);
@@ -138,7 +145,9 @@
             if response.was_sent {
                 self.metrics.record_retry(&request.service);
             }
-            attempts.nodes.push(name.clone());
+            if response.turn.is_none() {
+                attempts.nodes.push(name.clone());
+            }
             request.is_retry |= response.was_sent;
             if response.outcome == Outcome::NotRun {
                 last = Some(more_informative(last, response));
@@ -157,19 +166,37 @@
         standing: Standing,
         attempts: &mut Attempts,
     ) -> Option<Target> {
-        if standing != Standing::Clear {
-            return self.routing.choose_by_identity(
-                &request.service,
-                &attempts.nodes,
-                &request.identity,
-            );
-        }
-        let target = self.routing.choose(request, &attempts.nodes);
-        if target.is_some() || attempts.rejections == 0 || attempts.executed.is_some() {
+        let target = self.choose_untried(request, standing, attempts);
+        let is_final = standing != Standing::Clear || target.is_some();
+        if is_final || attempts.rejections == 0 || attempts.executed.is_some() {
             return target;
         }
         attempts.nodes.clear();
-        self.routing.choose(request, &attempts.nodes)
+        self.choose_untried(request, standing, attempts)
+    }
+
+    /// Returns what happens at a target whose rate limit is used up. Targets that are known to be at
+    /// their limits are chosen only if there is no other one.
+    fn over_limit(&self, target: &Target) -> OverLimit {
+        if self.routing.is_available(target) {
+            OverLimit::Refuse
+        } else {
+            OverLimit::Queue
+        }
+    }
+
+    fn choose_untried(
+        &self,
+        request: &Request,
+        standing: Standing,
+        attempts: &Attempts,
+    ) -> Option<Target> {
+        if standing == Standing::Clear {
+            return self.routing.choose(request, &attempts.nodes);
+        }
+        let (service, identity) = (&request.service, &request.identity);
+        self.routing
+            .choose_by_identity(service, &attempts.nodes, identity)
     }
 
     /// Returns true if the request may be sent to another target.
@@ -184,6 +211,11 @@
         if response.is_success() || is_restricted || request.time_left().is_zero() {
             return false;
         }
+        if response.turn.is_some() {
+            attempts.rate_redirects += 1;
+            return request.over_limit == OverLimit::Refuse
+                && attempts.rate_redirects <= MAX_RATE_REDIRECTS;
+        }
         if !response.was_sent {
             attempts.redirects += 1;
             return attempts.redirects <= MAX_REDIRECTS;
--- a/crates/mesh/src/entry/request.rs
+++ b/crates/mesh/src/entry/request.rs
@@ -15,7 +15,7 @@
 use crate::entry::caller::{Caller, CredentialError};
 use crate::entry::response::Refusal;
 use crate::key::AttemptKey;
-use crate::request::Request;
+use crate::request::{OverLimit, Request};
 
 /// A request whose body has not been read yet.
 pub(super) struct Incoming {
@@ -160,6 +160,7 @@
             completed_calls: parent.map_or(0, |parent| parent.successful_calls.get()),
             is_nested: parent.is_some(),
             is_retry: parent.is_some_and(|parent| parent.is_retry),
+            over_limit: OverLimit::default(),
             deadline: self.deadline,
             head: self.forwarded_head(fields, caller, body.len()),
             body,
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -38,6 +38,8 @@
     Queue,
     /// window
     Window,
+    /// rate
+    Rate,
     /// path
     Breaker,
 }
@@ -47,8 +49,8 @@
     pub(crate) attempt: &'a AttemptKey,
     pub(crate) kind: &'a KindName,
     pub(crate) reason: Reason,
-    /// The queue of the upstream, the window of the request's kind, or the circuit breaker of a
-    /// kind whose callees have no upstream.
+    /// The queue or the rate limit of the upstream, the window of the request's kind, or the circuit
+    /// breaker of a kind whose callees have no upstream.
     pub(crate) limiter: Limiter,
     /// The requests that were running or waiting at the gate.
     pub(crate) in_flight: usize,
--- /dev/null
+++ b/crates/mesh/src/gate/demands.rs
@@ -0,0 +1,181 @@
+//! What the local upstream demands in its responses: a limited rate, or no new requests.
+
+#[cfg(test)]
+mod tests;
+
+use std::cell::{Cell, RefCell};
+use std::time::{Duration, Instant};
+
+use sailtrack_log::{catalogue, emit};
+use sailtrack_units::Rate;
+
+use super::Upstream;
+use crate::dialect::Dialect;
+use crate::key::UpstreamKey;
+use crate::rate_limit::RateLimit;
+
+/// How much of an unreadable value is logged.
+const MAX_LOGGED_CHARS: usize = 64;
+/// The shortest time between two events about changes of the limit, which may change with every
+/// response.
+const EVENT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What one response demands.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Demands {
+    /// The limit that it names, [`RateLimit::Unknown`] if that cannot be read.
+    limit: RateLimit,
+    /// The first value that cannot be read.
+    unreadable: Option<String>,
+    /// Whether the upstream is leaving.
+    pub(crate) is_leaving: bool,
+}
+
+impl Demands {
+    /// Reads the values of the two header fields of a response. Of several limits the lowest is
+    /// valid.
+    pub(crate) fn read<'a>(
+        dialect: &dyn Dialect,
+        limits: impl Iterator<Item = &'a [u8]>,
+        mut leaving: impl Iterator<Item = &'a [u8]>,
+    ) -> Self {
+        let mut demands = Self {
+            limit: RateLimit::Unlimited,
+            unreadable: None,
+            is_leaving: leaving
+                .any(|value| std::str::from_utf8(value).is_ok_and(|text| dialect.is_leaving(text))),
+        };
+        for value in limits {
+            let text = String::from_utf8_lossy(value);
+            match dialect.rate_limit(&text) {
+                Some(rate) => demands.add_limit(rate),
+                None => demands.add_unreadable(&text),
+            }
+        }
+        demands
+    }
+
+    fn add_limit(&mut self, rate: Rate) {
+        let lowest = self.limit.rate().map_or(rate.0, |one| one.0.min(rate.0));
+        self.limit = RateLimit::Limited(Rate(lowest));
+    }
+
+    fn add_unreadable(&mut self, text: &str) {
+        if self.limit == RateLimit::Unlimited {
+            self.limit = RateLimit::Unknown;
+        }
+        let shown = text.chars().take(MAX_LOGGED_CHARS).collect();
+        self.unreadable.get_or_insert(shown);
+    }
+}
+
+/// What the current incarnation of the upstream demanded last.
+#[derive(Debug, Default)]
+pub(super) struct Latest {
+    limit: Cell<RateLimit>,
+    /// A limit that was named before the incarnation was known, with the id of its upstream.
+    initial: RefCell<Option<(String, Rate)>>,
+    /// When the last change of the limit was logged.
+    last_event: Cell<Option<Instant>>,
+    /// Whether an unreadable value of this incarnation has been logged.
+    has_logged_unreadable: Cell<bool>,
+}
+
+impl Latest {
+    /// Forgets what the previous incarnation demanded.
+    fn reset(&self) {
+        self.limit.set(RateLimit::Unknown);
+        self.last_event.set(None);
+        self.has_logged_unreadable.set(false);
+    }
+
+    fn log_unreadable(&self, upstream: &UpstreamKey, value: &str) {
+        if !self.has_logged_unreadable.replace(true) {
+            emit(
+                &catalogue::RATE_LIMIT_UNREADABLE,
+                &[("upstream", upstream), ("value", &value)],
+            );
+        }
+    }
+
+    /// Sets the limit; returns true if it differs from the one before.
+    fn set_limit(&self, upstream: &UpstreamKey, limit: RateLimit) -> bool {
+        let previous = self.limit.replace(limit);
+        if previous.rate() == limit.rate() {
+            return false;
+        }
+        let now = Instant::now();
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < EVENT_INTERVAL;
+        if !self.last_event.get().is_some_and(is_recent) {
+            self.last_event.set(Some(now));
+            let text = |limit: RateLimit| {
+                let rate = limit.rate();
+                rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
+            };
+            emit(
+                &catalogue::RATE_LIMIT_NAMED,
+                &[
+                    ("upstream", upstream),
+                    ("limit", &text(limit)),
+                    ("before", &text(previous)),
+                ],
+            );
+        }
+        true
+    }
+}
+
+impl Upstream {
+    /// Returns what is known of the rate limit that the current incarnation names.
+    pub(crate) fn rate_limit(&self) -> RateLimit {
+        self.demands.limit.get()
+    }
+
+    /// Handles the demands in a response of an incarnation.
+    ///
+    /// A limit that cannot be read leaves the one before in force: the upstream still asks for
+    /// fewer requests.
+    pub(super) fn handle_demands(&self, upstream: &UpstreamKey, demands: &Demands) {
+        if !self.is_current(upstream) {
+            return;
+        }
+        if let Some(value) = &demands.unreadable {
+            self.demands.log_unreadable(upstream, value);
+        }
+        if demands.limit != RateLimit::Unknown {
+            self.apply_limit(upstream, demands.limit);
+        }
+    }
+
+    /// Applies a limit that another node knows, since this process has not seen a response yet.
+    pub(crate) fn learn_limit(&self, upstream: &UpstreamKey, rate: Rate) {
+        if self.rate_limit() == RateLimit::Unknown && self.is_current(upstream) {
+            self.apply_limit(upstream, RateLimit::Limited(rate));
+        }
+    }
+
+    /// Records a limit that an upstream named before it was known as ready.
+    pub(crate) fn record_initial_limit(&self, id: &str, demands: &Demands) {
+        if let Some(rate) = demands.limit.rate()
+            && self.is_unknown()
+        {
+            let limit = (id.to_owned(), rate);
+            self.demands.initial.replace(Some(limit));
+        }
+    }
+
+    /// Forgets the demands of the previous incarnation.
+    pub(super) fn reset_demands(&self, upstream: &UpstreamKey) {
+        self.demands.reset();
+        let initial = self.demands.initial.take();
+        if let Some((_, rate)) = initial.filter(|(id, _)| id == upstream.id()) {
+            self.apply_limit(upstream, RateLimit::Limited(rate));
+        }
+    }
+
+    fn apply_limit(&self, upstream: &UpstreamKey, limit: RateLimit) {
+        if self.demands.set_limit(upstream, limit) {
+            self.admission.limit_rate(limit.rate());
+        }
+    }
+}
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -8,11 +8,11 @@
 mod admitted;
 mod builder;
 mod crash;
+mod demands;
 mod exchange;
 mod kinds;
 mod lock;
 mod loss;
-mod notice;
 mod pool;
 mod port;
 mod records;
@@ -41,15 +41,16 @@
 use crate::clock;
 use crate::contexts::Contexts;
 use crate::dialect::Dialect;
-use crate::events::{Events, Limiter};
+use crate::events::Events;
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::metrics::{Metrics, Stage};
 use crate::quarantine::Quarantine;
-use crate::request::{Request, Response};
+use crate::request::{OverLimit, Request, Response};
 use crate::suspension;
 use admitted::Admitted;
 pub(crate) use builder::Builder;
 use crash::Detector;
+pub(crate) use demands::Demands;
 use kinds::Kinds;
 use lock::{Guard, Lock};
 use pool::Pool;
@@ -121,6 +122,7 @@
             pressure,
             pace: self.upstream.report.pace(clock::now()),
             path_pressure: response.path_pressure.max(pressure),
+            rate_limit: self.upstream.rate_limit(),
             ..response
         }
     }
@@ -167,6 +169,10 @@
         request: &mut Request,
         throttle_permit: Option<ThrottlePermit>,
     ) -> Result<Admitted, Response> {
+        let is_over_limit = !self.admission.has_rate_left(Instant::now());
+        if is_over_limit && request.over_limit == OverLimit::Refuse {
+            return Err(self.refuse_unadmitted(request, Reason::Overload));
+        }
         let permit = self
             .admission
             .enter_in_class(
@@ -176,7 +182,7 @@
                 request.time_left(),
             )
             .await;
-        let permit = permit.map_err(|reason| self.refuse_at(request, reason, Limiter::Queue))?;
+        let permit = permit.map_err(|reason| self.refuse_unadmitted(request, reason))?;
         let Some(upstream) = self.ready_upstream(request, Instant::now()) else {
             return Err(self.refuse(request, Reason::Draining));
         };
--- a/crates/mesh/src/gate/refusal.rs
+++ b/crates/mesh/src/gate/refusal.rs
@@ -21,6 +21,19 @@
         }
     }
 
+    /// Refuses a request that the admission control did not admit.
+    pub(super) fn refuse_unadmitted(&self, request: &Request, reason: Reason) -> Response {
+        let turn = self.admission.rate_turn(Instant::now());
+        let Some(turn) = turn.filter(|_| reason == Reason::Overload) else {
+            return self.refuse_at(request, reason, Limiter::Queue);
+        };
+        self.metrics.record_rate_refusal();
+        Response {
+            turn: Some(turn),
+            ..self.refuse_at(request, reason, Limiter::Rate)
+        }
+    }
+
     pub(super) fn refuse(&self, request: &Request, reason: Reason) -> Response {
         self.refuse_at(request, reason, Limiter::None)
     }
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -12,6 +12,7 @@
 
 use super::Gate;
 use super::admitted::Admitted;
+use super::demands::Demands;
 use super::exchange::{ExchangeError, UpstreamResponse, exchange};
 use super::upstream::Ended;
 use super::wait::Waited;
@@ -19,6 +20,8 @@
 use crate::key::UpstreamKey;
 use crate::request::{Request, Response};
 
+/// The status of another upstream at the address of the expected one.
+const MISDIRECTED: u16 = 421;
 /// Statuses that by their definition promise that the request did not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -68,10 +71,19 @@
         }
     }
 
-    /// Handles what a response demands. This does not wait for the body, which may take minutes.
+    /// Handles what a response demands, before its body is read, which may take minutes.
     fn handle_head(&self, upstream: &UpstreamKey, head: &ResponseHead) {
-        let notices = &self.upstream.notices;
-        notices.read(&*self.dialect, upstream, head);
+        if head.status == MISDIRECTED {
+            return;
+        }
+        let fields = self.dialect.fields();
+        let values = |name| head.fields.all(name).map(|value| &**value);
+        let demands = Demands::read(
+            &*self.dialect,
+            values(fields.rate_limit),
+            values(fields.leaving),
+        );
+        self.upstream.handle_demands(upstream, &demands);
     }
 
     fn handle_response(
@@ -85,7 +97,7 @@
         let UpstreamResponse { head, body } = response;
         let fields = self.dialect.fields();
         if let Some(value) = head.fields.all(fields.load).next()
-            && head.status != 421
+            && head.status != MISDIRECTED
         {
             let (report, dialect) = (&self.upstream.report, &*self.dialect);
             let now = clock::now();
@@ -95,7 +107,7 @@
             }
         }
         let says_not_run = head.fields.get(fields.not_run).is_some();
-        if head.status == 421 {
+        if head.status == MISDIRECTED {
             self.upstream
                 .retire(upstream, "another upstream has its address");
             self.pool.clear();
--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -18,10 +18,9 @@
 
 use crate::clock;
 use crate::dialect::{Heartbeat, Load, Readiness};
-use crate::gate::notice::Notices;
+use crate::gate::demands::Latest;
 use crate::gate::report::Report;
 use crate::key::UpstreamKey;
-use crate::rate_limit::RateLimit;
 use crate::retired::Retired;
 
 /// How long an upstream gets no requests after it refused a connection, unless it sends a heartbeat
@@ -91,7 +90,7 @@
 
 /// State of the local upstream, as it announces itself.
 pub(crate) struct Upstream {
-    admission: Rc<Admission>,
+    pub(super) admission: Rc<Admission>,
     retired: Rc<Retired>,
     current: RefCell<Option<Incarnation>>,
     end: RefCell<End>,
@@ -103,8 +102,8 @@
     unreachable_until: Cell<Option<Instant>>,
     /// The load that the current incarnation reported.
     pub(crate) report: Report,
-    /// What the current incarnation demands in its responses.
-    pub(super) notices: Notices,
+    /// What the current incarnation demanded in its responses.
+    pub(super) demands: Latest,
     /// The load that was reported before this process had sent any request, and when.
     initial_load: Cell<Option<(Load, Moment)>>,
     /// Whether the node is shutting down and admits nothing new.
@@ -128,7 +127,7 @@
             replaced: RefCell::default(),
             unreachable_until: Cell::default(),
             report: Report::default(),
-            notices: Notices::default(),
+            demands: Latest::default(),
             initial_load: Cell::default(),
             closed: Cell::new(false),
             on_availability: RefCell::default(),
@@ -194,11 +193,6 @@
         self.end.borrow().ended.clone()
     }
 
-    /// Returns what is known of the rate limit that the current incarnation names.
-    pub(crate) fn rate_limit(&self) -> RateLimit {
-        self.notices.limit()
-    }
-
     /// Returns true if the upstream reports its start time.
     pub(crate) fn reports_start(&self) -> bool {
         self.reports_start.get()
@@ -279,7 +273,6 @@
         self.record_start(heartbeat);
         self.end.replace(End::new());
         self.report.reset();
-        self.notices.reset();
         self.admission.reset(now, Some(heartbeat.slots));
         self.admission
             .declare_limit(Limit::Fixed(limit(heartbeat.slots)));
@@ -291,6 +284,7 @@
             last_heartbeat: now,
             cold_until: clock::now() + heartbeat.warm_up,
         });
+        self.reset_demands(&heartbeat.upstream);
         for on_new in self.on_new.borrow().iter() {
             on_new();
         }
@@ -314,6 +308,14 @@
         self.current.borrow().is_none()
     }
 
+    /// Returns true if this is the incarnation that accepts requests.
+    pub(super) fn is_current(&self, upstream: &UpstreamKey) -> bool {
+        let current = self.current.borrow();
+        current
+            .as_ref()
+            .is_some_and(|current| current.key.is_same_incarnation(upstream))
+    }
+
     /// Returns true if this incarnation was replaced by another without having announced that it
     /// would leave.
     pub(crate) fn was_replaced(&self, upstream: &UpstreamKey) -> bool {
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -207,6 +207,11 @@
         self.counters.sent.inc();
     }
 
+    /// Counts a request that is refused for the rate limit of the own upstream.
+    pub(crate) fn record_rate_refusal(&self) {
+        self.counters.rate_refusals.inc();
+    }
+
     /// Records a pipelined request; `depth` is the number of unanswered requests of its connection,
     /// including this one.
     pub(crate) fn record_pipelined(&self, depth: usize) {
--- a/crates/mesh/src/metrics/counters.rs
+++ b/crates/mesh/src/metrics/counters.rs
@@ -16,6 +16,7 @@
     pub(super) unanswered: Counter<u64, AtomicU64>,
     pub(super) unread: Counter<u64, AtomicU64>,
     pub(super) sent: Counter<u64, AtomicU64>,
+    pub(super) rate_refusals: Counter<u64, AtomicU64>,
 }
 
 impl Counters {
@@ -61,6 +62,11 @@
                 "sent_to_upstream",
                 "Requests sent to the own upstream",
             ),
+            rate_refusals: counter(
+                registry,
+                "over_rate_limit",
+                "Requests refused since the own upstream limits their rate",
+            ),
             unread: counter(
                 registry,
                 "requests_not_read",
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -282,6 +282,7 @@
     });
     table.install(Acceptor {
         gate: table.find::<Gate>()?,
+        upstream: table.find()?,
         status: table.find()?,
         directory: table.find()?,
         retired: table.find()?,
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -20,20 +20,21 @@
 use sailtrack_quota::Holder;
 use sailtrack_units::Incarnation;
 use sailtrack_wire::{
-    Body, Chunk, Config, Fetch, Forward, Hello, Pong, Reason, Recall, Retire,
-    Retired as RetiredMessage,
+    Body, Chunk, Config, Fetch, Forward, Hello, Pong, RateLimit as RateLimitMessage, Reason,
+    Recall, Retire, Retired as RetiredMessage,
 };
 
 use crate::body::{Body as AnswerBody, Stream};
 use crate::clock;
 use crate::configuration::Current;
 use crate::directory::{Directory, Member};
-use crate::gate::Gate;
+use crate::gate::{Gate, Upstream};
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::peer::convert::{INITIAL_GRANT, MAX_CHUNK, request_from_wire, response_to_wire};
 use crate::peer::reassembly::Reassembly;
 use crate::quarantine::Quarantine;
 use crate::quota::Quotas;
+use crate::rate_limit::RateLimit;
 use crate::request::Response;
 use crate::retired::Retired;
 use crate::status::Status;
@@ -49,6 +50,7 @@
 /// Serves incoming connections of peers.
 pub(crate) struct Acceptor {
     pub(crate) gate: Rc<Gate>,
+    pub(crate) upstream: Rc<Upstream>,
     pub(crate) status: Rc<Status>,
     pub(crate) directory: Rc<Directory>,
     pub(crate) retired: Rc<Retired>,
@@ -237,6 +239,9 @@
         exchanges: &Rc<Exchanges>,
     ) {
         let exchange = message.exchange;
+        if let Some(limit) = &message.rate_limit {
+            self.learn_limit(limit);
+        }
         let acceptor = Rc::clone(self);
         let is_full = exchanges.running.borrow().len() >= MAX_REQUESTS;
         let response = async move {
@@ -254,6 +259,15 @@
         spawn_response(exchange, response, outgoing, exchanges);
     }
 
+    /// Applies the rate limit that the peer knows from before this process was started.
+    fn learn_limit(&self, limit: &RateLimitMessage) {
+        let rate = RateLimit::from_wire(Some(limit)).rate();
+        // A peer only passes on keys that it could parse.
+        if let (Some(rate), Ok(upstream)) = (rate, limit.upstream.parse()) {
+            self.upstream.learn_limit(&upstream, rate);
+        }
+    }
+
     fn recall(
         self: &Rc<Self>,
         recall: Recall,
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -12,7 +12,8 @@
 use crate::body::Body;
 use crate::clock;
 use crate::key::AttemptKey;
-use crate::request::{Request, Response};
+use crate::rate_limit::RateLimit;
+use crate::request::{OverLimit, Request, Response};
 
 /// Maximum number of body bytes per message, so that a long body does not delay other messages.
 pub(super) const MAX_CHUNK: usize = 32 * 1024;
@@ -50,6 +51,8 @@
             .as_ref()
             .map(ToString::to_string)
             .unwrap_or_default(),
+        rate_limit: None,
+        may_queue: request.over_limit == OverLimit::Queue,
     }
 }
 
@@ -78,6 +81,11 @@
         completed_calls: 0,
         is_nested: message.begun,
         is_retry: message.repeated,
+        over_limit: if message.may_queue {
+            OverLimit::Queue
+        } else {
+            OverLimit::Refuse
+        },
         deadline: clock::now() + Duration::from_micros(message.time_left_us),
         head: message.head,
         body: message.body,
@@ -106,10 +114,16 @@
         failed_below: response.failed_below,
         absent_below: response.absent_below,
         pace_percent: response.pace.map_or(0, Pace::percent),
-        retry_after_ms: u64::try_from(response.retry_after.as_millis()).unwrap_or(u64::MAX),
+        retry_after_ms: millis(response.retry_after),
+        rate_limit: response.rate_limit.to_wire(),
+        turn_ms: response.turn.map(millis),
     }
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Parses a response from a message and its body.
 pub(super) fn response_from_wire(message: Reply, body: Body) -> Response {
     Response {
@@ -124,6 +138,8 @@
         failed_below: message.failed_below,
         absent_below: message.absent_below,
         retry_after: Duration::from_millis(message.retry_after_ms),
+        rate_limit: RateLimit::from_wire(message.rate_limit.as_ref()),
+        turn: message.turn_ms.map(Duration::from_millis),
         head: message.head,
         body,
     }
--- a/crates/mesh/src/peer/link/connection.rs
+++ b/crates/mesh/src/peer/link/connection.rs
@@ -102,7 +102,7 @@
         // Zero means that there is no connection, so an incarnation is at least one.
         self.incarnation.set(Incarnation(member.incarnation.max(1)));
         self.state.set(member.state());
-        self.slots.set(member.slots);
+        self.upstream.set_slots(member.slots);
         self.record_activity();
         self.lost_since.set(None);
         emit(&catalogue::PEER_CONNECTED, &[("node", &self.member.name)]);
--- a/crates/mesh/src/peer/link/mod.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -6,6 +6,7 @@
 mod replies;
 #[cfg(test)]
 mod tests;
+mod upstream;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -19,8 +20,8 @@
 use sailtrack_quarantine::Execution;
 use sailtrack_units::{ConfigVersion, Incarnation, Moment, Pace};
 use sailtrack_wire::{
-    Body, Cancel, Chunk, Config, Fetch, Grant, Presence, Reason, Recall, Reply, Retire, State,
-    TokenAnswer, TokenQuestion,
+    Body, Cancel, Chunk, Config, Fetch, Forward, Grant, Presence, Reason, Recall, Reply, Retire,
+    State, TokenAnswer, TokenQuestion,
 };
 
 use crate::clock;
@@ -29,6 +30,7 @@
 use crate::peer::Delegate;
 use crate::peer::convert::{MAX_CHUNK, request_to_wire};
 use crate::peer::link::lost::Lost;
+use crate::peer::link::upstream::Upstream;
 use crate::peer::reassembly::Reassembly;
 use crate::request::{Request, Response};
 use crate::routing::PeerLoad;
@@ -74,9 +76,7 @@
     /// The incarnation of the other node; zero while it is not connected.
     incarnation: Cell<Incarnation>,
     state: Cell<State>,
-    /// The incarnation of the node's upstream that last accepted requests.
-    upstream: RefCell<String>,
-    slots: Cell<u32>,
+    upstream: Upstream,
     /// When the last message arrived.
     last_received: Cell<Moment>,
     /// Number of pings on this connection without a pong.
@@ -120,8 +120,7 @@
             next_exchange: Cell::new(1),
             incarnation: Cell::default(),
             state: Cell::new(State::Joining),
-            upstream: RefCell::default(),
-            slots: Cell::new(0),
+            upstream: Upstream::default(),
             last_received: Cell::new(clock::now()),
             pending_pings: Cell::new(0),
             first_ping: Cell::new(clock::now()),
@@ -192,7 +191,7 @@
 
     /// Returns how many requests the upstream of the node processes concurrently.
     pub(crate) fn slots(&self) -> u32 {
-        self.slots.get()
+        self.upstream.slots()
     }
 
     /// Returns how long the node has been unreachable. Suspensions of the local instance are not
@@ -325,7 +324,11 @@
     }
 
     async fn send_request(&self, exchange: u64, request: &Request) -> bool {
-        if !self.is_open() || !self.send(Body::Forward(request_to_wire(exchange, request))) {
+        let message = Forward {
+            rate_limit: self.upstream.rate_limit_to_wire(),
+            ..request_to_wire(exchange, request)
+        };
+        if !self.is_open() || !self.send(Body::Forward(message)) {
             return false;
         }
         let Some(mut outgoing) = self.outgoing.borrow().clone() else {
@@ -378,13 +381,12 @@
     }
 
     fn handle_presence(&self, presence: &Presence) {
-        if !presence.upstream.is_empty() && *self.upstream.borrow() != presence.upstream {
-            self.upstream.replace(presence.upstream.clone());
+        if self.upstream.apply_presence(presence) {
             self.load.borrow_mut().reset();
         }
         if let Some(member) = &presence.member {
             self.state.set(member.state());
-            self.slots.set(member.slots);
+            self.upstream.set_slots(member.slots);
         }
         self.store_lost.set(presence.store_lost);
         self.quota_term.set(presence.quota_term);
@@ -392,6 +394,9 @@
         let pace = Pace::from_percent(presence.pace_percent).ok();
         let mut load = self.load.borrow_mut();
         load.record_report(Instant::now(), percent, pace);
+        if self.upstream.is_unlimited() {
+            load.end_rate_limit();
+        }
         drop(load);
         self.delegate.handle_presence(&self.member.name, presence);
         if self.delegate.wants_store_time() && self.pending_pings.get() == 0 {
@@ -414,7 +419,7 @@
             Pending::Reply(_, execution) => execution,
             Pending::Retired(_) => None,
         });
-        self.lost.store(&self.upstream.borrow(), execution);
+        self.lost.store(&self.upstream.incarnation(), execution);
         self.replies.borrow_mut().clear();
         self.streams.borrow_mut().clear();
         self.config_requests.borrow_mut().clear();
--- a/crates/mesh/src/peer/link/replies.rs
+++ b/crates/mesh/src/peer/link/replies.rs
@@ -77,6 +77,7 @@
             if did_not_run && response.reason == Reason::Draining {
                 self.state.set(State::Leaving);
             }
+            self.upstream.apply_response(&response);
             // The caller may have stopped waiting.
             let _ = sender.send(response);
         }
--- a/crates/mesh/src/peer/link/tests.rs
+++ b/crates/mesh/src/peer/link/tests.rs
@@ -22,7 +22,7 @@
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::peer::Delegate;
 use crate::peer::link::{Delivery, Link};
-use crate::request::Request;
+use crate::request::{OverLimit, Request};
 use crate::store::StoreTime;
 
 /// Heartbeat interval of a small mesh.
@@ -77,6 +77,7 @@
         rank: Rank::from_index(1),
         is_nested: false,
         is_retry: false,
+        over_limit: OverLimit::default(),
         deadline: clock::now() + Duration::from_secs(10),
         head: Bytes::from_static(b"GET / HTTP/1.1\r\n"),
         body: Bytes::new(),
--- /dev/null
+++ b/crates/mesh/src/peer/link/upstream.rs
@@ -0,0 +1,85 @@
+//! What is known of the upstream of another node.
+//!
+//! It is kept while the node is not connected: a node that restarts learns from the requests of its
+//! peers what its upstream demanded before.
+
+use std::cell::{Cell, RefCell};
+
+use sailtrack_wire::{Presence, RateLimit as RateLimitMessage};
+
+use crate::key::UpstreamKey;
+use crate::rate_limit::RateLimit;
+use crate::request::Response;
+
+/// The upstream of another node, as that node reports it.
+#[derive(Debug, Default)]
+pub(super) struct Upstream {
+    /// The incarnation that last accepted requests, empty if there was none.
+    incarnation: RefCell<String>,
+    slots: Cell<u32>,
+    rate_limit: Cell<RateLimit>,
+}
+
+impl Upstream {
+    /// Returns the incarnation that last accepted requests.
+    pub(super) fn incarnation(&self) -> String {
+        self.incarnation.borrow().clone()
+    }
+
+    /// Returns how many requests it processes concurrently.
+    pub(super) fn slots(&self) -> u32 {
+        self.slots.get()
+    }
+
+    /// Sets how many requests it processes concurrently.
+    pub(super) fn set_slots(&self, slots: u32) {
+        self.slots.set(slots);
+    }
+
+    /// Returns true if its last response named no rate limit.
+    pub(super) fn is_unlimited(&self) -> bool {
+        self.rate_limit.get() == RateLimit::Unlimited
+    }
+
+    /// Applies a presence message; returns true if it reports another incarnation.
+    pub(super) fn apply_presence(&self, presence: &Presence) -> bool {
+        let is_other =
+            !presence.upstream.is_empty() && *self.incarnation.borrow() != presence.upstream;
+        if is_other {
+            self.set_incarnation(&presence.upstream);
+        }
+        self.set_rate_limit(RateLimit::from_wire(presence.rate_limit.as_ref()));
+        is_other
+    }
+
+    /// Applies what a response says about its upstream.
+    pub(super) fn apply_response(&self, response: &Response) {
+        self.set_rate_limit(response.rate_limit);
+    }
+
+    /// Returns the message that tells the node which rate limit its upstream named.
+    pub(super) fn rate_limit_to_wire(&self) -> Option<RateLimitMessage> {
+        let limited = self.rate_limit.get().rate().is_some();
+        let message = self.rate_limit.get().to_wire().filter(|_| limited)?;
+        Some(RateLimitMessage {
+            upstream: self.incarnation(),
+            ..message
+        })
+    }
+
+    fn set_incarnation(&self, incarnation: &str) {
+        let previous = self.incarnation.replace(incarnation.to_owned());
+        let keys = (previous.parse(), incarnation.parse());
+        let is_same = |previous: &UpstreamKey, current| previous.is_same_incarnation(current);
+        // A start time that was not known before makes no difference.
+        if !matches!(&keys, (Ok(previous), Ok(current)) if is_same(previous, current)) {
+            self.rate_limit.set(RateLimit::Unknown);
+        }
+    }
+
+    fn set_rate_limit(&self, limit: RateLimit) {
+        if limit != RateLimit::Unknown {
+            self.rate_limit.set(limit);
+        }
+    }
+}
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -11,6 +11,17 @@
 use crate::body::Body;
 use crate::clock;
 use crate::key::AttemptKey;
+use crate::rate_limit::RateLimit;
+
+/// What happens to a request while the rate limit of the upstream is used up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) enum OverLimit {
+    /// It is refused at once, so that its sender tries another upstream.
+    #[default]
+    Refuse,
+    /// It may wait, since its sender knows of no other upstream that has room.
+    Queue,
+}
 
 /// A request to be sent to one upstream.
 #[derive(Debug, Clone)]
@@ -36,6 +47,7 @@
     pub(crate) is_nested: bool,
     /// The request, or the request that it was made for, has been sent to another upstream before.
     pub(crate) is_retry: bool,
+    pub(crate) over_limit: OverLimit,
     pub(crate) deadline: Moment,
     /// The request line and the header fields to be forwarded.
     pub(crate) head: Bytes,
@@ -74,6 +86,11 @@
     pub(crate) absent_below: bool,
     /// When the caller should retry; zero if not specified.
     pub(crate) retry_after: Duration,
+    /// The rate limit of the upstream.
+    pub(crate) rate_limit: RateLimit,
+    /// If the request was refused for the rate limit: how long its sender should wait before it
+    /// sends another one there.
+    pub(crate) turn: Option<Duration>,
 }
 
 impl Response {
@@ -91,6 +108,8 @@
             failed_below: false,
             absent_below: false,
             retry_after: Duration::ZERO,
+            rate_limit: RateLimit::Unknown,
+            turn: None,
         }
     }
 
--- a/crates/mesh/src/retry/tests.rs
+++ b/crates/mesh/src/retry/tests.rs
@@ -8,7 +8,7 @@
 
 use crate::clock;
 use crate::key::AttemptKey;
-use crate::request::Request;
+use crate::request::{OverLimit, Request};
 use crate::retry::Budget;
 use crate::settings::RetryBounds;
 
@@ -32,6 +32,7 @@
         rank,
         is_nested: false,
         is_retry,
+        over_limit: OverLimit::default(),
         deadline: clock::now(),
         head: Bytes::new(),
         body: Bytes::new(),
--- a/crates/mesh/src/routing/load.rs
+++ b/crates/mesh/src/routing/load.rs
@@ -66,6 +66,8 @@
     consecutive_failures: u32,
     ejections: u32,
     ejected_until: Option<Instant>,
+    /// The next turn of this node under the rate limit of the upstream.
+    next_turn: Option<Instant>,
 }
 
 impl PeerLoad {
@@ -106,6 +108,9 @@
         class: Class,
         response: &Response,
     ) -> Option<Duration> {
+        if let Some(turn) = response.turn {
+            self.next_turn = Some(now + turn);
+        }
         if response.reason != Reason::Connection {
             // A broken connection carries no load report.
             self.record_pressure(now, class, response.pressure, response.pace);
@@ -205,9 +210,18 @@
         self.failure_rate * 0.5_f64.powf(age.as_secs_f64() / FAILURE_RATE_HALF_LIFE.as_secs_f64())
     }
 
-    /// Returns true if a request may be sent; after an ejection only one at a time, until one
+    /// Sends again without waiting for a turn, since the upstream has no rate limit any more.
+    pub(crate) fn end_rate_limit(&mut self) {
+        self.next_turn = None;
+    }
+
+    /// Returns true if a request may be sent: the rate limit of the upstream is not known to refuse
+    /// it, and the node is not ejected. After an ejection only one is sent at a time, until one
     /// succeeds.
     pub(crate) fn is_available(&self, now: Instant) -> bool {
+        if self.next_turn.is_some_and(|turn| now < turn) {
+            return false;
+        }
         match self.ejected_until {
             None => true,
             Some(until) => now >= until && self.outstanding == 0,
--- a/crates/mesh/src/routing/mod.rs
+++ b/crates/mesh/src/routing/mod.rs
@@ -120,6 +120,17 @@
         all.max_by_key(|target| identity.preference(target.name(&self.name).as_str()))
     }
 
+    /// Returns true if a target is neither ejected nor known to refuse requests for its rate limit.
+    pub(crate) fn is_available(&self, target: &Target) -> bool {
+        let now = Instant::now();
+        match target {
+            Target::Local => {
+                self.local_load.borrow().is_available(now) && self.admission.has_rate_left(now)
+            }
+            Target::Remote(link) => link.load.borrow().is_available(now),
+        }
+    }
+
     /// Records that a request is sent to a target; the guard records its end.
     pub(crate) fn start(&self, request: &Request, target: &Target) -> InFlight {
         let owner = match target {
@@ -147,7 +158,11 @@
         let pressure = self.admission.pressure(now, class);
         let slots = self.upstream.slots();
         let local = self.local_load.borrow();
-        local.candidate(now, slots, class, Some(pressure))
+        let candidate = local.candidate(now, slots, class, Some(pressure));
+        Candidate {
+            is_available: candidate.is_available && self.admission.has_rate_left(now),
+            ..candidate
+        }
     }
 }
 
--- a/crates/mesh/src/status.rs
+++ b/crates/mesh/src/status.rs
@@ -76,6 +76,7 @@
             quota_term: self.quota_term.get(),
             store_era: self.clock.era().0,
             pace_percent: pace.map_or(0, Pace::percent),
+            rate_limit: self.upstream.rate_limit().to_wire(),
         }
     }
 
--- a/crates/quota/src/allocator.rs
+++ b/crates/quota/src/allocator.rs
@@ -5,6 +5,7 @@
 
 use sailtrack_units::{Moment, NodeName, WorkspaceName};
 
+use crate::bucket::Bucket;
 use crate::cache::TOKEN_LIFETIME;
 use crate::limit::{Limit, Tolerance};
 use crate::meter::Meter;
@@ -77,7 +78,7 @@
 struct Pool {
     limit: Limit,
     share: f64,
-    tokens: f64,
+    bucket: Bucket,
     updated: Moment,
     demand: Meter,
     accounts: HashMap<Holder, Account>,
@@ -121,7 +122,7 @@
             let pool = self.pools.entry(name.clone()).or_insert_with(|| Pool {
                 limit: *limit,
                 share: 0.0,
-                tokens: 0.0,
+                bucket: Bucket::default(),
                 updated: now,
                 demand: Meter::new(DEMAND_TIME_CONSTANT),
                 accounts: HashMap::new(),
@@ -172,10 +173,11 @@
         pool.demand.record(want.seen, now);
         pool.refill(&self.tolerance, self.started, now);
         let capacity = pool.capacity(&self.tolerance, self.started, now);
-        let needed = floor(pool.tokens).min(want.needed);
-        let left = pool.tokens - f64::from(needed) - capacity * PREFETCH_RESERVE;
+        let available = pool.bucket.tokens();
+        let needed = floor(available).min(want.needed);
+        let left = available - f64::from(needed) - capacity * PREFETCH_RESERVE;
         let tokens = needed + floor(left).min(want.spare);
-        pool.tokens -= f64::from(tokens);
+        pool.bucket.take(f64::from(tokens));
         let recalled = pool.excess(&self.tolerance).min(want.held);
         if let Some(account) = pool.accounts.get_mut(holder) {
             account.held += tokens;
@@ -212,7 +214,9 @@
     /// Returns the tokens of a workspace that are not granted to any node.
     #[must_use]
     pub fn available(&self, workspace: &WorkspaceName) -> f64 {
-        self.pools.get(workspace).map_or(0.0, |pool| pool.tokens)
+        self.pools
+            .get(workspace)
+            .map_or(0.0, |pool| pool.bucket.tokens())
     }
 }
 
@@ -253,8 +257,9 @@
         self.accounts
             .retain(|_, account| now.since(account.last_heard) <= HOLDER_TIMEOUT);
         let free = self.capacity(tolerance, started, now) - self.outstanding();
-        let refilled = self.rate(tolerance) * now.since(self.updated).as_secs_f64();
-        self.tokens = (self.tokens + refilled).min(free.max(0.0));
+        let elapsed = now.since(self.updated);
+        self.bucket
+            .refill(self.rate(tolerance), free.max(0.0), elapsed);
         self.updated = now;
     }
 
@@ -270,9 +275,8 @@
         }
         // If demand exceeds the rate, nodes compete for each token, and wait longer in proportion.
         let excess = (self.demand.rate(now) / rate).max(1.0);
-        let first = (1.0 - self.tokens).max(0.0) / rate;
-        let wait = Duration::try_from_secs_f64(first * excess).unwrap_or(MAX_WAIT);
-        wait.clamp(MIN_WAIT, MAX_WAIT)
+        let first = self.bucket.time_until(1.0, rate / excess);
+        first.unwrap_or(MAX_WAIT).clamp(MIN_WAIT, MAX_WAIT)
     }
 }
 
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -1,4 +1,5 @@
-//! Rate limits of workspaces, enforced by all nodes together without a coordinator.
+//! Token buckets, and rate limits of workspaces, enforced by all nodes together without a
+//! coordinator.
 //!
 //! Each workspace has a token bucket. Every failure domain has a share of it
 //! ([`Shares`]), managed by one node there, the allocator ([`Allocator`]). The
@@ -13,12 +14,14 @@
 //! Does no I/O and reads no clock.
 
 mod allocator;
+mod bucket;
 mod cache;
 mod limit;
 mod meter;
 mod shares;
 
 pub use allocator::{Allocator, Grant, Holder, Want};
+pub use bucket::Bucket;
 pub use cache::{Acquisition, Cache};
 pub use limit::{Limit, Tolerance};
 pub use shares::{Claim, Domain, Holding, LEASE_DURATION, LEASE_GRACE, Lease, Now, Shares};
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -205,7 +205,7 @@
     pub total: u64,
 }
 /// A request as its caller sent it, for the upstream beside the receiver.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Forward {
     #[prost(uint64, tag = "1")]
     pub exchange: u64,
@@ -249,9 +249,29 @@
     /// The place of its class among all.
     #[prost(uint32, tag = "16")]
     pub class: u32,
+    /// The rate limit that the upstream beside the receiver named, as far as the sender knows; absent
+    /// if it named none.
+    #[prost(message, optional, tag = "17")]
+    pub rate_limit: ::core::option::Option<RateLimit>,
+    /// It may wait for the rate limit of the upstream, since no other one is known to have room.
+    #[prost(bool, tag = "18")]
+    pub may_queue: bool,
+}
+/// What an upstream named in its last response as the most requests that it takes from all nodes
+/// together.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RateLimit {
+    /// It named a limit.
+    #[prost(bool, tag = "1")]
+    pub limited: bool,
+    #[prost(double, tag = "2")]
+    pub per_second: f64,
+    /// The life of the upstream, written as in a presence; only in a forward.
+    #[prost(string, tag = "3")]
+    pub upstream: ::prost::alloc::string::String,
 }
 /// What became of a forwarded request.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Reply {
     #[prost(uint64, tag = "1")]
     pub exchange: u64,
@@ -293,6 +313,12 @@
     /// not known.
     #[prost(uint32, tag = "16")]
     pub pace_percent: u32,
+    /// The rate limit of the upstream; absent if it has not responded yet.
+    #[prost(message, optional, tag = "17")]
+    pub rate_limit: ::core::option::Option<RateLimit>,
+    /// Refused for the rate limit: how long the sender should wait before it sends another request.
+    #[prost(uint64, optional, tag = "18")]
+    pub turn_ms: ::core::option::Option<u64>,
 }
 /// Grants more chunks of a streamed body.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -413,6 +439,9 @@
     /// not known.
     #[prost(uint32, tag = "11")]
     pub pace_percent: u32,
+    /// The rate limit of the upstream; absent if it has not responded yet.
+    #[prost(message, optional, tag = "12")]
+    pub rate_limit: ::core::option::Option<RateLimit>,
 }
 /// Asks the receiver to remember that an upstream leaves, also on behalf of a later life of the sender.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,6 +15,6 @@
 pub use generated::{
     Answer, Call, Cancel, Chunk, Config, Datagram, Evidence, Fetch, Forward, Frame, Grant,
     Handover, Held, Hello, Kept, Leaving, Member, Outcome, Ping, Pong, Presence, Purpose, Ran,
-    Reason, Recall, Reply, Retire, Retired, State, Ticket, TokenAnswer, TokenGrant, TokenQuestion,
-    TokenWant,
+    RateLimit, Reason, Recall, Reply, Retire, Retired, State, Ticket, TokenAnswer, TokenGrant,
+    TokenQuestion, TokenWant,
 };
