An upstream that says in an answer that it is leaving gets nothing new

Cause: the same as with the limit: leaving counted only where an upstream announces itself, and what it states in its answers had no reader.

Change: the gate stops as soon as the head of such an answer is read, as with an announced leaving, finishes what runs, and records it in the store and at other nodes. The answer tells the node where the request began which life is leaving; that node remembers it by itself and sends nothing more to a node that takes that life for its upstream, whatever that node believes after a restart. An answer of the health check counts as well; one of another upstream at the address (421) does not.

--- a/crates/mesh/src/announcement/mod.rs
+++ b/crates/mesh/src/announcement/mod.rs
@@ -215,6 +215,9 @@
         if let Some(id) = upstream {
             self.upstream.record_initial_limit(id, &demands);
         }
+        if demands.is_leaving {
+            return;
+        }
         // The response lacks the start time of the upstream; its first heartbeat contains it.
         let upstream = upstream.and_then(|id| UpstreamKey::new(id, None).ok());
         let (StatusCode::OK, Some(upstream), Some(load)) = (response.status, upstream, load) else {
--- a/crates/mesh/src/announcement/retirement.rs
+++ b/crates/mesh/src/announcement/retirement.rs
@@ -29,6 +29,18 @@
 const MAX_PEER_WAIT: Duration = Duration::from_secs(3);
 
 impl Announcements {
+    /// Records that an upstream said in a response that it is leaving. It gets no acknowledgement;
+    /// peers that passed on such a response know it anyway.
+    pub(crate) fn handle_leaving(self: &Rc<Self>, upstream: &UpstreamKey) {
+        let (announcements, upstream) = (Rc::clone(self), upstream.clone());
+        task::spawn("leaving upstream", async move {
+            // A failure is logged where it occurs.
+            announcements
+                .retire(&upstream, "said so in a response")
+                .await;
+        });
+    }
+
     /// Sends no new requests to an upstream, and returns true once its retirement is recorded
     /// outside this process.
     pub(super) async fn retire(self: &Rc<Self>, upstream: &UpstreamKey, reason: &str) -> bool {
--- a/crates/mesh/src/gate/demands.rs
+++ b/crates/mesh/src/gate/demands.rs
@@ -131,6 +131,11 @@
         self.demands.limit.get()
     }
 
+    /// Calls `on_leaving` when a response says that the current incarnation is leaving.
+    pub(crate) fn on_leaving(&self, on_leaving: impl Fn(&UpstreamKey) + 'static) {
+        self.on_leaving.borrow_mut().push(Box::new(on_leaving));
+    }
+
     /// Handles the demands in a response of an incarnation.
     ///
     /// A limit that cannot be read leaves the one before in force: the upstream still asks for
@@ -145,6 +150,12 @@
         if demands.limit != RateLimit::Unknown {
             self.apply_limit(upstream, demands.limit);
         }
+        if demands.is_leaving {
+            self.retire(upstream, "said so in a response");
+            for on_leaving in self.on_leaving.borrow().iter() {
+                on_leaving(upstream);
+            }
+        }
     }
 
     /// Applies a limit that another node knows, since this process has not seen a response yet.
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to the local upstream and classifies the result.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -35,7 +36,8 @@
     ) -> Response {
         let upstream = &admitted.upstream;
         let guard = self.contexts.open(request, upstream);
-        let on_head = |head: &ResponseHead| self.handle_head(upstream, head);
+        let is_leaving = Cell::new(false);
+        let on_head = |head: &ResponseHead| is_leaving.set(self.handle_head(upstream, head));
         let exchange = exchange(
             &self.pool,
             self.dialect.fields(),
@@ -67,14 +69,16 @@
             path_pressure: guard.context.pressure.get(),
             failed_below: guard.context.failed_below.get(),
             absent_below: guard.context.absent_below.get(),
+            leaving: is_leaving.get().then(|| upstream.clone()),
             ..response
         }
     }
 
-    /// Handles what a response demands, before its body is read, which may take minutes.
-    fn handle_head(&self, upstream: &UpstreamKey, head: &ResponseHead) {
+    /// Handles what a response demands, before its body is read, which may take minutes; returns
+    /// true if its upstream is leaving.
+    fn handle_head(&self, upstream: &UpstreamKey, head: &ResponseHead) -> bool {
         if head.status == MISDIRECTED {
-            return;
+            return false;
         }
         let fields = self.dialect.fields();
         let values = |name| head.fields.all(name).map(|value| &**value);
@@ -84,6 +88,7 @@
             values(fields.leaving),
         );
         self.upstream.handle_demands(upstream, &demands);
+        demands.is_leaving
     }
 
     fn handle_response(
--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -88,6 +88,9 @@
     }
 }
 
+/// Is called with an incarnation that says that it is leaving.
+pub(super) type LeavingCallback = Box<dyn Fn(&UpstreamKey)>;
+
 /// State of the local upstream, as it announces itself.
 pub(crate) struct Upstream {
     pub(super) admission: Rc<Admission>,
@@ -110,6 +113,7 @@
     closed: Cell<bool>,
     on_availability: RefCell<Vec<Box<dyn Fn()>>>,
     on_new: RefCell<Vec<Box<dyn Fn()>>>,
+    pub(super) on_leaving: RefCell<Vec<LeavingCallback>>,
 }
 
 impl Service for Upstream {
@@ -132,6 +136,7 @@
             closed: Cell::new(false),
             on_availability: RefCell::default(),
             on_new: RefCell::default(),
+            on_leaving: RefCell::default(),
         }
     }
 
--- a/crates/mesh/src/gossip.rs
+++ b/crates/mesh/src/gossip.rs
@@ -97,6 +97,10 @@
         self.quarantine.merge(evidence);
     }
 
+    fn handle_leaving(&self, upstream: &UpstreamKey) {
+        self.retired.note(upstream.clone());
+    }
+
     fn handle_crash(&self, upstream: &UpstreamKey, executions: &[Execution]) {
         if !self.retired.contains(upstream) {
             self.quarantine.record_remote_crash(upstream, executions);
--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -10,6 +10,7 @@
 use sailtrack_kernel::{Error, Table};
 use sailtrack_net::task;
 
+use crate::announcement::Announcements;
 use crate::clock;
 use crate::configuration::{Current, Fetcher, Provider};
 use crate::directory::Directory;
@@ -63,6 +64,8 @@
     let publisher = Rc::clone(&status);
     current.on_change(move || publisher.publish());
     upstream.on_availability_change(move || status.publish());
+    let announcements = table.find::<Announcements>()?;
+    upstream.on_leaving(move |upstream| announcements.handle_leaving(upstream));
     Ok(())
 }
 
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -117,6 +117,11 @@
         retry_after_ms: millis(response.retry_after),
         rate_limit: response.rate_limit.to_wire(),
         turn_ms: response.turn.map(millis),
+        leaving: response
+            .leaving
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
     }
 }
 
@@ -140,6 +145,8 @@
         retry_after: Duration::from_millis(message.retry_after_ms),
         rate_limit: RateLimit::from_wire(message.rate_limit.as_ref()),
         turn: message.turn_ms.map(Duration::from_millis),
+        // A peer only passes on keys that it could parse.
+        leaving: message.leaving.parse().ok(),
         head: message.head,
         body,
     }
--- a/crates/mesh/src/peer/link/mod.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -153,7 +153,8 @@
 
     /// Returns true if the node accepts requests for its upstream, according to its last message.
     pub(crate) fn is_serving(&self) -> bool {
-        self.is_open() && self.state.get() == State::Serving && !self.is_silent()
+        let accepts = self.state.get() == State::Serving && !self.upstream.is_leaving();
+        self.is_open() && accepts && !self.is_silent()
     }
 
     /// Returns true if the node watches the store when its priority is among the first.
--- a/crates/mesh/src/peer/link/replies.rs
+++ b/crates/mesh/src/peer/link/replies.rs
@@ -78,6 +78,9 @@
                 self.state.set(State::Leaving);
             }
             self.upstream.apply_response(&response);
+            if let Some(upstream) = &response.leaving {
+                self.delegate.handle_leaving(upstream);
+            }
             // The caller may have stopped waiting.
             let _ = sender.send(response);
         }
--- a/crates/mesh/src/peer/link/tests.rs
+++ b/crates/mesh/src/peer/link/tests.rs
@@ -51,6 +51,8 @@
 
     fn handle_evidence(&self, _evidence: &Evidence) {}
 
+    fn handle_leaving(&self, _upstream: &UpstreamKey) {}
+
     fn handle_crash(&self, _upstream: &UpstreamKey, _ran: &[Execution]) {}
 }
 
--- a/crates/mesh/src/peer/link/upstream.rs
+++ b/crates/mesh/src/peer/link/upstream.rs
@@ -18,6 +18,10 @@
     incarnation: RefCell<String>,
     slots: Cell<u32>,
     rate_limit: Cell<RateLimit>,
+    /// The last incarnation that said in a response that it is leaving.
+    leaving: RefCell<Option<UpstreamKey>>,
+    /// Whether that is the current one.
+    is_leaving: Cell<bool>,
 }
 
 impl Upstream {
@@ -36,6 +40,11 @@
         self.slots.set(slots);
     }
 
+    /// Returns true if the current incarnation said in a response that it is leaving.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.is_leaving.get()
+    }
+
     /// Returns true if its last response named no rate limit.
     pub(super) fn is_unlimited(&self) -> bool {
         self.rate_limit.get() == RateLimit::Unlimited
@@ -55,6 +64,10 @@
     /// Applies what a response says about its upstream.
     pub(super) fn apply_response(&self, response: &Response) {
         self.set_rate_limit(response.rate_limit);
+        if let Some(leaving) = &response.leaving {
+            self.leaving.replace(Some(leaving.clone()));
+            self.update_leaving();
+        }
     }
 
     /// Returns the message that tells the node which rate limit its upstream named.
@@ -75,6 +88,7 @@
         if !matches!(&keys, (Ok(previous), Ok(current)) if is_same(previous, current)) {
             self.rate_limit.set(RateLimit::Unknown);
         }
+        self.update_leaving();
     }
 
     fn set_rate_limit(&self, limit: RateLimit) {
@@ -82,4 +96,14 @@
             self.rate_limit.set(limit);
         }
     }
+
+    fn update_leaving(&self) {
+        let current = self.incarnation.borrow().parse::<UpstreamKey>().ok();
+        let leaving = self.leaving.borrow();
+        let is_leaving = leaving
+            .as_ref()
+            .zip(current.as_ref())
+            .is_some_and(|(leaving, current)| leaving.is_same_incarnation(current));
+        self.is_leaving.set(is_leaving);
+    }
 }
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -56,6 +56,9 @@
     /// Handles the crash records of a peer.
     fn handle_evidence(&self, evidence: &Evidence);
 
+    /// Handles that an upstream said in a response that it is leaving.
+    fn handle_leaving(&self, upstream: &UpstreamKey);
+
     /// Handles the crash of an incarnation of an upstream, with the requests that this node had in
     /// flight there.
     fn handle_crash(&self, upstream: &UpstreamKey, executions: &[Execution]);
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -10,7 +10,7 @@
 
 use crate::body::Body;
 use crate::clock;
-use crate::key::AttemptKey;
+use crate::key::{AttemptKey, UpstreamKey};
 use crate::rate_limit::RateLimit;
 
 /// What happens to a request while the rate limit of the upstream is used up.
@@ -91,6 +91,8 @@
     /// If the request was refused for the rate limit: how long its sender should wait before it
     /// sends another one there.
     pub(crate) turn: Option<Duration>,
+    /// The incarnation of the upstream, if its response says that it is leaving.
+    pub(crate) leaving: Option<UpstreamKey>,
 }
 
 impl Response {
@@ -110,6 +112,7 @@
             retry_after: Duration::ZERO,
             rate_limit: RateLimit::Unknown,
             turn: None,
+            leaving: None,
         }
     }
 
@@ -150,6 +153,7 @@
         Some(Self {
             head: self.head.clone(),
             body,
+            leaving: self.leaving.clone(),
             ..*self
         })
     }
--- a/crates/mesh/src/suspension/tests.rs
+++ b/crates/mesh/src/suspension/tests.rs
@@ -37,6 +37,8 @@
 
     fn handle_evidence(&self, _evidence: &Evidence) {}
 
+    fn handle_leaving(&self, _upstream: &UpstreamKey) {}
+
     fn handle_crash(&self, _upstream: &UpstreamKey, _ran: &[Execution]) {}
 }
 
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -319,6 +319,9 @@
     /// Refused for the rate limit: how long the sender should wait before it sends another request.
     #[prost(uint64, optional, tag = "18")]
     pub turn_ms: ::core::option::Option<u64>,
+    /// The life of the upstream, written as in a presence, if its response says that it is leaving.
+    #[prost(string, tag = "19")]
+    pub leaving: ::prost::alloc::string::String,
 }
 /// Grants more chunks of a streamed body.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
