--- a/crates/admission/src/rate.rs
+++ b/crates/admission/src/rate.rs
@@ -13,10 +13,13 @@
 /// response shows that the limit has ended.
 const PROBE_INTERVAL: Duration = Duration::from_secs(5);
 /// The burst, in addition to one call: many times the resolution of timers.
-const BURST_TIME: Duration = Duration::from_millis(50);
+const BURST_SECONDS: f64 = 0.05;
+/// A low rate has one more call as its burst, if that is due within this time. Without it, what is
+/// due while no call arrives is lost.
+const LOW_RATE_BURST_SECONDS: f64 = 0.4;
 /// How much faster than the rate turns follow each other: not every node has a call when its turn
 /// comes.
-const TURN_OVERBOOKING: f64 = 1.25;
+const TURN_OVERBOOKING: f64 = 2.0;
 /// The longest time until a turn. The nodes learn within it that the limit has ended, and each of
 /// hundreds has only two calls refused per second.
 const MAX_TURN: Duration = Duration::from_secs(2);
@@ -112,11 +115,17 @@
 
     fn refill(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.refilled);
-        let capacity = 1.0 + self.per_second() * BURST_TIME.as_secs_f64();
-        self.bucket.refill(self.per_second(), capacity, elapsed);
+        self.bucket
+            .refill(self.per_second(), self.capacity(), elapsed);
         self.refilled = now;
     }
 
+    fn capacity(&self) -> f64 {
+        let rate = self.per_second();
+        let burst = rate * BURST_SECONDS;
+        1.0 + burst.max((rate * LOW_RATE_BURST_SECONDS).min(1.0))
+    }
+
     /// Delays the next calls if the upstream got many times its limit in the last second.
     fn pay_off(&mut self, recent: u32) {
         let excess = f64::from(recent) - self.per_second() * MAX_PRIOR_SECONDS;
