--- a/crates/cli/src/explain/cause.rs
+++ b/crates/cli/src/explain/cause.rs
@@ -21,6 +21,8 @@
     Untold { request: String },
     /// it has not run: {node} was full, with {calls} requests in its upstream and its queue
     Full { node: String, calls: String },
+    /// it has not run: the upstream beside {node} said in an answer that it takes no more than {limit} from all nodes together, and no other one had room; its events 417 name the answers
+    OverRate { node: String, limit: String },
     /// it has not run: the services that its kind calls were full, at {pressure} % of what they take, so {node} let no more of the kind in
     FullBelow { node: String, pressure: String },
     /// it has not run: no upstream of its service took requests{detail}
@@ -98,6 +100,7 @@
     pub(super) fn node(&self) -> Option<&String> {
         match self {
             Self::Full { node, .. }
+            | Self::OverRate { node, .. }
             | Self::FullBelow { node, .. }
             | Self::TurnedAway { node, .. }
             | Self::Stopping { node }
@@ -125,6 +128,7 @@
         match self {
             Self::Untold { .. } => "untold",
             Self::Full { .. } => "full",
+            Self::OverRate { .. } => "over_rate",
             Self::FullBelow { .. } => "full_below",
             Self::NoUpstream { .. } => "no_upstream",
             Self::TurnedAway { .. } => "turned_away",
@@ -208,8 +212,8 @@
         }
     }
 
-    /// Distinguishes two causes of refusals for overload: the node's own queue is full, or the window
-    /// of the kind is, because its callees are overloaded.
+    /// Distinguishes three causes of refusals for overload: the node's own queue is full, the upstream
+    /// limits its rate, or the window of the kind is full, because its callees are overloaded.
     fn of_overload(trace: &Trace, end: &Line) -> Self {
         let node = end.field("node").to_owned();
         let gate_refusal = trace.lines.iter().rev().find(|line| {
@@ -222,6 +226,10 @@
                 node,
                 pressure: end.field("pressure").to_owned(),
             },
+            Some(gate) if gate.field("bound") == "rate" => Self::OverRate {
+                node,
+                limit: gate.field("limit").to_owned(),
+            },
             Some(gate) => Self::Full {
                 node,
                 calls: gate.field("calls").to_owned(),
--- a/crates/cli/src/explain/line.rs
+++ b/crates/cli/src/explain/line.rs
@@ -44,7 +44,7 @@
 pub(super) const LINES_LEFT_OUT: u32 = catalogue::LINES_LEFT_OUT.number;
 
 /// The events that report a change in the state of a node or of something that it depends on.
-const STATE_EVENTS: [u32; 18] = [
+const STATE_EVENTS: [u32; 19] = [
     PROCESS_STARTED,
     STOP_REQUESTED,
     catalogue::PROCESS_STOPPED.number,
@@ -61,6 +61,7 @@
     UPSTREAM_ANNOUNCED,
     UPSTREAM_GONE,
     UPSTREAM_RETIRED,
+    catalogue::RATE_LIMIT_NAMED.number,
     catalogue::SHEDDING_STARTED.number,
     PEER_LOST,
 ];
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -255,6 +255,26 @@
     assert_cause(noise, &["nothing tells how a1 ended"]);
 }
 
+/// A refusal for the rate limit of an upstream leads to the answer that named it.
+#[test]
+fn limit_of_upstream() {
+    let named = json!({"upstream": "i-1", "limit": "34.5/s", "before": "none", "source": "a0"});
+    let refusal = json!({"request": "a1", "kind": "pay", "at": "gate", "bound": "rate",
+        "reason": "REASON_OVERLOAD", "limit": "34.5/s", "calls": "3"});
+    let logs = line(
+        "pay-1",
+        4900,
+        417,
+        "rate limit of the upstream changed",
+        &named,
+    ) + &line("pay-1", 4990, 800, "request refused", &refusal)
+        + &refused("REASON_OVERLOAD", &json!({"node": "pay-1"}));
+    assert_cause(&logs, &["beside pay-1", "34.5/s", "events 417"]);
+    let output = explain(&["a1"], &logs);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(text.contains("source=a0"), "{text}");
+}
+
 #[test]
 fn files_name_nodes() {
     let folder = env!("CARGO_TARGET_TMPDIR");
--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -99,8 +99,8 @@
     REQUESTS_LEFT_BEHIND = 415 Info "requests left behind" ["requests"];
     /// The slots of abandoned requests were released, although the ends of the requests were not observed. `because` is `load` if the upstream reported that it runs `told` requests while `open` others were waiting for answers, or `time` if the requests are assumed to have ended.
     ROOM_FREED = 416 Debug "room of dropped requests came back" ["requests", "because", "told", "open"];
-    /// The own upstream named another rate limit in a response, or none any more. Logged once per second at most, so `before` may differ from the last event.
-    RATE_LIMIT_NAMED = 417 Info "rate limit of the upstream changed" ["upstream", "limit", "before"];
+    /// The own upstream named another rate limit in a response, or none any more. `source` is the response, or the peer or health check from which a restarted node learned the limit. Logged once per second at most, so `before` may differ from the last event.
+    RATE_LIMIT_NAMED = 417 Info "rate limit of the upstream changed" ["upstream", "limit", "before", "source"];
     /// The rate limit that the own upstream names could not be parsed; the limit before it stays in force. Logged once for each incarnation.
     RATE_LIMIT_UNREADABLE = 418 Warn "rate limit of the upstream not readable" ["upstream", "value"];
     /// The own upstream crashed, that is, ended without deregistering. `ran` lists the requests in flight by the first digits of their identities, with their kinds; `requests` is their number.
@@ -145,8 +145,8 @@
     PEER_CONNECTED = 700 Debug "peer connected" ["node"];
     /// A peer connection was lost.
     PEER_LOST = 701 Info "peer connection lost" ["node", "reason"];
-    /// A request was refused and has not run. `bound` is the limit that it exceeded at the gate: the queue, the window of its kind, or the circuit breaker of a path on which a service has no upstream. `calls` is the number of requests running or waiting there. The remaining fields are only set at the entry.
-    REQUEST_REFUSED = 800 Info "request refused" ["request", "kind", "at", "reason", "bound", "calls", "node", "tries", "pressure", "workspace", "version", "after_ms"];
+    /// A request was refused and has not run. `bound` is the limit that it exceeded at the gate: the queue, the rate limit of the upstream, which is in `limit`, the window of its kind, or the circuit breaker of a path on which a service has no upstream. `calls` is the number of requests running or waiting there. The remaining fields are only set at the entry.
+    REQUEST_REFUSED = 800 Info "request refused" ["request", "kind", "at", "reason", "bound", "limit", "calls", "node", "tries", "pressure", "workspace", "version", "after_ms"];
     /// A request is retried on another upstream. `node` is the node of the failed attempt.
     REQUEST_REPEATED = 801 Info "request sent once more" ["request", "node", "outcome", "reason"];
     /// A request failed without an answer from an upstream. `node` is the node of the last attempt, `pressure` the highest pressure on its path in percent.
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -14,7 +14,7 @@
 use sailtrack_kernel::Service;
 use sailtrack_log::{Entry, Field, catalogue, emit};
 use sailtrack_quarantine::Identity;
-use sailtrack_units::{ConfigVersion, KindName, NodeName, WorkspaceName};
+use sailtrack_units::{ConfigVersion, KindName, NodeName, Rate, WorkspaceName};
 use sailtrack_wire::Reason;
 
 use crate::contexts::Context;
@@ -52,6 +52,8 @@
     /// The queue or the rate limit of the upstream, the window of the request's kind, or the circuit
     /// breaker of a kind whose callees have no upstream.
     pub(crate) limiter: Limiter,
+    /// The rate limit of the upstream, if it is the reason.
+    pub(crate) rate: Option<Rate>,
     /// The requests that were running or waiting at the gate.
     pub(crate) in_flight: usize,
 }
@@ -116,18 +118,22 @@
     /// Logs that a request was refused at the gate.
     pub(crate) fn log_gate_refusal(&self, refusal: &Refusal<'_>) {
         let reason = refusal.reason.as_str_name();
+        let mut fields: Vec<Field<'_>> = vec![
+            ("request", refusal.attempt),
+            ("kind", refusal.kind),
+            ("at", &Stage::Gate),
+            ("reason", &reason),
+            ("bound", &refusal.limiter),
+            ("calls", &refusal.in_flight),
+        ];
+        if let Some(rate) = &refusal.rate {
+            fields.push(("limit", rate));
+        }
         write(
             &self.refusals,
             refusal.attempt,
             &catalogue::REQUEST_REFUSED,
-            &[
-                ("request", refusal.attempt),
-                ("kind", refusal.kind),
-                ("at", &Stage::Gate),
-                ("reason", &reason),
-                ("bound", &refusal.limiter),
-                ("calls", &refusal.in_flight),
-            ],
+            &fields,
         );
     }
 
--- a/crates/mesh/src/gate/demands.rs
+++ b/crates/mesh/src/gate/demands.rs
@@ -6,12 +6,13 @@
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
+use displaydoc::Display;
 use sailtrack_log::{catalogue, emit};
 use sailtrack_units::Rate;
 
 use super::Upstream;
 use crate::dialect::Dialect;
-use crate::key::UpstreamKey;
+use crate::key::{AttemptKey, UpstreamKey};
 use crate::rate_limit::RateLimit;
 
 /// How much of an unreadable value is logged.
@@ -20,6 +21,17 @@
 /// response.
 const EVENT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// From what a limit is known.
+#[derive(Debug, Clone, Copy, Display)]
+pub(crate) enum Source<'a> {
+    /// {0}
+    Response(&'a AttemptKey),
+    /// health check
+    HealthCheck,
+    /// another node
+    Peer,
+}
+
 /// What one response demands.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Demands {
@@ -99,7 +111,7 @@
     }
 
     /// Sets the limit; returns true if it differs from the one before.
-    fn set_limit(&self, upstream: &UpstreamKey, limit: RateLimit) -> bool {
+    fn set_limit(&self, upstream: &UpstreamKey, limit: RateLimit, source: Source<'_>) -> bool {
         let previous = self.limit.replace(limit);
         if previous.rate() == limit.rate() {
             return false;
@@ -118,6 +130,7 @@
                     ("upstream", upstream),
                     ("limit", &text(limit)),
                     ("before", &text(previous)),
+                    ("source", &source),
                 ],
             );
         }
@@ -140,7 +153,12 @@
     ///
     /// A limit that cannot be read leaves the one before in force: the upstream still asks for
     /// fewer requests.
-    pub(super) fn handle_demands(&self, upstream: &UpstreamKey, demands: &Demands) {
+    pub(super) fn handle_demands(
+        &self,
+        upstream: &UpstreamKey,
+        demands: &Demands,
+        attempt: &AttemptKey,
+    ) {
         if !self.is_current(upstream) {
             return;
         }
@@ -148,7 +166,7 @@
             self.demands.log_unreadable(upstream, value);
         }
         if demands.limit != RateLimit::Unknown {
-            self.apply_limit(upstream, demands.limit);
+            self.apply_limit(upstream, demands.limit, Source::Response(attempt));
         }
         if demands.is_leaving {
             self.retire(upstream, "said so in a response");
@@ -161,7 +179,7 @@
     /// Applies a limit that another node knows, since this process has not seen a response yet.
     pub(crate) fn learn_limit(&self, upstream: &UpstreamKey, rate: Rate) {
         if self.rate_limit() == RateLimit::Unknown && self.is_current(upstream) {
-            self.apply_limit(upstream, RateLimit::Limited(rate));
+            self.apply_limit(upstream, RateLimit::Limited(rate), Source::Peer);
         }
     }
 
@@ -180,12 +198,12 @@
         self.demands.reset();
         let initial = self.demands.initial.take();
         if let Some((_, rate)) = initial.filter(|(id, _)| id == upstream.id()) {
-            self.apply_limit(upstream, RateLimit::Limited(rate));
+            self.apply_limit(upstream, RateLimit::Limited(rate), Source::HealthCheck);
         }
     }
 
-    fn apply_limit(&self, upstream: &UpstreamKey, limit: RateLimit) {
-        if self.demands.set_limit(upstream, limit) {
+    fn apply_limit(&self, upstream: &UpstreamKey, limit: RateLimit, source: Source<'_>) {
+        if self.demands.set_limit(upstream, limit, source) {
             self.admission.limit_rate(limit.rate());
         }
     }
--- a/crates/mesh/src/gate/refusal.rs
+++ b/crates/mesh/src/gate/refusal.rs
@@ -49,6 +49,11 @@
             kind: &request.kind,
             reason,
             limiter,
+            rate: self
+                .upstream
+                .rate_limit()
+                .rate()
+                .filter(|_| limiter == Limiter::Rate),
             in_flight: self.admission.in_flight() + self.admission.waiting(),
         });
         let after = match (limiter, reason) {
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -18,7 +18,7 @@
 use super::upstream::Ended;
 use super::wait::Waited;
 use crate::clock;
-use crate::key::UpstreamKey;
+use crate::key::{AttemptKey, UpstreamKey};
 use crate::request::{Request, Response};
 
 /// The status of another upstream at the address of the expected one.
@@ -37,7 +37,9 @@
         let upstream = &admitted.upstream;
         let guard = self.contexts.open(request, upstream);
         let is_leaving = Cell::new(false);
-        let on_head = |head: &ResponseHead| is_leaving.set(self.handle_head(upstream, head));
+        let on_head = |head: &ResponseHead| {
+            is_leaving.set(self.handle_head(upstream, head, &request.attempt));
+        };
         let exchange = exchange(
             &self.pool,
             self.dialect.fields(),
@@ -76,7 +78,12 @@
 
     /// Handles what a response demands, before its body is read, which may take minutes; returns
     /// true if its upstream is leaving.
-    fn handle_head(&self, upstream: &UpstreamKey, head: &ResponseHead) -> bool {
+    fn handle_head(
+        &self,
+        upstream: &UpstreamKey,
+        head: &ResponseHead,
+        attempt: &AttemptKey,
+    ) -> bool {
         if head.status == MISDIRECTED {
             return false;
         }
@@ -87,7 +94,7 @@
             values(fields.rate_limit),
             values(fields.leaving),
         );
-        self.upstream.handle_demands(upstream, &demands);
+        self.upstream.handle_demands(upstream, &demands, attempt);
         demands.is_leaving
     }
 
