Own interface: keep to rates and leaving that upstreams state in answers

Answers may now carry sailtrack-rate-limit (such as 34.5/s) and sailtrack-leaving: 1; the node beside the upstream keeps to both, with the limit of admission that the mesh uses.

Two scenarios: one of four upstreams names 10 calls a second, one leaves by its answers alone.

--- a/crates/node/src/execute.rs
+++ b/crates/node/src/execute.rs
@@ -9,9 +9,10 @@
 use monoio::time::{Instant as Deadline, timeout_at};
 use rand::Rng as _;
 use sailtrack_kernel::{Phase, Service};
+use sailtrack_log::{catalogue, emit};
 use sailtrack_net::http::{ExchangeError, Request, Response};
 use sailtrack_net::task;
-use sailtrack_units::Ticket;
+use sailtrack_units::{Rate, Ticket};
 use sailtrack_wire::{Outcome, Reason};
 
 use crate::call::{Answer, Call};
@@ -252,6 +253,22 @@
         answer.with_retry_after(Duration::from_millis(millis))
     }
 
+    /// Applies the rate limit that an answer names, and keeps new calls from an upstream that is
+    /// leaving. A limit that cannot be read leaves the one before in force.
+    fn apply_demands(&self, response: &Response) {
+        match response.header(header::RATE_LIMIT).map(str::parse::<Rate>) {
+            None => self.admission.limit_rate(None),
+            Some(Ok(rate)) => self.admission.limit_rate(Some(rate)),
+            Some(Err(error)) => emit(
+                &catalogue::INPUT_REFUSED,
+                &[("port", &"upstream"), ("reason", &error)],
+            ),
+        }
+        if response.header(header::LEAVING) == Some("1") {
+            self.upstream.mark_leaving();
+        }
+    }
+
     fn handle_response(
         &self,
         call: &Call,
@@ -260,6 +277,7 @@
         sample: Sample,
     ) -> Answer {
         let now = Instant::now();
+        self.apply_demands(&response);
         let was_shed_by_upstream = response.status == StatusCode::SERVICE_UNAVAILABLE
             && response.header(header::OUTCOME) == Some("not-run");
         if was_shed_by_upstream && registration.context.made_no_calls() {
--- a/crates/node/src/header.rs
+++ b/crates/node/src/header.rs
@@ -16,6 +16,10 @@
 pub(crate) const OUTCOME: &str = "sailtrack-outcome";
 /// Why a request did not run or its outcome is unknown.
 pub(crate) const REASON: &str = "sailtrack-reason";
+/// On answers of an upstream: how many calls per second it accepts from all nodes, such as `34.5/s`.
+pub(crate) const RATE_LIMIT: &str = "sailtrack-rate-limit";
+/// On answers of an upstream that is leaving.
+pub(crate) const LEAVING: &str = "sailtrack-leaving";
 /// The time after which to retry, in milliseconds.
 pub(crate) const RETRY_AFTER_MS: &str = "sailtrack-retry-after-ms";
 /// The time after which to retry, in whole seconds.
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -47,6 +47,8 @@
     pool: RefCell<Option<Rc<Pool>>>,
     unreachable: Cell<bool>,
     drained: Cell<bool>,
+    /// The incarnation that said in an answer that it is leaving.
+    leaving: Cell<Option<u64>>,
 }
 
 impl Service for Upstream {
@@ -81,6 +83,9 @@
     pub(crate) fn state(&self, now: Instant) -> Option<UpstreamState> {
         let announced = self.announced.borrow();
         let (announcement, at) = announced.as_ref()?;
+        if self.leaving.get() == Some(announcement.life) {
+            return Some(UpstreamState::Leaving);
+        }
         let age = now.saturating_duration_since(*at);
         (age < ANNOUNCEMENT_TTL).then_some(announcement.state)
     }
@@ -100,6 +105,16 @@
         self.unreachable.set(true);
     }
 
+    /// Keeps new calls from this incarnation, since it said in an answer that it is leaving.
+    pub(crate) fn mark_leaving(&self) {
+        let announced = self.announced.borrow();
+        self.leaving.set(
+            announced
+                .as_ref()
+                .map(|(announcement, _)| announcement.life),
+        );
+    }
+
     /// Sets whether operators have drained the upstream.
     pub(crate) fn set_drained(&self, drained: bool) {
         self.drained.set(drained);
--- a/standins/upstream/src/control.rs
+++ b/standins/upstream/src/control.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::time::Instant;
 
+use sailtrack_units::Rate;
 use serde::Deserialize;
 
 /// How the load is reported.
@@ -34,6 +35,10 @@
     pub(crate) report: Option<Report>,
     /// Announces that the upstream leaves, or that it is back.
     pub(crate) leave: Option<bool>,
+    /// The calls per second that it says in its answers to take, none if negative.
+    pub(crate) rate_limit: Option<f64>,
+    /// Whether it says in its answers that it leaves; its announcements don't.
+    pub(crate) leave_in_answers: Option<bool>,
 }
 
 /// The behaviour at present.
@@ -46,6 +51,8 @@
     silent_when_full: Cell<bool>,
     report: Cell<Report>,
     leaving: Cell<bool>,
+    rate_limit: Cell<Option<Rate>>,
+    leaves_in_answers: Cell<bool>,
 }
 
 impl Control {
@@ -58,6 +65,8 @@
             silent_when_full: Cell::new(false),
             report: Cell::default(),
             leaving: Cell::new(false),
+            rate_limit: Cell::default(),
+            leaves_in_answers: Cell::new(false),
         }
     }
 
@@ -81,6 +90,22 @@
         if let Some(leave) = order.leave {
             self.leaving.set(leave);
         }
+        if let Some(rate) = order.rate_limit {
+            self.rate_limit.set((rate >= 0.0).then_some(Rate(rate)));
+        }
+        if let Some(leave) = order.leave_in_answers {
+            self.leaves_in_answers.set(leave);
+        }
+    }
+
+    /// Returns the rate that it says in its answers to take.
+    pub(crate) fn rate_limit(&self) -> Option<Rate> {
+        self.rate_limit.get()
+    }
+
+    /// Returns true if it says in its answers that it leaves.
+    pub(crate) fn leaves_in_answers(&self) -> bool {
+        self.leaves_in_answers.get()
     }
 
     /// Makes the stand-in announce that it leaves.
--- a/standins/upstream/src/service.rs
+++ b/standins/upstream/src/service.rs
@@ -29,6 +29,10 @@
 const TIMEOUT: &str = "sailtrack-timeout-ms";
 /// What is known about the execution.
 const OUTCOME: &str = "sailtrack-outcome";
+/// How many calls per second it takes.
+const RATE_LIMIT: &str = "sailtrack-rate-limit";
+/// Says that it leaves.
+const LEAVING: &str = "sailtrack-leaving";
 /// How long a request without a time left may take.
 const DEFAULT_TIME: Duration = Duration::from_secs(10);
 /// The most unused connections kept to the node.
@@ -160,6 +164,19 @@
         false
     }
 
+    /// Adds what the stand-in demands of its callers.
+    fn with_demands(&self, response: Response) -> Response {
+        let response = match self.control.rate_limit() {
+            Some(rate) => response.with(RATE_LIMIT, &rate.to_string()),
+            None => response,
+        };
+        if self.control.leaves_in_answers() {
+            response.with(LEAVING, "1")
+        } else {
+            response
+        }
+    }
+
     fn counts(&self) -> Response {
         let (started, finished) = self.record.counts();
         let body = json!({
@@ -186,7 +203,10 @@
         match request.path.as_str() {
             "/.control" => self.obey(&request),
             "/.counts" => self.counts(),
-            _ => self.run(&request).await,
+            _ => {
+                let response = self.run(&request).await;
+                self.with_demands(response)
+            }
         }
     }
 }
