Rate limit: one that falls with every other answer sends nothing any more

Found by changes_each_time: an upstream whose answers name 30 and 20 a second by turns got 0 requests in 4 s. Each fall emptied the bucket, so no whole token ever came together. The tokens stay now when the limit changes, up to the new capacity; only what an upstream got beyond three seconds' worth is still worked off. The test passes: 72 to 124 requests are right, it fails without.

More tests without a network: each second at 2.6, 34.5 and 10,000 a second, no burst after a minute without demand, rises and falls, a limit of zero, turns, what a node remembers of another node's upstream over its restart, and that a refusal for the rate is no failure of a node.

--- a/crates/admission/src/rate.rs
+++ b/crates/admission/src/rate.rs
@@ -4,6 +4,9 @@
 //! refused are each given a time for their next one, so that together they use the rate and few of
 //! their calls are refused again.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::{Duration, Instant};
 
 use sailtrack_quota::Bucket;
@@ -52,13 +55,13 @@
         limiter
     }
 
-    /// Changes the rate; a lower one starts without a burst.
+    /// Changes the rate. The tokens stay, since it may change with each response.
     pub(crate) fn set_rate(&mut self, rate: Rate, recent: u32, now: Instant) {
         self.refill(now);
         let is_lower = rate < self.rate;
         self.rate = rate;
+        self.bucket.truncate(self.capacity());
         if is_lower {
-            self.bucket.truncate(0.0);
             self.pay_off(recent);
         }
     }
@@ -129,8 +132,10 @@
     /// Delays the next calls if the upstream got many times its limit in the last second.
     fn pay_off(&mut self, recent: u32) {
         let excess = f64::from(recent) - self.per_second() * MAX_PRIOR_SECONDS;
-        let longest = self.per_second() * MAX_PAUSE.as_secs_f64();
-        self.bucket.truncate(-excess.clamp(0.0, longest));
+        if excess > 0.0 {
+            let longest = self.per_second() * MAX_PAUSE.as_secs_f64();
+            self.bucket.truncate(-excess.min(longest));
+        }
     }
 }
 
--- a/crates/mesh/src/peer/link/upstream.rs
+++ b/crates/mesh/src/peer/link/upstream.rs
@@ -3,6 +3,9 @@
 //! It is kept while the node is not connected: a node that restarts learns from the requests of its
 //! peers what its upstream demanded before.
 
+#[cfg(test)]
+mod tests;
+
 use std::cell::{Cell, RefCell};
 
 use sailtrack_wire::{Presence, RateLimit as RateLimitMessage};
--- a/crates/mesh/src/routing/load/tests.rs
+++ b/crates/mesh/src/routing/load/tests.rs
@@ -220,3 +220,23 @@
     }
     assert!(load.is_available(now));
 }
+
+/// A refusal for a rate limit is no failure: the node gets nothing until its turn, and its standing
+/// is as before once the limit has ended.
+#[test]
+fn limited_rate_is_no_failure() {
+    let (mut load, now) = (PeerLoad::default(), Instant::now());
+    let turn = Duration::from_millis(300);
+    for _ in 0..50 {
+        let refused = Response {
+            turn: Some(turn),
+            ..Response::refused(Reason::Overload)
+        };
+        assert!(load.record(now, CLASS, &refused).is_none());
+    }
+    assert!(!load.is_available(now));
+    assert!(load.is_available(now + turn));
+    load.end_rate_limit();
+    assert!(load.is_available(now));
+    assert!(load.failure_rate(now) < f64::EPSILON);
+}
