Rate limit: what reading the diff showed

- Calls that already wait when a limit begins are admitted at its rate; before, only a new one started the task that does so.
- Room for what an upstream still works on after a restart of its node is reserved whatever the rate.
- A turn from another node is believed for 5 s at most; an absurd one ended the task with an overflow.
- An id that waits for its first heartbeat to be retired is forgotten after three heartbeat intervals, so that a later life is not taken for it.
- Gauge sailtrack_mesh_rate: requests admitted in the last second.

--- a/crates/admission/src/entrance.rs
+++ b/crates/admission/src/entrance.rs
@@ -53,6 +53,16 @@
         self.submit_in_class((rank.importance().into(), rank), nested, time_left)
     }
 
+    /// Takes a place in the upstream for a call that it already runs.
+    pub fn reserve(self: &Rc<Self>) -> Option<Permit> {
+        let limit = self.limit((self.clock)());
+        if self.in_flight() >= limit || self.waiting() > 0 {
+            return None;
+        }
+        self.in_flight.set(self.in_flight() + 1);
+        Some(Permit::new(self))
+    }
+
     fn submit_in_class(
         self: &Rc<Self>,
         priority: (Class, Rank),
--- a/crates/admission/src/pacing.rs
+++ b/crates/admission/src/pacing.rs
@@ -15,7 +15,7 @@
 
 impl Admission {
     /// Limits how many calls per second are admitted, or ends the limit.
-    pub fn limit_rate(&self, rate: Option<Rate>) {
+    pub fn limit_rate(self: &Rc<Self>, rate: Option<Rate>) {
         let now = (self.clock)();
         {
             let state = &mut *self.state.borrow_mut();
@@ -30,6 +30,7 @@
             }
         }
         self.admit_waiting();
+        self.start_pacing();
     }
 
     /// Returns how many calls were admitted in the last second.
@@ -56,10 +57,10 @@
         Some(limiter.turn(now))
     }
 
-    /// Starts the task that admits waiting calls at the rate of the limit, unless it runs or there
-    /// is no limit.
+    /// Starts the task that admits waiting calls at the rate of the limit, unless it runs, no call
+    /// waits or there is no limit.
     pub(crate) fn start_pacing(self: &Rc<Self>) {
-        if self.state.borrow().limiter.is_none() || self.is_pacing.replace(true) {
+        if self.time_until_admission().is_none() || self.is_pacing.replace(true) {
             return;
         }
         let admission = Rc::clone(self);
--- a/crates/admission/src/rate.rs
+++ b/crates/admission/src/rate.rs
@@ -23,8 +23,8 @@
 /// How much faster than the rate turns follow each other: not every node has a call when its turn
 /// comes.
 const TURN_OVERBOOKING: f64 = 2.0;
-/// The longest time until a turn. The nodes learn within it that the limit has ended, and each of
-/// hundreds has only two calls refused per second.
+/// The longest time until a turn. The nodes learn within it that the limit has ended, and hundreds
+/// of them are still refused only some hundred times a second.
 const MAX_TURN: Duration = Duration::from_secs(2);
 /// How many seconds' worth of calls an upstream may have got in the second before it lowered its
 /// limit. What exceeds that is worked off.
--- a/crates/mesh/src/announcement/retirement.rs
+++ b/crates/mesh/src/announcement/retirement.rs
@@ -13,6 +13,7 @@
 
 use super::error::RowError;
 use super::{Announcements, POLL_INTERVAL};
+use crate::gate::LEAVING_REASON;
 use crate::key::UpstreamKey;
 use crate::store::{Content, Row, Table};
 
@@ -35,9 +36,7 @@
         let (announcements, upstream) = (Rc::clone(self), upstream.clone());
         task::spawn("leaving upstream", async move {
             // A failure is logged where it occurs.
-            announcements
-                .retire(&upstream, "said so in a response")
-                .await;
+            announcements.retire(&upstream, LEAVING_REASON).await;
         });
     }
 
--- a/crates/mesh/src/gate/demands.rs
+++ b/crates/mesh/src/gate/demands.rs
@@ -11,10 +11,13 @@
 use sailtrack_units::Rate;
 
 use super::Upstream;
+use super::upstream::MAX_SILENCE;
 use crate::dialect::Dialect;
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::rate_limit::RateLimit;
 
+/// Why an upstream is retired that said in a response that it is leaving.
+pub(crate) const LEAVING_REASON: &str = "said so in a response";
 /// How much of an unreadable value is logged.
 const MAX_LOGGED_CHARS: usize = 64;
 /// The shortest time between two events about changes of the limit, which may change with every
@@ -97,8 +100,9 @@
     limit: Cell<RateLimit>,
     /// A limit that was named before the incarnation was known, with the id of its upstream.
     initial: RefCell<Option<(String, Rate)>>,
-    /// The id of an upstream that is leaving and has not sent a heartbeat to this process yet.
-    leaving_id: RefCell<Option<String>>,
+    /// The id of an upstream that said that it is leaving before it sent a heartbeat to this
+    /// process, and when it did.
+    leaving_id: RefCell<Option<(String, Instant)>>,
     /// When the last change of the limit was logged.
     last_event: Cell<Option<Instant>>,
     /// Whether an unreadable value of this incarnation has been logged.
@@ -190,31 +194,33 @@
     /// If only its id is known so far, its first heartbeat completes this: the id alone would also
     /// stand for later incarnations, which are sound.
     pub(super) fn handle_leaving(&self, upstream: &UpstreamKey) {
-        if !self.is_identified() {
-            let id = upstream.id().to_owned();
-            self.demands.leaving_id.replace(Some(id));
-            self.suspend_current();
+        if self.is_identified() {
+            self.retire_leaving(upstream);
             return;
         }
-        self.retire(upstream, "said so in a response");
-        for on_leaving in self.on_leaving.borrow().iter() {
-            on_leaving(upstream);
-        }
+        let leaving = (upstream.id().to_owned(), Instant::now());
+        self.demands.leaving_id.replace(Some(leaving));
+        self.suspend_current();
     }
 
     /// Retires the incarnation that sent a heartbeat if it said before that it is leaving; returns
     /// true if it did.
-    pub(super) fn complete_leaving(&self, upstream: &UpstreamKey) -> bool {
-        let is_leaving = |id: &mut String| id == upstream.id();
-        let leaving = self.demands.leaving_id.borrow_mut().take_if(is_leaving);
-        if leaving.is_none() {
-            return false;
+    pub(super) fn complete_leaving(&self, upstream: &UpstreamKey, now: Instant) -> bool {
+        let leaving = self.demands.leaving_id.take();
+        let is_leaving = leaving.is_some_and(|(id, at)| {
+            id == upstream.id() && now.saturating_duration_since(at) < MAX_SILENCE
+        });
+        if is_leaving {
+            self.retire_leaving(upstream);
         }
-        self.retire(upstream, "said so in a response");
+        is_leaving
+    }
+
+    fn retire_leaving(&self, upstream: &UpstreamKey) {
+        self.retire(upstream, LEAVING_REASON);
         for on_leaving in self.on_leaving.borrow().iter() {
             on_leaving(upstream);
         }
-        true
     }
 
     /// Applies a limit that another node knows, since this process has not seen a response yet.
--- a/crates/mesh/src/gate/slots.rs
+++ b/crates/mesh/src/gate/slots.rs
@@ -16,10 +16,10 @@
 use futures::StreamExt as _;
 use futures::channel::mpsc;
 use monoio::time::sleep;
-use sailtrack_admission::{Admission, Decision, Permit};
+use sailtrack_admission::{Admission, Permit};
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::task;
-use sailtrack_units::{Moment, Rank};
+use sailtrack_units::Moment;
 
 use crate::clock::{self, READ_GRACE};
 
@@ -166,9 +166,7 @@
     ) {
         let limit = admission.limit(Instant::now()).saturating_sub(1);
         for _ in 0..reported.min(limit) {
-            let remaining = until.since(clock::now());
-            let Decision::Admitted(permit) = admission.submit(Rank::LOWEST, false, remaining)
-            else {
+            let Some(permit) = admission.reserve() else {
                 return;
             };
             self.retain(self.sequence(), permit, until);
--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -30,7 +30,7 @@
 /// How long the current incarnation must be silent before a heartbeat with an earlier start time is
 /// accepted. Such a heartbeat may be a late one of an incarnation that has ended, or come from a
 /// new incarnation after the clock of the instance went back. Three heartbeat intervals.
-const MAX_SILENCE: Duration = Duration::from_millis(4500);
+pub(super) const MAX_SILENCE: Duration = Duration::from_millis(4500);
 
 /// The fraction of its slots that an upstream gets filled: some slow down when nearly full.
 const SLOT_SHARE: f64 = 0.96;
@@ -220,7 +220,7 @@
         if self.retired.contains(&heartbeat.upstream) {
             return;
         }
-        if self.complete_leaving(&heartbeat.upstream) {
+        if self.complete_leaving(&heartbeat.upstream, now) {
             return;
         }
         let known = self.current.borrow().clone();
@@ -320,7 +320,9 @@
     /// is known if it reports that.
     pub(super) fn is_identified(&self) -> bool {
         let current = self.current.borrow();
-        current.as_ref().is_some_and(|current| current.sequence > 0)
+        current
+            .as_ref()
+            .is_some_and(|current| current.sequence > 0 || current.key.started().is_some())
     }
 
     /// Sends nothing new to the current incarnation, without retiring it.
--- a/crates/mesh/src/metrics/gauges.rs
+++ b/crates/mesh/src/metrics/gauges.rs
@@ -44,6 +44,8 @@
     pub(crate) pace_percent: u32,
     /// The rate limit that the own upstream names.
     pub(crate) rate_limit: Option<Rate>,
+    /// The requests admitted to the own upstream in the last second.
+    pub(crate) recent_rate: u32,
 }
 
 /// A gauge and the function that reads its value from a snapshot.
@@ -168,6 +170,11 @@
             "Rate limit that the own upstream names, in requests per 1000 s; 0 if it names none",
             |now| now.rate_limit.map_or(0, milli),
         ),
+        gauge(
+            "rate",
+            "Requests admitted to the own upstream in the last second",
+            |now| u64::from(now.recent_rate),
+        ),
         gauge(
             "suspects",
             "Requests remembered since they ran when upstreams ended",
--- a/crates/mesh/src/routing/load.rs
+++ b/crates/mesh/src/routing/load.rs
@@ -25,6 +25,9 @@
 /// The most times the duration doubles.
 const MAX_EJECTION_DOUBLINGS: u32 = 4;
 
+/// The longest time until a turn that is believed, whatever the node says.
+const MAX_TURN: Duration = Duration::from_secs(5);
+
 /// The average pressure of a group of nodes that serve one service, by importance.
 #[derive(Debug, Default)]
 pub(crate) struct Levels([Average; Importance::ALL.len()]);
@@ -109,7 +112,7 @@
         response: &Response,
     ) -> Option<Duration> {
         if let Some(turn) = response.turn {
-            self.next_turn = Some(now + turn);
+            self.next_turn = Some(now + turn.min(MAX_TURN));
         }
         if response.reason != Reason::Connection {
             // A broken connection carries no load report.
--- a/crates/mesh/src/routing/load/tests.rs
+++ b/crates/mesh/src/routing/load/tests.rs
@@ -238,5 +238,11 @@
     assert!(load.is_available(now + turn));
     load.end_rate_limit();
     assert!(load.is_available(now));
+    let absurd = Response {
+        turn: Some(Duration::MAX),
+        ..Response::refused(Reason::Overload)
+    };
+    load.record(now, CLASS, &absurd);
+    assert!(load.is_available(now + Duration::from_secs(5)));
     assert!(load.failure_rate(now) < f64::EPSILON);
 }
--- a/crates/mesh/src/scrape.rs
+++ b/crates/mesh/src/scrape.rs
@@ -79,6 +79,7 @@
             foreign_rows: self.directory.foreign_row_count(),
             key_age_ms: age.map_or(0, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             quota_term: self.status.quota_term.get(),
+            recent_rate: self.admission.recent_rate(Instant::now()),
             rate_limit: self.upstream.rate_limit().rate(),
             pace_percent: self
                 .upstream
--- a/crates/model/src/rate.rs
+++ b/crates/model/src/rate.rs
@@ -171,9 +171,9 @@
         nested_queue_time: Period::from_millis(200),
         warm_up: Period::default(),
     };
-    let admission = Admission::with_clock(config, clock::now, clock::now());
+    let admission = Rc::new(Admission::with_clock(config, clock::now, clock::now()));
     admission.limit_rate(limit);
-    Rc::new(admission)
+    admission
 }
 
 /// Returns the node of a number drawn from the demand of all; the first one has the skew.
