--- a/crates/mesh/src/dialect.rs
+++ b/crates/mesh/src/dialect.rs
@@ -2,6 +2,9 @@
 //!
 //! Implementations only translate; they make no decisions.
 
+#[cfg(test)]
+pub(crate) mod tests;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/mesh/src/gate/demands/tests.rs
+++ b/crates/mesh/src/gate/demands/tests.rs
@@ -1,54 +1,15 @@
 //! Which demands are read from responses.
 
-use sailtrack_net::http::Request;
 use sailtrack_units::Rate;
 
 use super::Demands;
-use crate::configuration::Configuration;
-use crate::dialect::{Announcement, Dialect, DialectError, FieldNames, Load};
+use crate::dialect::tests::ResponsesOnly;
 use crate::rate_limit::RateLimit;
 
-/// A dialect that reads demands only.
-struct DemandsOnly;
-
-impl Dialect for DemandsOnly {
-    fn fields(&self) -> &FieldNames {
-        unreachable!("no response is sent")
-    }
-
-    fn announcement(&self, _request: &Request) -> Result<Announcement, DialectError> {
-        Err(DialectError::NotFound)
-    }
-
-    fn acknowledgement(&self) -> String {
-        String::new()
-    }
-
-    fn is_readiness_probe(&self, _request: &Request) -> bool {
-        false
-    }
-
-    fn configuration(&self, _text: &str) -> Result<Configuration, DialectError> {
-        Err(DialectError::NotFound)
-    }
-
-    fn load(&self, _value: &str) -> Option<Load> {
-        None
-    }
-
-    fn rate_limit(&self, value: &str) -> Option<Rate> {
-        value.parse().ok().map(Rate)
-    }
-
-    fn is_leaving(&self, value: &str) -> bool {
-        value == "yes"
-    }
-}
-
 fn read(limits: &[&str], leaving: &[&str]) -> Demands {
     let limits = limits.iter().map(|value| value.as_bytes());
     let leaving = leaving.iter().map(|value| value.as_bytes());
-    Demands::read(&DemandsOnly, limits, leaving)
+    Demands::read(&ResponsesOnly, limits, leaving)
 }
 
 #[test]
--- a/crates/mesh/src/gate/report/tests.rs
+++ b/crates/mesh/src/gate/report/tests.rs
@@ -2,65 +2,19 @@
 
 use std::time::Duration;
 
-use sailtrack_net::http::Request;
-use sailtrack_units::{Moment, Pace, Rate};
+use sailtrack_units::{Moment, Pace};
 
 use super::{PACE_MAX_AGE, Report};
-use crate::configuration::Configuration;
-use crate::dialect::{Announcement, Dialect, DialectError, FieldNames, Load};
+use crate::dialect::tests::ResponsesOnly;
 use crate::key::UpstreamKey;
 
-/// A dialect that parses only a pace.
-struct PaceOnly;
-
-impl Dialect for PaceOnly {
-    fn fields(&self) -> &FieldNames {
-        unreachable!("no request is sent")
-    }
-
-    fn announcement(&self, _request: &Request) -> Result<Announcement, DialectError> {
-        Err(DialectError::NotFound)
-    }
-
-    fn acknowledgement(&self) -> String {
-        String::new()
-    }
-
-    fn is_readiness_probe(&self, _request: &Request) -> bool {
-        false
-    }
-
-    fn configuration(&self, _text: &str) -> Result<Configuration, DialectError> {
-        Err(DialectError::NotFound)
-    }
-
-    fn load(&self, value: &str) -> Option<Load> {
-        let pace = value.parse().ok();
-        (value != "nothing").then_some(Load {
-            running: 1,
-            waiting: 2,
-            slots: 3,
-            pace,
-            is_complete: pace.is_some(),
-        })
-    }
-
-    fn rate_limit(&self, _value: &str) -> Option<Rate> {
-        None
-    }
-
-    fn is_leaving(&self, _value: &str) -> bool {
-        false
-    }
-}
-
 const NOW: Moment = Moment::since_boot(Duration::from_secs(100));
 
 fn updated(values: &[&str]) -> Report {
     let report = Report::default();
     let upstream = UpstreamKey::new("i-1", None).expect("a sound id");
     for value in values {
-        report.update(&PaceOnly, &upstream, value.as_bytes(), NOW);
+        report.update(&ResponsesOnly, &upstream, value.as_bytes(), NOW);
     }
     report
 }
