--- a/crates/admission/src/pacing.rs
+++ b/crates/admission/src/pacing.rs
@@ -1,5 +1,8 @@
 //! Admission of calls under a rate limit.
 
+#[cfg(test)]
+mod tests;
+
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
