Slots: the usual time ends a dropped request only if the upstream keeps its pace

Cause: the slot of a dropped request came back after the usual time of its kind, learned while the upstream was quicker, and nothing asked whether that time still holds.

Change: the usual time ends such a request if a later one of its kind was answered within it, or at the deadline. Otherwise one slot comes back, the next after four times as long, and so on; these stay among the requests that the load header counts. The factor of four and the interval of 100 ms between checks are chosen, not measured.

--- a/crates/mesh/src/gate/kinds.rs
+++ b/crates/mesh/src/gate/kinds.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
-use sailtrack_units::KindName;
+use sailtrack_units::{KindName, Moment};
 
 use super::timeout::Latency;
 
@@ -68,6 +68,8 @@
     abandoned: Cell<Option<(Duration, Instant)>>,
     /// The moving average of unanswered requests, and when it was last updated.
     unanswered: Cell<Option<(f64, Instant)>>,
+    /// When the latest request was sent that was answered in the usual time.
+    last_prompt: Cell<Option<Moment>>,
 }
 
 impl Default for Latencies {
@@ -165,6 +167,16 @@
         self.unanswered.set(Some((share, now)));
     }
 
+    /// Records that a request which was sent at this moment was answered in the usual time.
+    pub(super) fn record_prompt(&self, sent: Moment) {
+        self.last_prompt.set(self.last_prompt.get().max(Some(sent)));
+    }
+
+    /// Returns true if a request that was sent after this moment was answered in the usual time.
+    pub(super) fn was_prompt_after(&self, moment: Moment) -> bool {
+        self.last_prompt.get().is_some_and(|sent| sent > moment)
+    }
+
     /// Returns how long the last abandoned request waited, or zero if that is long ago or a fast
     /// response has come since.
     fn last_abandoned(&self, now: Instant) -> Duration {
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -66,6 +66,7 @@
         if response.outcome == Outcome::Done {
             self.quarantine.record_response(&request.identity);
             sent.record_response(&response, self.upstream.report.slowdown());
+            self.slots.release_confirmed();
         }
         Response {
             path_pressure: guard.context.pressure.get(),
--- a/crates/mesh/src/gate/slots.rs
+++ b/crates/mesh/src/gate/slots.rs
@@ -4,7 +4,11 @@
 //! The upstream may still work on a request that was dropped on this node. The
 //! slot of such a request is retained until the upstream reports that it has
 //! finished, or until the time by which it must have finished or stopped.
+//!
+//! The usual time of a request only tells when it has ended while the upstream works at its usual
+//! pace. Until a later response confirms that, few slots are released by that time.
 
+mod expectation;
 #[cfg(test)]
 mod tests;
 
@@ -21,19 +25,32 @@
 use sailtrack_net::task;
 use sailtrack_units::Moment;
 
+pub(super) use self::expectation::Expectation;
 use crate::clock::{self, READ_GRACE};
 
 /// A request that was sent this long before a response came is assumed to have been read by the
 /// upstream when it wrote that response: many times the latency of the local connection.
 const READ_DELAY: Duration = Duration::from_millis(10);
 
-/// The slot of a request that was abandoned and may still run.
+/// How often it is checked whether a slot that is retained beyond the usual time is due.
+const DUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A request that was abandoned and may still run.
 struct Retained {
     /// The sequence number of the request, in the order of sending.
     sequence: u64,
-    /// Released when dropped.
-    #[allow(dead_code, reason = "it is held, not read")]
-    permit: Permit,
+    expectation: Expectation,
+    /// Its slot, released when dropped; `None` if it was released without confirmation that the
+    /// request has ended.
+    permit: Option<Permit>,
+}
+
+/// Whether a retained slot has been released by time.
+enum Expiry {
+    /// Nothing is left to release.
+    Over,
+    /// It must be checked again at this moment.
+    Check(Moment),
 }
 
 /// The concurrency slots of the local upstream.
@@ -43,7 +60,7 @@
     in_flight: RefCell<BTreeMap<u64, Moment>>,
     retained: RefCell<VecDeque<Retained>>,
     next_sequence: Cell<u64>,
-    /// Newly retained slots and their expiry, for the task that releases them.
+    /// Newly retained slots and their usual end, for the task that releases them.
     retentions: mpsc::UnboundedSender<(Moment, u64)>,
 }
 
@@ -71,20 +88,78 @@
         while let Some((until, sequence)) = retentions.next().await {
             let slots = Rc::clone(&self);
             task::spawn("retained slot", async move {
-                // This only ends by its deadline.
-                let _ = clock::timeout_at(until, std::future::pending::<()>()).await;
-                if slots.release(sequence) {
-                    log_released(1, "time", 0, slots.in_flight.borrow().len());
+                let mut expiry = Expiry::Check(until);
+                while let Expiry::Check(at) = expiry {
+                    // This only ends by its deadline.
+                    let _ = clock::timeout_at(at, std::future::pending::<()>()).await;
+                    expiry = slots.expire(sequence, clock::now());
                 }
             });
         }
     }
 
+    /// Releases a retained slot if it is due.
+    fn expire(&self, sequence: u64, now: Moment) -> Expiry {
+        let Some(expectation) = self.expectation(sequence) else {
+            return Expiry::Over;
+        };
+        if expectation.is_confirmed(now) {
+            let permit = self.remove(sequence).and_then(|retained| retained.permit);
+            self.log_expired(usize::from(permit.is_some()));
+            return Expiry::Over;
+        }
+        let due = expectation.unconfirmed_end(self.unconfirmed());
+        if now < due {
+            return Expiry::Check(due.min(now + DUE_CHECK_INTERVAL));
+        }
+        let permit = self.take_permit(sequence);
+        self.log_expired(usize::from(permit.is_some()));
+        Expiry::Check(expectation.deadline())
+    }
+
+    /// Releases the retained slots of requests that have ended, as a response confirms.
+    pub(super) fn release_confirmed(&self) {
+        if self.retained.borrow().is_empty() {
+            return;
+        }
+        let now = clock::now();
+        let retained = self.retained.take();
+        let (ended, others) = retained
+            .into_iter()
+            .partition::<VecDeque<_>, _>(|one| one.expectation.is_confirmed(now));
+        self.retained.replace(others);
+        self.log_expired(permits(&ended));
+    }
+
+    fn expectation(&self, sequence: u64) -> Option<Expectation> {
+        let retained = self.retained.borrow();
+        let one = retained.iter().find(|one| one.sequence == sequence)?;
+        Some(one.expectation.clone())
+    }
+
+    /// Returns the number of slots that were released without confirmation.
+    fn unconfirmed(&self) -> usize {
+        let retained = self.retained.borrow();
+        retained.len() - permits(&*retained)
+    }
+
+    /// Takes the slot of a request that may still run.
+    fn take_permit(&self, sequence: u64) -> Option<Permit> {
+        let mut retained = self.retained.borrow_mut();
+        let one = retained.iter_mut().find(|one| one.sequence == sequence)?;
+        one.permit.take()
+    }
+
+    fn log_expired(&self, released: usize) {
+        log_released(released, "time", 0, self.in_flight.borrow().len());
+    }
+
     /// Returns the slot of a request that is about to be sent.
     pub(super) fn admit(self: &Rc<Self>, permit: Permit) -> Slot {
         Slot {
             slots: Rc::clone(self),
             permit: RefCell::new(Some(permit)),
+            expectation: RefCell::default(),
             sequence: Cell::default(),
             state: Cell::new(State::Unsent),
         }
@@ -93,7 +168,7 @@
     /// Returns the number of retained slots.
     #[cfg(test)]
     pub(super) fn retained(&self) -> usize {
-        self.retained.borrow().len()
+        permits(&*self.retained.borrow())
     }
 
     /// Reconciles retained slots with the number of requests, running and queued, that the upstream
@@ -129,13 +204,13 @@
         let counted = self.in_flight.borrow().iter().filter(is_counted).count();
         let abandoned = reported.saturating_sub(counted);
         let released = self.take_older(answered, abandoned);
-        log_released(released.len(), "load", reported, counted);
+        log_released(permits(&released), "load", reported, counted);
         // Dropping a permit admits the next waiting request, which may call back into this module.
         drop(released);
     }
 
-    /// Removes the oldest retained slots of requests sent before `answered`, and leaves `remaining` of
-    /// them.
+    /// Removes the oldest abandoned requests that were sent before `answered`, and leaves `remaining`
+    /// of them.
     fn take_older(&self, answered: u64, remaining: usize) -> VecDeque<Retained> {
         let mut retained = self.retained.borrow_mut();
         let earlier = retained
@@ -169,7 +244,8 @@
             let Some(permit) = admission.reserve() else {
                 return;
             };
-            self.retain(self.sequence(), permit, until);
+            let expectation = Expectation::until(until, clock::now());
+            self.retain(self.sequence(), permit, expectation);
         }
     }
 
@@ -179,14 +255,16 @@
         drop(retained);
     }
 
-    /// Retains a slot until a moment, unless the upstream reports before that the request has
-    /// ended.
-    fn retain(&self, sequence: u64, permit: Permit, until: Moment) {
-        self.retained
-            .borrow_mut()
-            .push_back(Retained { sequence, permit });
+    /// Retains a slot, unless the upstream reports before that the request has ended.
+    fn retain(&self, sequence: u64, permit: Permit, expectation: Expectation) {
+        let usual_end = expectation.usual_end();
+        self.retained.borrow_mut().push_back(Retained {
+            sequence,
+            expectation,
+            permit: Some(permit),
+        });
         // The receiver is dropped only at process exit.
-        let _ = self.retentions.unbounded_send((until, sequence));
+        let _ = self.retentions.unbounded_send((usual_end, sequence));
     }
 
     /// Returns the sequence number of the next request.
@@ -196,17 +274,20 @@
         sequence
     }
 
-    /// Releases a retained slot; returns false if it was released before.
-    fn release(&self, sequence: u64) -> bool {
-        let freed = {
-            let mut retained = self.retained.borrow_mut();
-            let place = retained.iter().position(|one| one.sequence == sequence);
-            place.and_then(|place| retained.remove(place))
-        };
-        freed.is_some()
+    /// Removes an abandoned request.
+    fn remove(&self, sequence: u64) -> Option<Retained> {
+        let mut retained = self.retained.borrow_mut();
+        let place = retained.iter().position(|one| one.sequence == sequence)?;
+        retained.remove(place)
     }
 }
 
+/// Returns the number of slots that these requests retain.
+fn permits<'a>(retained: impl IntoIterator<Item = &'a Retained>) -> usize {
+    let retained = retained.into_iter();
+    retained.filter(|one| one.permit.is_some()).count()
+}
+
 fn log_released(requests: usize, reason: &str, reported: usize, in_flight: usize) {
     if requests > 0 {
         emit(
@@ -225,8 +306,8 @@
 #[derive(Debug, Clone, Copy)]
 enum State {
     Unsent,
-    /// If dropped, the slot is retained until this moment.
-    InFlight(Moment),
+    /// If dropped, the slot is retained.
+    InFlight,
     /// The request was abandoned and its slot is retained.
     Retained,
     Released,
@@ -236,41 +317,49 @@
 pub(super) struct Slot {
     slots: Rc<Slots>,
     permit: RefCell<Option<Permit>>,
+    /// How long the upstream may work on it, once it has been sent.
+    expectation: RefCell<Option<Expectation>>,
     /// Its sequence number, once it has been sent.
     sequence: Cell<u64>,
     state: Cell<State>,
 }
 
 impl Slot {
-    /// Marks the request as sent; if it is abandoned, the upstream may work on it until `until`.
-    pub(super) fn start(&self, now: Moment, until: Moment) {
+    /// Marks the request as sent.
+    pub(super) fn start(&self, now: Moment, expectation: Expectation) {
         self.sequence.set(self.slots.sequence());
         let mut in_flight = self.slots.in_flight.borrow_mut();
         in_flight.insert(self.sequence.get(), now);
-        self.state.set(State::InFlight(until));
+        self.expectation.replace(Some(expectation));
+        self.state.set(State::InFlight);
     }
 
     /// Releases the slot: the upstream has finished the request or never received it.
     pub(super) fn finish(&self) {
         match self.state.replace(State::Released) {
-            State::InFlight(_) => self.forget_in_flight(),
-            State::Retained => {
-                self.slots.release(self.sequence.get());
-            }
+            State::InFlight => self.forget_in_flight(),
+            State::Retained => drop(self.slots.remove(self.sequence.get())),
             State::Unsent | State::Released => {}
         }
     }
 
-    /// Marks the request as abandoned; the upstream may work on it until `until`.
-    pub(super) fn abandon(&self, until: Moment) {
-        if !matches!(self.state.get(), State::InFlight(_)) {
+    /// Marks the request as given up, since it takes longer than it usually would: the upstream may
+    /// work on it until its deadline.
+    pub(super) fn give_up(&self) {
+        let expectation = self.expectation.take();
+        self.abandon(expectation.map(Expectation::without_usual));
+    }
+
+    /// Marks the request as abandoned.
+    fn abandon(&self, expectation: Option<Expectation>) {
+        if !matches!(self.state.get(), State::InFlight) {
             return;
         }
         self.forget_in_flight();
         self.state.set(State::Released);
-        if let Some(permit) = self.permit.take() {
+        if let (Some(permit), Some(expectation)) = (self.permit.take(), expectation) {
             self.state.set(State::Retained);
-            self.slots.retain(self.sequence.get(), permit, until);
+            self.slots.retain(self.sequence.get(), permit, expectation);
         }
     }
 
@@ -284,8 +373,6 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        if let State::InFlight(until) = self.state.get() {
-            self.abandon(until);
-        }
+        self.abandon(self.expectation.take());
     }
 }
--- a/crates/mesh/src/gate/slots/tests.rs
+++ b/crates/mesh/src/gate/slots/tests.rs
@@ -9,11 +9,14 @@
 use sailtrack_net::{runtime, task};
 use sailtrack_units::Rank;
 
-use super::{READ_DELAY, Slot, Slots};
+use super::{Expectation, READ_DELAY, Slot, Slots};
 use crate::clock;
+use crate::gate::kinds::Kind;
 use crate::node::ADMISSION_CONFIG;
 
 const LEFT: Duration = Duration::from_secs(5);
+/// How long a request of a known kind usually takes.
+const USUAL: Duration = Duration::from_millis(40);
 
 struct Upstream {
     admission: Rc<Admission>,
@@ -40,10 +43,29 @@
     fn send(&self, time: Duration) -> Slot {
         let slot = self.slots.admit(self.permit().expect("a free slot"));
         let now = clock::now();
-        slot.start(now, now + time);
+        slot.start(now, Expectation::until(now + time, now));
         slot
     }
 
+    /// Sends a request of a kind that usually takes [`USUAL`].
+    fn send_known(&self, kind: &Rc<Kind>) -> Slot {
+        let slot = self.slots.admit(self.permit().expect("a free slot"));
+        let now = clock::now();
+        let expectation = Expectation::until(now + LEFT, now);
+        slot.start(now, expectation.with_usual(USUAL, Rc::clone(kind)));
+        slot
+    }
+
+    /// Handles a successful response that does not report the load.
+    fn answer_untold(&self, answered: &Slot) {
+        let expectation = answered.expectation.borrow().clone();
+        expectation
+            .expect("it was sent")
+            .record_response(clock::now());
+        answered.finish();
+        self.slots.release_confirmed();
+    }
+
     /// Sends a request, and handles its response with this reported number of requests.
     fn reconcile(&self, reported: usize) {
         self.answer(self.send(LEFT), reported);
@@ -128,12 +150,12 @@
     play(async || {
         let upstream = Upstream::with_slots(5);
         let slot = upstream.send(LEFT);
-        slot.abandon(clock::now() + LEFT);
+        slot.give_up();
         assert_eq!((upstream.slots.retained(), upstream.used()), (1, 1));
         slot.finish();
         assert_eq!((upstream.slots.retained(), upstream.used()), (0, 0));
         let slot = upstream.send(LEFT);
-        slot.abandon(clock::now() + LEFT);
+        slot.give_up();
         upstream.reconcile(0);
         assert_eq!(upstream.used(), 0, "the upstream does not have it");
         drop(slot);
@@ -215,3 +237,65 @@
         later.finish();
     });
 }
+
+/// Without a response, the usual time says little about an upstream that may have become slow.
+#[test]
+fn unconfirmed() {
+    play(async || {
+        let (upstream, kind) = (Upstream::with_slots(6), Rc::default());
+        for _ in 0..6 {
+            drop(upstream.send_known(&kind));
+        }
+        sleep(USUAL * 2).await;
+        assert_eq!(upstream.used(), 5, "released by the usual time");
+        sleep(USUAL * 4).await;
+        assert_eq!(upstream.used(), 4, "released by four times that time");
+        sleep(USUAL * 5).await;
+        assert_eq!(upstream.used(), 4, "further ones are retained longer");
+        // One that was sent earlier confirms nothing.
+        upstream.reconcile(6);
+        assert_eq!(upstream.used(), 4, "the upstream still has them all");
+    });
+}
+
+#[test]
+fn usual_pace() {
+    play(async || {
+        let (upstream, kind) = (Upstream::with_slots(6), Rc::default());
+        for _ in 0..4 {
+            drop(upstream.send_known(&kind));
+        }
+        sleep(USUAL * 2).await;
+        assert_eq!(upstream.used(), 3);
+        let slow = upstream.send_known(&kind);
+        sleep(USUAL * 5 / 4).await;
+        upstream.answer_untold(&slow);
+        drop(slow);
+        assert_eq!(upstream.used(), 3, "a slow response confirms nothing");
+        let other = upstream.send_known(&Rc::default());
+        upstream.answer_untold(&other);
+        drop(other);
+        assert_eq!(upstream.used(), 3, "another kind confirms nothing");
+        let prompt = upstream.send_known(&kind);
+        upstream.answer_untold(&prompt);
+        drop(prompt);
+        assert_eq!((upstream.used(), upstream.slots.retained()), (0, 0));
+    });
+}
+
+/// A request whose slot was released without confirmation is among those that the upstream reports.
+#[test]
+fn told_while_unconfirmed() {
+    play(async || {
+        let (upstream, kind) = (Upstream::with_slots(6), Rc::default());
+        for _ in 0..4 {
+            drop(upstream.send_known(&kind));
+        }
+        sleep(USUAL * 2).await;
+        assert_eq!(upstream.used(), 3);
+        upstream.reconcile(3);
+        assert_eq!(upstream.used(), 3, "the first one has ended");
+        upstream.reconcile(1);
+        assert_eq!(upstream.used(), 1);
+    });
+}
--- a/crates/mesh/src/gate/wait.rs
+++ b/crates/mesh/src/gate/wait.rs
@@ -13,6 +13,7 @@
 use super::admitted::Admitted;
 use super::exchange::{ExchangeError, UpstreamResponse};
 use super::kinds::{InFlight, Kind};
+use super::slots::Expectation;
 use super::timeout::{Decision, Pending};
 use crate::clock::{self, Elapsed, READ_GRACE};
 use crate::contexts::Context;
@@ -46,6 +47,7 @@
     /// When it was sent.
     pub(super) at: Moment,
     deadline: Moment,
+    expectation: Expectation,
     /// Whether it may be sent again elsewhere if no response comes.
     is_idempotent: bool,
     is_retry: bool,
@@ -56,7 +58,7 @@
     /// Releases the request's slot, or retains it if the upstream may still work on the request.
     pub(super) fn record_end(&self, end: &Waited, admitted: &Admitted) {
         match end {
-            Waited::GivenUp => admitted.slot.abandon(self.deadline),
+            Waited::GivenUp => admitted.slot.give_up(),
             // A broken connection does not mean that the upstream has stopped work on the request.
             Waited::Finished(Ok(Err(error))) if error.may_still_run() => {}
             // An upstream stops work at the deadline that it was given.
@@ -71,6 +73,7 @@
     pub(super) fn record_response(&self, response: &Response, slowdown: f64) {
         if response.is_success() {
             self.in_flight.record_response(slowdown, Instant::now());
+            self.expectation.record_response(clock::now());
             self.kind.record_outcome(false, Instant::now());
         }
     }
@@ -81,14 +84,16 @@
     pub(super) fn track<'a>(&self, request: &'a Request, admitted: &'a Admitted) -> Sent<'a> {
         self.metrics.record_sent();
         let kind = self.kinds.get(&request.kind);
-        let latency = kind.latency();
         let slowdown = self.upstream.report.slowdown();
         let now = clock::now();
-        let expected_end = latency.map(|latency| now + latency.p99.mul_f64(slowdown));
-        let until = expected_end.map_or(request.deadline, |expected_end| {
-            expected_end.min(request.deadline)
-        });
-        admitted.slot.start(now, until);
+        let expectation = Expectation::until(request.deadline, now);
+        let expectation = match kind.latency() {
+            Some(latency) => {
+                expectation.with_usual(latency.p99.mul_f64(slowdown), Rc::clone(&kind))
+            }
+            None => expectation,
+        };
+        admitted.slot.start(now, expectation.clone());
         Sent {
             attempt: &request.attempt,
             name: &request.kind,
@@ -96,6 +101,7 @@
             kind,
             at: now,
             deadline: request.deadline,
+            expectation,
             is_idempotent: request.idempotent,
             is_retry: request.is_retry,
             admitted,
@@ -118,7 +124,7 @@
             Either::Left((end, _)) => Waited::Finished(end),
             Either::Right(((), _)) if sent.is_idempotent => Waited::GivenUp,
             Either::Right(((), exchange)) => {
-                sent.admitted.slot.abandon(sent.deadline);
+                sent.admitted.slot.give_up();
                 sent.admitted.is_given_up.set(true);
                 Waited::Finished(exchange.await)
             }
