Node: refusals of unimportant calls no longer use up what important ones need

Cause: a call that waited in vain at one node is sent to the other for a token of the retry ratio, and refused unimportant calls had taken them all, first come, first served.

Change: a call takes a token only if more are left than its rank leaves to others, half the bucket (chosen) for the least important. The bound on all retries is as before.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -147,8 +147,8 @@
         }
         if !may_have_run(answer) {
             let within_limit = redirects < MAX_REDIRECTS;
-            let within_ratio =
-                !is_overload(answer.reason) || self.retry_limiter.try_acquire(&call.service);
+            let within_ratio = !is_overload(answer.reason)
+                || self.retry_limiter.try_acquire(&call.service, call.rank);
             return if within_limit && within_ratio {
                 Action::Redirect
             } else {
@@ -157,7 +157,7 @@
         }
         let overloaded_below = answer.level > call.rank;
         let may_retry = call.repeat == Repeat::Retry && !overloaded_below;
-        if may_retry && self.retry_limiter.try_acquire(&call.service) && budget.spend() {
+        if may_retry && self.retry_limiter.try_acquire(&call.service, call.rank) && budget.spend() {
             self.metrics.record_retry();
             return Action::Retry;
         }
@@ -183,7 +183,8 @@
             };
             let answer = self.call_home(&ticketed, &ticket, budget, true).await;
             let retry = !may_have_run(&answer)
-                && (!is_overload(answer.reason) || self.retry_limiter.try_acquire(&call.service));
+                && (!is_overload(answer.reason)
+                    || self.retry_limiter.try_acquire(&call.service, call.rank));
             if !retry {
                 if answer.is_success() {
                     self.retry_limiter.record_success(&call.service);
@@ -315,7 +316,7 @@
     async fn dispatch_fixed(&self, call: &Call, budget: &Budget) -> Answer {
         let mut last_answer = None;
         for attempt in 0..=FIXED_RETRIES {
-            if attempt > 0 && !self.retry_limiter.try_acquire(&call.service) {
+            if attempt > 0 && !self.retry_limiter.try_acquire(&call.service, call.rank) {
                 break;
             }
             let target = match self.routing.choose(call, &[]) {
