Gate: a caller whose request every upstream rejects is told when to come back

Callers heard 503 with `Retry-After: 0.000` when the upstreams themselves rejected a request, whatever time the upstreams stated, and came back at once to upstreams that had just turned them away.

Cause: `Retry-After` of an upstream was read by nobody, and rejections of upstreams carried no time of ours either; all other refusals do.

Change: the stated time, in seconds, 1 min at most, is the shortest; the spread is that of refusals for overload. Without one it is 0.2 s, as for those. An upstream that refuses connections, or another one at its address, gets the time for a path without an upstream.

Evidence: at_most_once::rejection_without_time failed before, passes now; retry_after tests.

--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -20,7 +20,9 @@
 use crate::clock;
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::request::{Request, Response};
+use crate::retry_after;
 
+const RETRY_AFTER: &str = "retry-after";
 /// The status of another upstream at the address of the expected one.
 const MISDIRECTED: u16 = 421;
 /// Statuses that by their definition promise that the request did not run.
@@ -129,12 +131,16 @@
             self.upstream
                 .retire(upstream, "another upstream has its address");
             self.pool.clear();
-            return Response::rejected_by_upstream(Reason::NoUpstream);
+            return Response::rejected_by_upstream(Reason::NoUpstream)
+                .with_retry_after(retry_after::no_upstream());
         }
         self.detector.record_response(upstream, sent_at);
         if says_not_run {
-            self.admission.record_shed(Instant::now());
-            return Response::rejected_by_upstream(Reason::UpstreamShed);
+            let now = Instant::now();
+            self.admission.record_shed(now);
+            let stated = head.fields.get(RETRY_AFTER).and_then(retry_after::parse);
+            let after = retry_after::rejection(stated, self.admission.retry_spread(now));
+            return Response::rejected_by_upstream(Reason::UpstreamShed).with_retry_after(after);
         }
         if NOT_RUN_STATUSES.contains(&head.status) {
             let reason =
@@ -157,7 +163,8 @@
         }
         if error.is_unsent() {
             self.upstream.record_unreachable(Instant::now());
-            return Response::refused(Reason::NoUpstream);
+            return Response::refused(Reason::NoUpstream)
+                .with_retry_after(retry_after::no_upstream());
         }
         if self.has_crashed(upstream, &request.attempt, error).await {
             return Response::unknown(Reason::UpstreamCrashed);
--- a/crates/mesh/src/retry_after.rs
+++ b/crates/mesh/src/retry_after.rs
@@ -1,5 +1,8 @@
 //! Delays for `Retry-After`: when a refused caller should retry.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::Duration;
 
 use rand::Rng as _;
@@ -18,6 +21,8 @@
 const TRIAL_JITTER: Duration = Duration::from_millis(250);
 /// The shortest delay before a retry at a full upstream.
 const MIN_OVERLOAD_DELAY: Duration = Duration::from_millis(200);
+/// The longest delay that an upstream can state.
+const MAX_STATED_DELAY: Duration = Duration::from_mins(1);
 
 /// Returns the delay for a node that cannot reach the store or a peer whose state it needs: about
 /// as long as it takes to find another node that can.
@@ -42,5 +47,19 @@
 
 /// Returns the delay for a full upstream, with a random addition of up to `jitter`.
 pub(crate) fn overload(jitter: Duration) -> Duration {
-    MIN_OVERLOAD_DELAY + jitter.mul_f64(rand::rng().random())
+    rejection(None, jitter)
+}
+
+/// Returns the delay for an upstream that rejected a request itself: not before the time that it
+/// stated, with a random addition of up to `jitter`.
+pub(crate) fn rejection(stated: Option<Duration>, jitter: Duration) -> Duration {
+    let shortest = stated.unwrap_or_default().max(MIN_OVERLOAD_DELAY);
+    shortest + jitter.mul_f64(rand::rng().random())
+}
+
+/// Parses a number of seconds, which may have a fraction; any other value states nothing.
+pub(crate) fn parse(value: &str) -> Option<Duration> {
+    let seconds = value.trim().parse().ok()?;
+    let stated = Duration::try_from_secs_f64(seconds).ok()?;
+    Some(stated.min(MAX_STATED_DELAY))
 }
