Node: what an upstream said in answers outlasts a restart of its node

Callers and upstreams of the own interface: a node that was killed and started again beside an upstream that leaves, as it had said in answers alone, sent it new work until the first answer.

Cause: leaving and the limit were kept by the node beside the upstream alone.

Change: a node publishes what its upstream demands in its gossip, with the life. Others keep that over a restart and remind the node, which applies it before it serves. A limit is published again once it has changed by a quarter (chosen), so one that changes with each answer does not fill the gossip.

Only crates/node changes what it does.

--- a/crates/admission/src/pacing.rs
+++ b/crates/admission/src/pacing.rs
@@ -24,7 +24,7 @@
             let state = &mut *self.state.borrow_mut();
             let recent = state.recent.count(now);
             match (&mut state.limiter, rate) {
-                (Some(limiter), Some(rate)) if limiter.is(rate) => return,
+                (Some(limiter), Some(rate)) if limiter.rate() == rate => return,
                 (None, None) => return,
                 (Some(limiter), Some(rate)) => limiter.set_rate(rate, recent, now),
                 (limiter, rate) => {
@@ -36,6 +36,12 @@
         self.start_pacing();
     }
 
+    /// Returns the rate limit, if there is one.
+    pub fn rate(&self) -> Option<Rate> {
+        let state = self.state.borrow();
+        state.limiter.as_ref().map(Limiter::rate)
+    }
+
     /// Returns how many calls were admitted in the last second.
     pub fn recent_rate(&self, now: Instant) -> u32 {
         self.state.borrow_mut().recent.count(now)
--- a/crates/admission/src/rate.rs
+++ b/crates/admission/src/rate.rs
@@ -66,9 +66,8 @@
         }
     }
 
-    /// Returns true if the limit is this rate.
-    pub(crate) fn is(&self, rate: Rate) -> bool {
-        self.rate == rate
+    pub(crate) fn rate(&self) -> Rate {
+        self.rate
     }
 
     /// Returns true if a call may be sent now.
--- a/crates/mesh/src/directory.rs
+++ b/crates/mesh/src/directory.rs
@@ -63,6 +63,7 @@
             address: self.address.to_string(),
             state: state.into(),
             slots,
+            demands: None,
         }
     }
 
--- a/crates/node/src/membership/gossip.rs
+++ b/crates/node/src/membership/gossip.rs
@@ -239,7 +239,7 @@
         // A member that learns that it is suspected can refute it.
         datagram
             .members
-            .extend(self.membership.suspicion_of(&peer.name));
+            .extend(self.membership.notice_for(&peer.name));
         self.membership.fill(&mut datagram, differs);
         self.send_datagram(&datagram, peer.address).await;
     }
--- a/crates/node/src/membership/member.rs
+++ b/crates/node/src/membership/member.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use sailtrack_units::{DomainName, Incarnation, NodeName, ServiceName};
-use sailtrack_wire::{Member, State, WireError};
+use sailtrack_wire::{Demands, Member, State, WireError};
 
 /// Identity and address of a member.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -41,19 +41,32 @@
     pub(crate) revision: u64,
     pub(crate) changed: Instant,
     pub(crate) send_count: u32,
+    /// What its upstream demands.
+    pub(crate) demands: Option<Demands>,
+    /// Whether that is known from an earlier incarnation, as this one does not know its upstream.
+    is_remembered: bool,
 }
 
 impl Record {
-    pub(crate) fn new(peer: Peer, update: &Member, now: Instant) -> Self {
+    /// `demands` are those of the record before.
+    pub(crate) fn new(peer: Peer, update: &Member, demands: Option<Demands>, now: Instant) -> Self {
         Self {
             peer: Rc::new(peer),
             state: update.state(),
             revision: update.revision,
             changed: now,
             send_count: 0,
+            demands: update.demands.or(demands),
+            is_remembered: update.demands.is_none(),
         }
     }
 
+    /// Returns true if the member does not know what its upstream demands.
+    pub(crate) fn must_remind(&self) -> bool {
+        let is_demanding = |demands: &Demands| demands.leaving || demands.rate.is_some();
+        self.is_remembered && self.demands.as_ref().is_some_and(is_demanding)
+    }
+
     /// Returns true if `update` is newer than the record.
     ///
     /// A higher incarnation takes precedence, then a higher revision; within a revision only a
@@ -80,6 +93,7 @@
             address: self.peer.address.to_string(),
             state: self.state.into(),
             slots: self.peer.slots,
+            demands: self.demands,
         }
     }
 }
--- a/crates/node/src/membership/mod.rs
+++ b/crates/node/src/membership/mod.rs
@@ -1,5 +1,6 @@
 //! The members of the deployment, learned by gossip.
 
+mod demands;
 mod digest;
 mod gossip;
 mod member;
@@ -16,7 +17,7 @@
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
 use sailtrack_units::{NodeName, ServiceName};
-use sailtrack_wire::{Member, State};
+use sailtrack_wire::{Demands, Member, State};
 
 use crate::settings::Detector;
 pub(crate) use gossip::Gossip;
@@ -29,6 +30,8 @@
     by_service: RefCell<HashMap<ServiceName, Rc<[Rc<Peer>]>>>,
     changes: Cell<u64>,
     converged: Cell<bool>,
+    /// What another node remembers that the upstream of this node demanded.
+    reminder: Cell<Option<Demands>>,
 }
 
 impl Service for Membership {
@@ -43,6 +46,7 @@
             by_service: RefCell::default(),
             changes: Cell::new(0),
             converged: Cell::new(false),
+            reminder: Cell::default(),
         }
     }
 
@@ -98,12 +102,13 @@
         Some((Rc::clone(&record.peer), record.state))
     }
 
-    /// Returns the record of a member that is suspected or considered dead.
-    pub(crate) fn suspicion_of(&self, name: &NodeName) -> Option<Member> {
+    /// Returns the record of a member that must hear of it: it is suspected or considered dead, or
+    /// it does not know what its upstream demanded before it started.
+    pub(crate) fn notice_for(&self, name: &NodeName) -> Option<Member> {
         let records = self.records.borrow();
         let record = records.get(name)?;
         let is_suspected = matches!(record.state, State::Suspect | State::Dead);
-        is_suspected.then(|| record.to_member())
+        (is_suspected || record.must_remind()).then(|| record.to_member())
     }
 
     /// Returns every other member with its state.
@@ -128,6 +133,7 @@
     /// reminding each other of it forever.
     pub(crate) fn merge(&self, update: &Member, now: Instant) -> bool {
         if update.node == self.local_member.borrow().node {
+            self.keep_reminder(update);
             return self.refute(update);
         }
         let Ok(peer) = Peer::try_from(update) else {
@@ -139,12 +145,13 @@
             return false;
         }
         let previous_state = previous.map(|previous| previous.state);
+        let demands = previous.and_then(|previous| previous.demands);
         if previous_state.is_none() && update.state() == State::Dead {
             return false;
         }
         log_change(&peer, previous_state, update.state());
         let name = peer.name.clone();
-        records.insert(name, Record::new(peer, update, now));
+        records.insert(name, Record::new(peer, update, demands, now));
         drop(records);
         self.invalidate();
         true
--- a/crates/node/src/membership/tests.rs
+++ b/crates/node/src/membership/tests.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use sailtrack_units::Period;
-use sailtrack_wire::{Member, State};
+use sailtrack_wire::{Demands, Member, State};
 
 use crate::membership::Membership;
 use crate::settings::Detector;
@@ -20,6 +20,7 @@
         address: "127.0.0.1:7102".to_owned(),
         state: state.into(),
         slots: 4,
+        demands: None,
     }
 }
 
@@ -87,3 +88,52 @@
     assert!(membership.merge(&refuted, now));
     assert_eq!(membership.alive().len(), 1);
 }
+
+/// A node that was started again hears what its upstream demanded before.
+#[test]
+fn demands_outlast_restart() {
+    let now = Instant::now();
+    let [first, other] = [node("desk-1"), node("desk-2")];
+    let demands = Demands {
+        life: 7,
+        leaving: true,
+        rate: Some(2.5),
+    };
+    assert!(first.update_local_demands(demands));
+    assert!(other.merge(&first.local_member(), now));
+    let name = "desk-1".parse().expect("a name");
+    assert_eq!(other.notice_for(&name), None, "it knows itself");
+    let restarted = Membership::new(Member {
+        incarnation: 2,
+        ..member("desk-1", State::Joining)
+    });
+    assert!(other.merge(&restarted.local_member(), now));
+    restarted.update_local_state(State::Joining, 8);
+    assert!(other.merge(&restarted.local_member(), now));
+    let notice = other.notice_for(&name).expect("it is reminded");
+    restarted.merge(&notice, now);
+    assert_eq!(restarted.take_reminder(), Some(demands));
+    // The next life demands nothing.
+    assert!(restarted.update_local_demands(Demands {
+        life: 8,
+        ..Demands::default()
+    }));
+    assert!(other.merge(&restarted.local_member(), now));
+    assert_eq!(other.notice_for(&name), None);
+    restarted.merge(&notice, now);
+    assert_eq!(restarted.take_reminder(), None, "it knows its upstream");
+}
+
+/// A limit that changes with each answer is not published each time.
+#[test]
+fn similar_limits() {
+    let membership = node("desk-1");
+    let limit = |rate| Demands {
+        life: 7,
+        leaving: false,
+        rate,
+    };
+    let published = [Some(20.0), Some(24.0), Some(16.0), Some(26.0), None]
+        .map(|rate| membership.update_local_demands(limit(rate)));
+    assert_eq!(published, [true, false, false, true, true]);
+}
--- a/crates/node/src/node/maintenance.rs
+++ b/crates/node/src/node/maintenance.rs
@@ -11,8 +11,8 @@
 use sailtrack_declaration::Event;
 use sailtrack_kernel::{Phase, Service};
 use sailtrack_log::{catalogue, emit};
-use sailtrack_units::{Incarnation, NodeName, ServiceName, Timestamp};
-use sailtrack_wire::{Purpose, State};
+use sailtrack_units::{Incarnation, NodeName, Rate, ServiceName, Timestamp};
+use sailtrack_wire::{Demands, Purpose, State};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -90,6 +90,8 @@
 impl Maintenance {
     /// Updates the state of this node, and gossips about it if it changed.
     pub(crate) async fn refresh(&self) {
+        self.apply_reminder();
+        let has_new_demands = self.publish_demands();
         let ready = self.upstream.is_ready(Instant::now());
         let was = self.membership.local_member().state();
         let state = match (self.phase.get(), ready) {
@@ -100,7 +102,8 @@
             (Phase::Draining | Phase::Stopped, _) => State::Leaving,
         };
         let slots = self.upstream.slots().unwrap_or(0);
-        if !self.membership.update_local_state(state, slots) {
+        let is_new_state = self.membership.update_local_state(state, slots);
+        if !is_new_state && !has_new_demands {
             return;
         }
         if was == State::Serving && state == State::Leaving {
@@ -111,6 +114,37 @@
         }
     }
 
+    /// Applies what the upstream demanded before this process started, if another node remembers it.
+    pub(crate) fn apply_reminder(&self) {
+        let Some(life) = self.upstream.life() else {
+            return;
+        };
+        let reminder = self.membership.take_reminder();
+        let Some(demands) = reminder.filter(|demands| demands.life == life) else {
+            return;
+        };
+        if demands.leaving {
+            self.upstream.mark_leaving();
+        }
+        if let Some(rate) = demands.rate.and_then(Rate::new) {
+            self.admission.limit_rate(Some(rate));
+        }
+    }
+
+    /// Publishes what the upstream demands; returns true if that changed.
+    fn publish_demands(&self) -> bool {
+        let may_be_reminded =
+            self.phase.get() == Phase::Joining && !self.membership.has_converged();
+        let Some(life) = self.upstream.life().filter(|_| !may_be_reminded) else {
+            return false;
+        };
+        self.membership.update_local_demands(Demands {
+            life,
+            leaving: self.upstream.is_leaving(life),
+            rate: self.admission.rate().map(|rate| rate.0),
+        })
+    }
+
     fn log_upstream_gone(&self) {
         let reason = match self.upstream.state(Instant::now()) {
             None => "it stopped announcing itself",
--- a/crates/node/src/node/services.rs
+++ b/crates/node/src/node/services.rs
@@ -140,6 +140,7 @@
         address: settings.ports.advertise.to_string(),
         state: State::Joining.into(),
         slots: 0,
+        demands: None,
     }));
 }
 
@@ -318,6 +319,7 @@
         admission: table.find()?,
         in_flight: Rc::clone(in_flight),
         on_announcement: Box::new(move || {
+            maintenance.apply_reminder();
             let maintenance = Rc::clone(&maintenance);
             task::spawn("announcement", async move { maintenance.refresh().await });
         }),
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -105,14 +105,22 @@
         self.unreachable.set(true);
     }
 
+    /// Returns the incarnation that was announced last.
+    pub(crate) fn life(&self) -> Option<u64> {
+        let announced = self.announced.borrow();
+        announced
+            .as_ref()
+            .map(|(announcement, _)| announcement.life)
+    }
+
+    /// Returns true if this incarnation said in an answer that it is leaving.
+    pub(crate) fn is_leaving(&self, life: u64) -> bool {
+        self.leaving.get() == Some(life)
+    }
+
     /// Keeps new calls from this incarnation, since it said in an answer that it is leaving.
     pub(crate) fn mark_leaving(&self) {
-        let announced = self.announced.borrow();
-        self.leaving.set(
-            announced
-                .as_ref()
-                .map(|(announcement, _)| announcement.life),
-        );
+        self.leaving.set(self.life());
     }
 
     /// Sets whether operators have drained the upstream.
--- a/crates/units/src/quantity.rs
+++ b/crates/units/src/quantity.rs
@@ -116,6 +116,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Default)]
 pub struct Rate(pub f64);
 
+impl Rate {
+    /// Returns a rate unless it is negative or not a finite number.
+    #[must_use]
+    pub fn new(per_second: f64) -> Option<Self> {
+        (per_second.is_finite() && per_second >= 0.0).then_some(Self(per_second))
+    }
+}
+
 impl fmt::Display for Rate {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}/s", self.0)
@@ -127,10 +135,8 @@
 
     fn from_str(text: &str) -> Result<Self, QuantityError> {
         let number = text.strip_suffix("/s").ok_or(QuantityError::Rate)?;
-        match number.parse::<f64>() {
-            Ok(rate) if rate.is_finite() && rate >= 0.0 => Ok(Self(rate)),
-            _ => Err(QuantityError::Rate),
-        }
+        let rate = number.parse().ok().and_then(Self::new);
+        rate.ok_or(QuantityError::Rate)
     }
 }
 
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -57,7 +57,7 @@
     }
 }
 /// The first frame in each direction.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Hello {
     #[prost(uint32, tag = "1")]
     pub version: u32,
@@ -462,7 +462,7 @@
     pub exchange: u64,
 }
 /// What is known about one node.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Member {
     #[prost(string, tag = "1")]
     pub node: ::prost::alloc::string::String,
@@ -480,6 +480,22 @@
     pub state: i32,
     #[prost(uint32, tag = "8")]
     pub slots: u32,
+    /// Absent until the member knows its upstream; others then keep what it said before.
+    #[prost(message, optional, tag = "9")]
+    pub demands: ::core::option::Option<Demands>,
+}
+/// What an upstream demanded in its last answer.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct Demands {
+    /// The life of the upstream.
+    #[prost(uint64, tag = "1")]
+    pub life: u64,
+    /// It leaves.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+    /// The most calls per second that it takes from all nodes together.
+    #[prost(double, optional, tag = "3")]
+    pub rate: ::core::option::Option<f64>,
 }
 /// One datagram between two nodes.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,7 +13,7 @@
 };
 pub use generated::frame::Body;
 pub use generated::{
-    Answer, Call, Cancel, Chunk, Config, Datagram, Evidence, Fetch, Forward, Frame, Grant,
+    Answer, Call, Cancel, Chunk, Config, Datagram, Demands, Evidence, Fetch, Forward, Frame, Grant,
     Handover, Held, Hello, Kept, Leaving, Member, Outcome, Ping, Pong, Presence, Purpose, Ran,
     RateLimit, Reason, Recall, Reply, Retire, Retired, State, Ticket, TokenAnswer, TokenGrant,
     TokenQuestion, TokenWant,
