Slots: tests by given moments, so that a busy machine changes no verdict

The new tests of retained slots slept through the usual time and looked how many slots were left; a stall of 80 ms would have turned them red. They now say at which moment a slot is checked. release_confirmed takes the moment, as expire does; what it does is as before. 14 slots tests pass.

--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -22,6 +22,7 @@
 use crate::request::{Request, Response};
 use crate::retry_after;
 
+/// On a rejection: when callers should come back.
 const RETRY_AFTER: &str = "retry-after";
 /// The status of another upstream at the address of the expected one.
 const MISDIRECTED: u16 = 421;
@@ -68,7 +69,7 @@
         if response.outcome == Outcome::Done {
             self.quarantine.record_response(&request.identity);
             sent.record_response(&response, self.upstream.report.slowdown());
-            self.slots.release_confirmed();
+            self.slots.release_confirmed(clock::now());
         }
         Response {
             path_pressure: guard.context.pressure.get(),
--- a/crates/mesh/src/gate/slots.rs
+++ b/crates/mesh/src/gate/slots.rs
@@ -118,11 +118,10 @@
     }
 
     /// Releases the retained slots of requests that have ended, as a response confirms.
-    pub(super) fn release_confirmed(&self) {
+    pub(super) fn release_confirmed(&self, now: Moment) {
         if self.retained.borrow().is_empty() {
             return;
         }
-        let now = clock::now();
         let retained = self.retained.take();
         let (ended, others) = retained
             .into_iter()
--- a/crates/mesh/src/gate/slots/tests.rs
+++ b/crates/mesh/src/gate/slots/tests.rs
@@ -7,7 +7,7 @@
 use sailtrack_admission::{Admission, Decision, Permit};
 use sailtrack_declaration::Limit;
 use sailtrack_net::{runtime, task};
-use sailtrack_units::Rank;
+use sailtrack_units::{Moment, Rank};
 
 use super::{Expectation, READ_DELAY, Slot, Slots};
 use crate::clock;
@@ -47,23 +47,34 @@
         slot
     }
 
-    /// Sends a request of a kind that usually takes [`USUAL`].
-    fn send_known(&self, kind: &Rc<Kind>) -> Slot {
+    /// Sends requests of a kind that usually takes [`USUAL`], and drops them.
+    fn drop_known(&self, kind: &Rc<Kind>, count: usize, now: Moment) {
+        for _ in 0..count {
+            drop(self.send_known(kind, now));
+        }
+    }
+
+    fn send_known(&self, kind: &Rc<Kind>, now: Moment) -> Slot {
         let slot = self.slots.admit(self.permit().expect("a free slot"));
-        let now = clock::now();
         let expectation = Expectation::until(now + LEFT, now);
         slot.start(now, expectation.with_usual(USUAL, Rc::clone(kind)));
         slot
     }
 
-    /// Handles a successful response that does not report the load.
-    fn answer_untold(&self, answered: &Slot) {
-        let expectation = answered.expectation.borrow().clone();
-        expectation
-            .expect("it was sent")
-            .record_response(clock::now());
-        answered.finish();
-        self.slots.release_confirmed();
+    /// Sends a request that is answered after `time` without a report of the load.
+    fn exchange_untold(&self, kind: &Rc<Kind>, sent: Moment, time: Duration) {
+        let slot = self.send_known(kind, sent);
+        let expectation = slot.expectation.borrow().clone().expect("it was sent");
+        expectation.record_response(sent + time);
+        slot.finish();
+        self.slots.release_confirmed(sent + time);
+    }
+
+    /// Releases the slots that are due, in the order of sending.
+    fn expire_all(&self, now: Moment) {
+        for sequence in 0..self.slots.next_sequence.get() {
+            self.slots.expire(sequence, now);
+        }
     }
 
     /// Sends a request, and handles its response with this reported number of requests.
@@ -243,18 +254,15 @@
 fn unconfirmed() {
     play(async || {
         let (upstream, kind) = (Upstream::with_slots(6), Rc::default());
-        for _ in 0..6 {
-            drop(upstream.send_known(&kind));
-        }
-        sleep(USUAL * 2).await;
-        assert_eq!(upstream.used(), 5, "released by the usual time");
-        sleep(USUAL * 4).await;
-        assert_eq!(upstream.used(), 4, "released by four times that time");
-        sleep(USUAL * 5).await;
-        assert_eq!(upstream.used(), 4, "further ones are retained longer");
-        // One that was sent earlier confirms nothing.
-        upstream.reconcile(6);
-        assert_eq!(upstream.used(), 4, "the upstream still has them all");
+        let sent = clock::now();
+        upstream.drop_known(&kind, 6, sent);
+        let used = [1, 2, 4, 15, 16, 63, 64].map(|times| {
+            upstream.expire_all(sent + USUAL * times);
+            upstream.used()
+        });
+        assert_eq!(used, [5, 5, 4, 4, 3, 3, 2]);
+        upstream.expire_all(sent + LEFT);
+        assert_eq!((upstream.used(), upstream.slots.retained()), (0, 0));
     });
 }
 
@@ -262,23 +270,16 @@
 fn usual_pace() {
     play(async || {
         let (upstream, kind) = (Upstream::with_slots(6), Rc::default());
-        for _ in 0..4 {
-            drop(upstream.send_known(&kind));
-        }
-        sleep(USUAL * 2).await;
+        let sent = clock::now();
+        upstream.drop_known(&kind, 4, sent);
+        upstream.expire_all(sent + USUAL);
         assert_eq!(upstream.used(), 3);
-        let slow = upstream.send_known(&kind);
-        sleep(USUAL * 5 / 4).await;
-        upstream.answer_untold(&slow);
-        drop(slow);
+        let later = sent + USUAL;
+        upstream.exchange_untold(&kind, later, USUAL * 2);
         assert_eq!(upstream.used(), 3, "a slow response confirms nothing");
-        let other = upstream.send_known(&Rc::default());
-        upstream.answer_untold(&other);
-        drop(other);
+        upstream.exchange_untold(&Rc::default(), later, USUAL / 2);
         assert_eq!(upstream.used(), 3, "another kind confirms nothing");
-        let prompt = upstream.send_known(&kind);
-        upstream.answer_untold(&prompt);
-        drop(prompt);
+        upstream.exchange_untold(&kind, later, USUAL / 2);
         assert_eq!((upstream.used(), upstream.slots.retained()), (0, 0));
     });
 }
@@ -288,11 +289,12 @@
 fn told_while_unconfirmed() {
     play(async || {
         let (upstream, kind) = (Upstream::with_slots(6), Rc::default());
-        for _ in 0..4 {
-            drop(upstream.send_known(&kind));
-        }
-        sleep(USUAL * 2).await;
+        let sent = clock::now();
+        upstream.drop_known(&kind, 4, sent);
+        upstream.expire_all(sent + USUAL);
         assert_eq!(upstream.used(), 3);
+        upstream.reconcile(4);
+        assert_eq!(upstream.used(), 3, "the upstream still has them all");
         upstream.reconcile(3);
         assert_eq!(upstream.used(), 3, "the first one has ended");
         upstream.reconcile(1);
