Review: show that late heartbeats retire living upstreams

Looked for: what a node that was started after a crash makes of a heartbeat of the crashed incarnation.

All machines lose power and come back with new incarnations of their backends, which are served. A heartbeat of each crashed incarnation arrives 2.5 s late. The node then retires the living one and ignores its heartbeats for good.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -11,6 +11,6 @@
 fi
 "$program" "$root" "$folder"
 code=$?
-tail -n 1 "$folder/record.txt"
+tail -n 2 "$folder/record.txt"
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standins/src/backend.rs
+++ b/review/standins/src/backend.rs
@@ -58,7 +58,7 @@
         control: SocketAddr,
         work_time: Duration,
     ) -> Self {
-        let listener = TcpListener::bind(address).expect("the address is free");
+        let listener = bind(address);
         let backend = Self {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -224,3 +224,14 @@
         http::write_response(stream, 200, &fields, body.as_bytes()).is_ok() && !is_leaving
     }
 }
+
+/// Binds the address, which an earlier incarnation may be about to release.
+fn bind(address: SocketAddr) -> TcpListener {
+    for _ in 0..100 {
+        if let Ok(listener) = TcpListener::bind(address) {
+            return listener;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    panic!("the address {address} is not free");
+}
