--- a/review/standins/src/bin/drain.rs
+++ b/review/standins/src/bin/drain.rs
@@ -24,7 +24,7 @@
 /// How long requests are sent once the machines are in touch again.
 const TRAFFIC_TIME: Duration = Duration::from_millis(2500);
 /// How long a killed process is away.
-const RESTART_DELAY: Duration = Duration::from_millis(300);
+const RESTART_DELAY: Duration = Duration::from_millis(500);
 const MACHINES: [(&str, &str); 6] = [
     ("disburser", "salt-lake"),
     ("disburser", "new-town"),
--- a/review/standins/src/bin/quota.rs
+++ b/review/standins/src/bin/quota.rs
@@ -29,6 +29,8 @@
 /// two requests.
 const CLIENTS: usize = 8;
 const PAUSE: Duration = Duration::from_millis(40);
+/// How long a killed process is away.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
 /// The table and key under which the nodes keep the leases of the zones, to find which node last
 /// wrote to the store under a condition.
 const LEASES: (&str, &str) = ("sailtrack-quotas", "parts");
@@ -100,12 +102,12 @@
     };
     record.note("all nodes are ready");
     let is_served = wait_until(Duration::from_secs(15), || {
-        let mut client = Client::new(deployment.machines[0].node.entry(), HOST, Some(KEY));
         sleep(Duration::from_millis(100));
-        client.send("GET", "/pay/2f").status == 200
+        let mut client = Client::new(deployment.machines[0].node.entry(), HOST, Some(KEY));
+        client.send("GET", "/pay/2f").status == 200 && holder(&deployment).is_some()
     });
-    if !is_served || holder(&deployment).is_none() {
-        record.note("the tenant is not served");
+    if !is_served {
+        record.note("the tenant is not served, or nobody holds the lease of the zone");
         return NOT_RUN;
     }
     let stop = Arc::new(AtomicBool::new(false));
@@ -142,7 +144,7 @@
     ))
 }
 
-/// Kills the process that last wrote to the store under a condition, and starts it again at once.
+/// Kills the process that last wrote to the store under a condition, and starts it again.
 fn disrupt(deployment: &mut Deployment, record: &Record, silence: bool) -> bool {
     let Some((name, term)) = holder(deployment) else {
         return false;
@@ -163,7 +165,7 @@
     }
     machine.node.kill();
     record.note(format!("the process of {name} is killed"));
-    sleep(Duration::from_millis(50));
+    sleep(RESTART_DELAY);
     let is_started = machine.node.start(false).is_ok();
     record.note(format!("the process of {name} is started"));
     is_started
