--- a/review/standins/src/bin/drain.rs
+++ b/review/standins/src/bin/drain.rs
@@ -145,6 +145,12 @@
     for name in deployment.ended_nodes() {
         record.note(format!("the process of {name} has ended by itself"));
     }
+    for machine in &deployment.machines {
+        let backend = &machine.backend;
+        for (id, at) in ran(backend) {
+            record.note_at(at, format!("{id} ran on {}", backend.id));
+        }
+    }
     judge(&leaving, acknowledged_at, record)
 }
 
@@ -241,7 +247,7 @@
         record.note_at(
             *at,
             format!(
-                "{id} ran on {}, {after:.3} s after its leaving was acknowledged",
+                "late: {id} ran on {}, {after:.3} s after its leaving was acknowledged",
                 leaving.id
             ),
         );
--- a/review/standins/src/bin/quota.rs
+++ b/review/standins/src/bin/quota.rs
@@ -4,6 +4,7 @@
 //! Arguments: the root of the repository and the folder of the case. `TROUBLE=0` leaves out the
 //! silent connections and the kill; `TROUBLE=kill` leaves out the silent connections only.
 
+use std::collections::{BTreeMap, HashMap};
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -44,6 +45,9 @@
     ("disburser", "new-town"),
 ];
 
+/// An attempt and the machine at which it was sent.
+type Sent = (String, Attempt);
+
 /// Which disruptions the run has.
 struct Trouble {
     silence: bool,
@@ -123,7 +127,7 @@
     }
     watch_holder(&deployment, record, began);
     stop.store(true, Ordering::Relaxed);
-    let attempts: Vec<Attempt> = clients
+    let attempts: Vec<Sent> = clients
         .into_iter()
         .flat_map(|client| client.join().unwrap_or_default())
         .collect();
@@ -186,22 +190,24 @@
     }
 }
 
-fn start_clients(deployment: &Deployment, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<Vec<Attempt>>> {
+fn start_clients(deployment: &Deployment, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<Vec<Sent>>> {
     let machines = deployment
         .machines
         .iter()
         .filter(|machine| machine.node.zone == ZONE);
-    let entries: Vec<_> = machines.map(|machine| machine.node.entry()).collect();
-    let clients = entries
+    let nodes: Vec<_> = machines
+        .map(|machine| (machine.node.name.clone(), machine.node.entry()))
+        .collect();
+    let clients = nodes
         .into_iter()
-        .flat_map(|entry| (0..CLIENTS).map(move |_| entry));
-    let clients = clients.map(|entry| {
+        .flat_map(|node| (0..CLIENTS).map(move |_| node.clone()));
+    let clients = clients.map(|(name, entry)| {
         let stop = Arc::clone(stop);
         std::thread::spawn(move || {
             let mut client = Client::new(entry, HOST, Some(KEY));
             let mut attempts = Vec::new();
             while !stop.load(Ordering::Relaxed) {
-                attempts.push(client.send("GET", "/pay/2f"));
+                attempts.push((name.clone(), client.send("GET", "/pay/2f")));
                 sleep(PAUSE);
             }
             attempts
@@ -210,42 +216,54 @@
     clients.collect()
 }
 
-fn judge(deployment: &Deployment, attempts: &[Attempt], record: &Record) -> i32 {
-    let arrivals = deployment
-        .machines
-        .iter()
-        .flat_map(|machine| machine.backend.arrivals());
-    let arrivals =
-        arrivals.filter(|arrival| arrival.ran && arrival.tenant.as_deref() == Some(TENANT));
-    let mut arrived = std::collections::HashMap::new();
-    for arrival in arrivals {
-        // A request that runs twice counts once.
-        let at = arrived.entry(arrival.id).or_insert(arrival.at);
-        *at = arrival.at.min(*at);
+fn judge(deployment: &Deployment, attempts: &[Sent], record: &Record) -> i32 {
+    // A request that runs twice counts once, from its first arrival.
+    let mut arrived: HashMap<String, (Instant, &str)> = HashMap::new();
+    for backend in deployment.machines.iter().map(|machine| &machine.backend) {
+        let arrivals = backend.arrivals().into_iter();
+        for arrival in arrivals.filter(|one| one.ran && one.tenant.as_deref() == Some(TENANT)) {
+            let first = arrived
+                .entry(arrival.id)
+                .or_insert((arrival.at, &backend.id));
+            if arrival.at < first.0 {
+                *first = (arrival.at, &backend.id);
+            }
+        }
     }
-    let ran = attempts.iter().filter_map(|attempt| {
-        let at = arrived.get(&attempt.id)?;
-        Some((attempt.sent_at, *at))
-    });
-    let mut ran: Vec<(Instant, Instant)> = ran.collect();
-    ran.sort();
     write_attempts(attempts, record);
-    let counts = ran.iter().enumerate().map(|(first, (began, _))| {
-        let within = ran[first..]
-            .iter()
-            .take_while(|(sent, _)| *sent < *began + WINDOW);
-        let count = within
-            .filter(|(_, arrived)| *arrived < *began + WINDOW)
-            .count();
-        (count, *began)
+    let ran = attempts.iter().filter_map(|(machine, attempt)| {
+        let (at, backend) = arrived.get(&attempt.id)?;
+        Some(Ran {
+            machine,
+            attempt,
+            at: *at,
+            backend,
+        })
     });
-    let Some((most, began)) = counts.max_by_key(|(count, _)| *count) else {
+    let mut ran: Vec<Ran<'_>> = ran.collect();
+    ran.sort_by_key(|one| one.attempt.sent_at);
+    let windows = (0..ran.len()).map(|first| window(&ran, first));
+    let Some(worst) = windows
+        .max_by_key(Vec::len)
+        .filter(|worst| !worst.is_empty())
+    else {
         record.note("no request of the tenant ran");
         return NOT_RUN;
     };
+    for Ran {
+        machine,
+        attempt,
+        at,
+        backend,
+    } in &worst
+    {
+        let (id, status) = (&attempt.id, attempt.status);
+        let event = format!("{id} sent at {machine}, answered with {status}, ran on {backend}");
+        record.note_at(*at, event);
+    }
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let allowed = ((RATE * WINDOW.as_secs_f64() + BURST) * (1.0 + OVERAGE) + SLACK) as usize;
-    let began = record.seconds(began);
+    let (most, began) = (worst.len(), record.seconds(worst[0].attempt.sent_at));
     record.note(format!(
         "in the 5 s from {began:.3} on, {most} requests of the tenant ran; {allowed} are allowed"
     ));
@@ -257,11 +275,28 @@
     HELD
 }
 
+/// A request that ran.
+#[derive(Clone, Copy)]
+struct Ran<'a> {
+    machine: &'a str,
+    attempt: &'a Attempt,
+    at: Instant,
+    backend: &'a str,
+}
+
+/// Returns the requests that were both sent and arrived in the window that begins with one of them.
+fn window<'a>(ran: &[Ran<'a>], first: usize) -> Vec<Ran<'a>> {
+    let end = ran[first].attempt.sent_at + WINDOW;
+    let sent = ran[first..]
+        .iter()
+        .take_while(|one| one.attempt.sent_at < end);
+    sent.filter(|one| one.at < end).copied().collect()
+}
+
 /// Writes for each half second how many attempts were sent and how they were answered.
-fn write_attempts(attempts: &[Attempt], record: &Record) {
-    let mut counts: std::collections::BTreeMap<(u64, u16), usize> =
-        std::collections::BTreeMap::new();
-    for attempt in attempts {
+fn write_attempts(attempts: &[Sent], record: &Record) {
+    let mut counts: BTreeMap<(u64, u16), usize> = BTreeMap::new();
+    for (_, attempt) in attempts {
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let half = (record.seconds(attempt.sent_at) * 2.0) as u64;
         *counts.entry((half, attempt.status)).or_default() += 1;
--- a/review/standins/src/bin/recover.rs
+++ b/review/standins/src/bin/recover.rs
@@ -128,6 +128,10 @@
     for name in deployment.ended_nodes() {
         record.note(format!("the process of {name} has ended by itself"));
     }
+    let earlier = late.iter().map(|(backend, _)| backend);
+    let earlier = earlier.filter(|_| trouble.power);
+    let present = deployment.machines.iter().map(|machine| &machine.backend);
+    write_runs(earlier.chain(present), record);
     let mut states = deployment
         .machines
         .iter()
@@ -138,6 +142,15 @@
     judge(before, after, record)
 }
 
+/// Writes which requests ran on which backend.
+fn write_runs<'a>(backends: impl Iterator<Item = &'a Backend>, record: &Record) {
+    for backend in backends {
+        for arrival in backend.arrivals().into_iter().filter(|one| one.ran) {
+            record.note_at(arrival.at, format!("{} ran on {}", arrival.id, backend.id));
+        }
+    }
+}
+
 /// Ends all processes and backends, and starts them again. Each backend is then a new incarnation
 /// with a new id.
 fn lose_power(deployment: &mut Deployment, record: &Record) {
@@ -167,14 +180,18 @@
         .machines
         .iter()
         .flat_map(|machine| {
-            let entry = machine.node.entry();
+            let (entry, name) = (machine.node.entry(), &machine.node.name);
             [("GET", "/pay/2f"), ("POST", "/disburse/2f")].map(|(method, path)| {
-                let stop = Arc::clone(&stop);
+                let (stop, record, name) = (Arc::clone(&stop), record.clone(), name.clone());
                 std::thread::spawn(move || {
                     let mut client = Client::new(entry, HOST, None);
                     let mut attempts = Vec::new();
                     while !stop.load(Ordering::Relaxed) {
-                        attempts.push(client.send(method, path));
+                        let attempt = client.send(method, path);
+                        let Attempt { id, status, .. } = &attempt;
+                        let event = format!("{id} {path} sent at {name}, answered with {status}");
+                        record.note_at(attempt.sent_at, event);
+                        attempts.push(attempt);
                         sleep(Duration::from_millis(100));
                     }
                     attempts
