--- a/review/standins/src/bin/drain.rs
+++ b/review/standins/src/bin/drain.rs
@@ -2,7 +2,9 @@
 //! processes have been killed?
 //!
 //! Arguments: the root of the repository and the folder of the case. `TROUBLE=0` leaves out the
-//! store's outage and the kill; `TROUBLE=kill` leaves out the outage only.
+//! store's outage and the kill; `TROUBLE=kill` leaves out the outage only. With `TROUBLE=cut` only
+//! the process beside the backend is killed, and its machine is cut off from the others for some
+//! seconds; `TROUBLE=cut-only` is the same without the outage.
 
 use std::path::Path;
 use std::sync::Arc;
@@ -13,9 +15,10 @@
 use review_standins::backend::Backend;
 use review_standins::client::{Attempt, Client};
 use review_standins::deployment::{Deployment, HOST, Layout, configuration};
+use review_standins::proxy::Cut;
 use review_standins::record::Record;
 use review_standins::{BROKEN, HELD, NOT_RUN, wait_until};
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// `drainS` of the site.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
@@ -25,6 +28,10 @@
 const TRAFFIC_TIME: Duration = Duration::from_millis(2500);
 /// How long a killed process is away.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
+/// How long after its start a process that is cut off gets the late heartbeat.
+const START_TIME: Duration = Duration::from_millis(800);
+/// How long the cut lasts after that.
+const CUT_TIME: Duration = Duration::from_millis(1500);
 const MACHINES: [(&str, &str); 6] = [
     ("disburser", "salt-lake"),
     ("disburser", "new-town"),
@@ -34,29 +41,32 @@
     ("paydesk", "howrah"),
 ];
 
+/// Which processes are killed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kill {
+    None,
+    All,
+    /// The one beside the backend, whose machine is then cut off from the others.
+    OneCutOff,
+}
+
 /// Which disruptions the run has.
 struct Trouble {
     outage: bool,
-    kill: bool,
+    kill: Kill,
 }
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let (root, folder) = (Path::new(&arguments[1]), Path::new(&arguments[2]));
-    let trouble = match std::env::var("TROUBLE").as_deref() {
-        Ok("0") => Trouble {
-            outage: false,
-            kill: false,
-        },
-        Ok("kill") => Trouble {
-            outage: false,
-            kill: true,
-        },
-        _ => Trouble {
-            outage: true,
-            kill: true,
-        },
+    let (outage, kill) = match std::env::var("TROUBLE").as_deref() {
+        Ok("0") => (false, Kill::None),
+        Ok("kill") => (false, Kill::All),
+        Ok("cut") => (true, Kill::OneCutOff),
+        Ok("cut-only") => (false, Kill::OneCutOff),
+        _ => (true, Kill::All),
     };
+    let trouble = Trouble { outage, kill };
     let code = match Record::create(folder) {
         Ok(record) => run(root, &record, &trouble),
         Err(_) => NOT_RUN,
@@ -79,7 +89,7 @@
             "retryBudgetRatio": 0.2, "budgetWindowS": 10, "retrySlack": 49, "recoveryS": 15,
         }),
         work_time: Duration::from_millis(120),
-        has_proxies: false,
+        has_proxies: trouble.kill == Kill::OneCutOff,
     };
     let Some(mut deployment) = Deployment::start(&layout) else {
         record.note("the deployment did not become ready");
@@ -118,18 +128,25 @@
     deployment.store.set_down(false);
     record.note("the store serves");
     sleep(Duration::from_millis(1500));
-    if trouble.kill {
-        kill_all(&mut deployment, record);
+    match trouble.kill {
+        Kill::None => {}
+        Kill::All => kill_all(&mut deployment, record),
+        Kill::OneCutOff => kill_one(&mut deployment, record),
+    }
+    if trouble.kill == Kill::OneCutOff {
+        deliver(&leaving, &late_heartbeat, record);
+        sleep(CUT_TIME);
+        set_cut(&deployment, false);
+        record.note("the cut ends");
     }
     if !deployment.wait_until_ready() {
         record.note("the nodes did not become ready again");
         return NOT_RUN;
     }
     record.note("all nodes are ready");
-    let status = leaving.deliver(&late_heartbeat);
-    record.note(format!(
-        "the late heartbeat arrives and is answered with {status}"
-    ));
+    if trouble.kill != Kill::OneCutOff {
+        deliver(&leaving, &late_heartbeat, record);
+    }
     sleep(STABLE_TIME);
     record.note("all machines are in touch");
     let stop = Arc::new(AtomicBool::new(false));
@@ -184,6 +201,44 @@
     record.note("all processes of the system are started");
 }
 
+/// Kills the process beside the backend and starts it again while its machine is cut off.
+fn kill_one(deployment: &mut Deployment, record: &Record) {
+    deployment.machines[0].node.kill();
+    set_cut(deployment, true);
+    let node = &mut deployment.machines[0].node;
+    record.note(format!(
+        "the process of {} is killed, its machine is cut off",
+        node.name
+    ));
+    sleep(RESTART_DELAY);
+    if let Err(error) = node.start(false) {
+        record.note(format!("{} did not start: {error}", node.name));
+    }
+    record.note(format!("the process of {} is started", node.name));
+    sleep(START_TIME);
+}
+
+/// Cuts the first machine off from the others, or ends that.
+fn set_cut(deployment: &Deployment, is_cut: bool) {
+    let (first, others) = deployment
+        .machines
+        .split_first()
+        .expect("there are machines");
+    let when = |cut| if is_cut { cut } else { Cut::None };
+    let proxies = others.iter().filter_map(|machine| machine.proxy.as_ref());
+    proxies.for_each(|proxy| proxy.set_cut(when(Cut::From(first.node.ip.into()))));
+    let own = first.proxy.iter();
+    own.for_each(|proxy| proxy.set_cut(when(Cut::All)));
+}
+
+/// Delivers the late heartbeat.
+fn deliver(leaving: &Backend, late_heartbeat: &Value, record: &Record) {
+    let status = leaving.deliver(late_heartbeat);
+    record.note(format!(
+        "the late heartbeat arrives and is answered with {status}"
+    ));
+}
+
 /// Sends a request to the service of the backend from each machine.
 fn send_everywhere(deployment: &Deployment, record: &Record) {
     for machine in &deployment.machines {
--- a/review/standins/src/proxy.rs
+++ b/review/standins/src/proxy.rs
@@ -1,10 +1,11 @@
-//! A loopback proxy in front of a node's port for other nodes, which can silence the connections
-//! that are open: they stay open, but nothing passes any more. Later connections work.
+//! A loopback proxy in front of a node's port for other nodes. It can silence the connections that
+//! are open: they stay open, but nothing passes any more, while later ones work. It can also hold
+//! back what passes to and from a machine that is cut off, until the cut ends.
 
 use std::io::{self, Read as _, Write as _};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Timeout of one read; the state is checked after it.
@@ -19,6 +20,26 @@
     /// Connections with a lower number are silent.
     silent_below: Arc<AtomicU64>,
     next: Arc<AtomicU64>,
+    cut: Arc<Mutex<Cut>>,
+}
+
+/// A connection through the proxy.
+#[derive(Debug, Clone, Copy)]
+struct Flow {
+    number: u64,
+    client: IpAddr,
+}
+
+/// Whose connections are held back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Cut {
+    /// Nobody's.
+    #[default]
+    None,
+    /// Those of the machine with this address.
+    From(IpAddr),
+    /// All.
+    All,
 }
 
 impl Proxy {
@@ -29,6 +50,7 @@
             address,
             silent_below: Arc::default(),
             next: Arc::default(),
+            cut: Arc::default(),
         };
         let serving = proxy.clone();
         std::thread::spawn(move || {
@@ -47,29 +69,53 @@
         self.silent_below.store(next, Ordering::SeqCst);
     }
 
+    /// Begins or ends a cut.
+    pub fn set_cut(&self, cut: Cut) {
+        *self.cut.lock().expect("no thread panicked") = cut;
+    }
+
+    /// Returns true while the connections of a client are held back.
+    fn is_cut(&self, client: IpAddr) -> bool {
+        match *self.cut.lock().expect("no thread panicked") {
+            Cut::None => false,
+            Cut::From(machine) => machine == client,
+            Cut::All => true,
+        }
+    }
+
     fn is_silent(&self, number: u64) -> bool {
         number < self.silent_below.load(Ordering::SeqCst)
     }
 
     fn forward(&self, client: &TcpStream, target: SocketAddr, number: u64) {
+        let Ok(address) = client.peer_addr() else {
+            return;
+        };
+        while self.is_cut(address.ip()) {
+            std::thread::sleep(POLL_INTERVAL);
+        }
         let Ok(server) = TcpStream::connect(target) else {
             return;
         };
+        let flow = Flow {
+            number,
+            client: address.ip(),
+        };
         // Without this, small messages would be delayed.
         let _ = (client.set_nodelay(true), server.set_nodelay(true));
         let (Ok(client_copy), Ok(server_copy)) = (client.try_clone(), server.try_clone()) else {
             return;
         };
         let back = self.clone();
-        let other = std::thread::spawn(move || back.pump(&server_copy, &client_copy, number));
-        self.pump(client, &server, number);
+        let other = std::thread::spawn(move || back.pump(&server_copy, &client_copy, flow));
+        self.pump(client, &server, flow);
         // It ends by itself.
         let _ = other.join();
     }
 
-    fn pump(&self, from: &TcpStream, to: &TcpStream, number: u64) {
-        let ended = self.copy(from, to, number);
-        if self.is_silent(number) {
+    fn pump(&self, from: &TcpStream, to: &TcpStream, flow: Flow) {
+        let ended = self.copy(from, to, flow);
+        if self.is_silent(flow.number) {
             std::thread::sleep(HOLD_TIME);
             return;
         }
@@ -82,19 +128,23 @@
         let _ = to.shutdown(how);
     }
 
-    fn copy(&self, mut from: &TcpStream, mut to: &TcpStream, number: u64) -> io::Result<()> {
+    fn copy(&self, mut from: &TcpStream, mut to: &TcpStream, flow: Flow) -> io::Result<()> {
         from.set_read_timeout(Some(POLL_INTERVAL))?;
         let mut bytes = [0; 16 * 1024];
         loop {
-            if self.is_silent(number) {
+            if self.is_silent(flow.number) {
                 return Ok(());
             }
+            if self.is_cut(flow.client) {
+                std::thread::sleep(POLL_INTERVAL);
+                continue;
+            }
             let count = match from.read(&mut bytes) {
                 Ok(count) => count,
                 Err(error) if is_timeout(&error) => continue,
                 Err(error) => return Err(error),
             };
-            if self.is_silent(number) || count == 0 {
+            if self.is_silent(flow.number) || count == 0 {
                 return Ok(());
             }
             to.write_all(&bytes[..count])?;
