--- a/review/standins/src/backend.rs
+++ b/review/standins/src/backend.rs
@@ -35,6 +35,10 @@
     /// It has said that it leaves: its health check fails and it sends no heartbeats.
     is_leaving: bool,
     has_ended: bool,
+    /// All its slots are taken, so health checks wait.
+    is_full: bool,
+    /// It sends no further heartbeats by itself.
+    is_quiet: bool,
     streams: HashMap<usize, TcpStream>,
 }
 
@@ -104,6 +108,25 @@
         self.call(&path, "")
     }
 
+    /// Takes all slots, so that health checks wait, and sends no further heartbeats by itself.
+    pub fn fill(&self) {
+        let mut state = self.state();
+        state.is_full = true;
+        state.is_quiet = true;
+    }
+
+    /// Opens the connection for a heartbeat whose bytes are held up on their way.
+    pub fn begin_heartbeat(&self) -> Option<Delayed> {
+        let heartbeat = self.next_heartbeat("ready").to_string();
+        let connection = Connection::open(self.control, Duration::from_secs(1))?;
+        let path = format!("/sailtrack/Instances.Heartbeat/{}", self.id);
+        let request = call(&path, &heartbeat);
+        Some(Delayed {
+            connection,
+            request,
+        })
+    }
+
     /// Exits: closes its port and all connections.
     pub fn exit(&self) {
         let mut state = self.state();
@@ -122,11 +145,7 @@
     }
 
     fn call(&self, path: &str, body: &str) -> u16 {
-        let length = body.len();
-        let request = format!(
-            "POST {path} HTTP/1.1\r\nHost: node\r\nContent-Type: application/json\r\n\
-             Content-Length: {length}\r\nConnection: close\r\n\r\n{body}"
-        );
+        let request = call(path, body);
         // An answer counts if it arrives within a second.
         let connection = Connection::open(self.control, Duration::from_secs(1));
         let answer = connection.and_then(|mut connection| connection.exchange(request.as_bytes()));
@@ -135,11 +154,11 @@
 
     fn send_heartbeats(&self) {
         loop {
-            let (is_leaving, has_ended) = {
+            let has_stopped = {
                 let state = self.state();
-                (state.is_leaving, state.has_ended)
+                state.is_leaving || state.has_ended || state.is_quiet
             };
-            if is_leaving || has_ended {
+            if has_stopped {
                 return;
             }
             let heartbeat = self.next_heartbeat("ready");
@@ -184,6 +203,12 @@
 
     fn respond(&self, stream: &mut TcpStream, message: &Message) -> bool {
         if message.word(1) == "/health" {
+            while self.state().is_full {
+                if self.state().has_ended {
+                    return false;
+                }
+                std::thread::sleep(Duration::from_millis(10));
+            }
             let status = if self.state().is_leaving { 503 } else { 200 };
             let fields = format!(
                 "X-Instance-Id: {}\r\nX-Server-Load: 0,0,{SLOTS}\r\n",
@@ -225,6 +250,29 @@
     }
 }
 
+/// A heartbeat that is held up on its way.
+pub struct Delayed {
+    connection: Connection,
+    request: String,
+}
+
+impl Delayed {
+    /// Lets the heartbeat arrive; returns the status of the answer, zero without one.
+    pub fn arrive(mut self) -> u16 {
+        let answer = self.connection.exchange(self.request.as_bytes());
+        answer.map_or(0, |answer| answer.status())
+    }
+}
+
+/// Returns the bytes of a call to a node.
+fn call(path: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: node\r\nContent-Type: application/json\r\n\
+         Content-Length: {length}\r\nConnection: close\r\n\r\n{body}"
+    )
+}
+
 /// Binds the address, which an earlier incarnation may be about to release.
 fn bind(address: SocketAddr) -> TcpListener {
     for _ in 0..100 {
--- a/review/standins/src/bin/recover.rs
+++ b/review/standins/src/bin/recover.rs
@@ -1,8 +1,8 @@
-//! Does a service come back after all machines have lost power, if a heartbeat of each crashed
-//! backend arrives late?
+//! Do services come back after their nodes and backends were restarted, one after the other, if the
+//! last heartbeat of each crashed backend arrives late?
 //!
-//! Arguments: the root of the repository and the folder of the case. `TROUBLE=0` leaves out the loss
-//! of power and the late heartbeats; `TROUBLE=power` leaves out the late heartbeats only.
+//! Arguments: the root of the repository and the folder of the case. `TROUBLE=0` leaves out the kills,
+//! the crashes and the late heartbeats; `TROUBLE=crash` leaves out the late heartbeats only.
 
 use std::path::Path;
 use std::sync::Arc;
@@ -12,19 +12,25 @@
 
 use review_standins::backend::Backend;
 use review_standins::client::{Attempt, Client};
-use review_standins::deployment::{Deployment, HOST, Layout, configuration};
+use review_standins::deployment::{Deployment, HOST, Layout, Machine, configuration};
 use review_standins::record::Record;
 use review_standins::{BROKEN, HELD, NOT_RUN, wait_until};
-use serde_json::{Value, json};
+use serde_json::json;
 
 /// `recoveryS` of the site.
 const RECOVERY_TIME: Duration = Duration::from_secs(15);
 /// How long requests are counted, before the fault and after the recovery.
 const COUNTED_TIME: Duration = Duration::from_secs(4);
-/// How long the machines are without power.
-const DARK_TIME: Duration = Duration::from_millis(500);
-/// How long requests are sent once the machines are back, before the late heartbeats arrive.
-const RETURN_TIME: Duration = Duration::from_secs(2);
+/// How long a killed process is away.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
+/// How long after it began its last heartbeat a backend crashes.
+const CRASH_DELAY: Duration = Duration::from_millis(300);
+/// How long a crashed backend is down.
+const DOWN_TIME: Duration = Duration::from_millis(500);
+/// How long after the new backend has started the late heartbeat arrives.
+const LATE_TIME: Duration = Duration::from_millis(1200);
+/// The pause before the next machine.
+const PAUSE: Duration = Duration::from_millis(300);
 const WORK_TIME: Duration = Duration::from_millis(60);
 const MACHINES: [(&str, &str); 6] = [
     ("disburser", "salt-lake"),
@@ -37,7 +43,7 @@
 
 /// Which disruptions the run has.
 struct Trouble {
-    power: bool,
+    crashes: bool,
     late_heartbeats: bool,
 }
 
@@ -46,15 +52,15 @@
     let (root, folder) = (Path::new(&arguments[1]), Path::new(&arguments[2]));
     let trouble = match std::env::var("TROUBLE").as_deref() {
         Ok("0") => Trouble {
-            power: false,
+            crashes: false,
             late_heartbeats: false,
         },
-        Ok("power") => Trouble {
-            power: true,
+        Ok("crash") => Trouble {
+            crashes: true,
             late_heartbeats: false,
         },
         _ => Trouble {
-            power: true,
+            crashes: true,
             late_heartbeats: true,
         },
     };
@@ -99,39 +105,30 @@
     }
     sleep(Duration::from_secs(4));
     let before = count(&deployment, record, "before", COUNTED_TIME);
-    let backends = deployment.machines.iter().map(|machine| &machine.backend);
-    let late: Vec<(Backend, Value)> = backends
-        .map(|backend| (backend.clone(), backend.next_heartbeat("ready")))
-        .collect();
-    if trouble.power {
-        record.note("each backend sends a heartbeat, which is delayed");
-        lose_power(&mut deployment, record);
+    let mut earlier = Vec::new();
+    for number in 0..MACHINES.len() {
+        if !trouble.crashes {
+            break;
+        }
+        let machine = &mut deployment.machines[number];
+        earlier.push(machine.backend.clone());
+        if !restart(machine, record, trouble.late_heartbeats) {
+            return NOT_RUN;
+        }
     }
     let back_at = Instant::now();
     if !deployment.wait_until_ready() {
         record.note("the nodes did not become ready again");
         return NOT_RUN;
     }
-    record.note("all nodes are ready");
-    count(&deployment, record, "after the return", RETURN_TIME);
-    if trouble.late_heartbeats {
-        for (backend, heartbeat) in &late {
-            let status = backend.deliver(heartbeat);
-            let id = &backend.id;
-            record.note(format!(
-                "the late heartbeat of {id} is answered with {status}"
-            ));
-        }
-    }
+    record.note("all machines are back, all nodes are ready");
     sleep(RECOVERY_TIME.saturating_sub(back_at.elapsed()));
     let after = count(&deployment, record, "after the recovery", COUNTED_TIME);
     for name in deployment.ended_nodes() {
         record.note(format!("the process of {name} has ended by itself"));
     }
-    let earlier = late.iter().map(|(backend, _)| backend);
-    let earlier = earlier.filter(|_| trouble.power);
     let present = deployment.machines.iter().map(|machine| &machine.backend);
-    write_runs(earlier.chain(present), record);
+    write_runs(earlier.iter().chain(present), record);
     let mut states = deployment
         .machines
         .iter()
@@ -151,26 +148,51 @@
     }
 }
 
-/// Ends all processes and backends, and starts them again. Each backend is then a new incarnation
-/// with a new id.
-fn lose_power(deployment: &mut Deployment, record: &Record) {
-    for machine in &mut deployment.machines {
-        machine.node.kill();
-        machine.backend.exit();
+/// Kills the process of a machine and starts it again, then lets the backend crash and start again
+/// as a new incarnation with a new id. The last heartbeat of the crashed one, which the new process
+/// had not heard of, arrives late.
+fn restart(machine: &mut Machine, record: &Record, is_late: bool) -> bool {
+    let name = machine.node.name.clone();
+    let crashed = machine.backend.clone();
+    crashed.fill();
+    machine.node.kill();
+    record.note(format!(
+        "the process of {name} is killed; the slots of {} are taken",
+        crashed.id
+    ));
+    sleep(RESTART_DELAY);
+    let is_started = machine.node.start(false).is_ok();
+    if !is_started || !wait_until(Duration::from_secs(10), || machine.node.is_ready()) {
+        record.note(format!("the process of {name} did not become ready"));
+        return false;
     }
-    record.note("all machines lose power");
-    sleep(DARK_TIME);
-    for machine in &mut deployment.machines {
-        let earlier = machine.backend.clone();
-        let id = format!("i-f{}", &earlier.id[3..]);
-        let names = (&*id, &*earlier.service, &*earlier.zone);
-        machine.backend = Backend::start(names, earlier.address, earlier.control, WORK_TIME);
-        let name = machine.node.name.clone();
-        record.note(format!("{name} is back with the backend {id}"));
-        if let Err(error) = machine.node.start(false) {
-            record.note(format!("{name} did not start: {error}"));
-        }
+    record.note(format!("the process of {name} is back"));
+    let Some(heartbeat) = crashed.begin_heartbeat() else {
+        record.note(format!("{name} takes no heartbeats"));
+        return false;
+    };
+    record.note(format!(
+        "{} sends a heartbeat, which is held up",
+        crashed.id
+    ));
+    sleep(CRASH_DELAY);
+    crashed.exit();
+    record.note(format!("{} crashes", crashed.id));
+    sleep(DOWN_TIME);
+    let id = format!("i-f{}", &crashed.id[3..]);
+    let names = (&*id, &*crashed.service, &*crashed.zone);
+    machine.backend = Backend::start(names, crashed.address, crashed.control, WORK_TIME);
+    record.note(format!("{id} starts in its place"));
+    sleep(LATE_TIME);
+    if is_late {
+        let status = heartbeat.arrive();
+        let id = &crashed.id;
+        record.note(format!(
+            "the late heartbeat of {id} is answered with {status}"
+        ));
     }
+    sleep(PAUSE);
+    true
 }
 
 /// Sends requests from all machines for a while; returns how many were sent and how many were served.
