Retired upstreams: what a node learns late takes effect at once

Cause: a node that heard of a retirement after it had accepted the upstream noted it and withdrew nothing, and a node that knew of a retirement went on sending to the node beside the upstream for as long as that said "serving".

Change: the table of retired upstreams calls observers with each new entry, whichever way it came: in a response, from the store, from a peer. The own upstream is withdrawn if it is the one; requests that wait or arrive find no upstream and are told "not run". Each link marks its upstream, also when a node names an incarnation that is in the table already. Reasons are a type; event 419 (debug) tells for each entry from whom it is known.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -103,6 +103,8 @@
     RATE_LIMIT_NAMED = 417 Info "rate limit of the upstream changed" ["upstream", "limit", "before", "source"];
     /// The rate limit that the own upstream names could not be parsed; the limit before it stays in force. Logged once for each incarnation.
     RATE_LIMIT_UNREADABLE = 418 Warn "rate limit of the upstream not readable" ["upstream", "value"];
+    /// This node knows from now on that an incarnation of an upstream, its own or that of another node, is leaving or has left. `reason` is what it knows this from.
+    RETIREMENT_KNOWN = 419 Debug "upstream known as retired" ["upstream", "reason"];
     /// The own upstream crashed, that is, ended without deregistering. `ran` lists the requests in flight by the first digits of their identities, with their kinds; `requests` is their number.
     UPSTREAM_CRASHED = 420 Warn "upstream crashed" ["upstream", "requests", "ran"];
     /// A request was in flight when several upstreams crashed and is quarantined: it is no longer sent to any upstream. `upstream` is the incarnation that crashed last, `time_s` the duration of the quarantine in seconds. Each node that learns of the crash logs this.
--- a/crates/mesh/src/announcement/mod.rs
+++ b/crates/mesh/src/announcement/mod.rs
@@ -25,7 +25,7 @@
 use crate::key::UpstreamKey;
 use crate::metrics::Metrics;
 use crate::peer::Peers;
-use crate::retired::Retired;
+use crate::retired::{Reason, Retired};
 use crate::store::{Clock, Store};
 
 /// Timeout for the health check that identifies the upstream at the start.
@@ -120,9 +120,11 @@
 
     async fn handle_announcement(self: &Rc<Self>, announcement: Announcement) -> Response {
         let is_durable = match announcement {
-            Announcement::Deregistration(upstream) => self.retire(&upstream, "goodbye").await,
+            Announcement::Deregistration(upstream) => {
+                self.retire(&upstream, &Reason::Deregistered).await
+            }
             Announcement::Heartbeat(heartbeat) if heartbeat.readiness == Readiness::Draining => {
-                self.retire(&heartbeat.upstream, "leaving").await
+                self.retire(&heartbeat.upstream, &Reason::Draining).await
             }
             Announcement::Heartbeat(heartbeat) => {
                 self.handle_ready(heartbeat);
--- a/crates/mesh/src/announcement/retirement.rs
+++ b/crates/mesh/src/announcement/retirement.rs
@@ -13,8 +13,8 @@
 
 use super::error::RowError;
 use super::{Announcements, POLL_INTERVAL};
-use crate::gate::LEAVING_REASON;
 use crate::key::UpstreamKey;
+use crate::retired::Reason;
 use crate::store::{Content, Row, Table};
 
 /// Timeout for the acknowledgement of a retirement. The upstream itself gives up after 1 s.
@@ -36,13 +36,13 @@
         let (announcements, upstream) = (Rc::clone(self), upstream.clone());
         task::spawn("leaving upstream", async move {
             // A failure is logged where it occurs.
-            announcements.retire(&upstream, LEAVING_REASON).await;
+            announcements.retire(&upstream, &Reason::Response).await;
         });
     }
 
     /// Sends no new requests to an upstream, and returns true once its retirement is recorded
     /// outside this process.
-    pub(super) async fn retire(self: &Rc<Self>, upstream: &UpstreamKey, reason: &str) -> bool {
+    pub(super) async fn retire(self: &Rc<Self>, upstream: &UpstreamKey, reason: &Reason) -> bool {
         let key = self.upstream.retire(upstream, reason);
         let id = key.id().to_owned();
         self.acknowledged.borrow_mut().insert(id, key.clone());
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Applies a retirement that this node has learned of.
+    pub(crate) fn handle_retired(&self, upstream: &UpstreamKey, reason: &Reason) {
+        self.upstream.withdraw(upstream, reason);
+    }
+
     /// Writes the rows of acknowledged retirements again after the store was restored from a backup.
     /// Without them, a later process of this node would accept a late heartbeat.
     pub(crate) fn restore_rows(self: &Rc<Self>) {
@@ -147,9 +152,9 @@
     /// that incarnation or an earlier one.
     fn is_retired_by(&self, upstream: &UpstreamKey, retired: UpstreamKey) -> bool {
         if upstream.is_older_than(&retired) {
-            self.retired.note(upstream.clone());
+            self.retired.note(upstream.clone(), &Reason::Stored);
         }
-        self.retired.note(retired);
+        self.retired.note(retired, &Reason::Stored);
         self.retired.contains(upstream)
     }
 }
--- a/crates/mesh/src/gate/demands.rs
+++ b/crates/mesh/src/gate/demands.rs
@@ -15,9 +15,8 @@
 use crate::dialect::Dialect;
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::rate_limit::RateLimit;
+use crate::retired::Reason;
 
-/// Why an upstream is retired that said in a response that it is leaving.
-pub(crate) const LEAVING_REASON: &str = "said so in a response";
 /// How much of an unreadable value is logged.
 const MAX_LOGGED_CHARS: usize = 64;
 /// The shortest time between two events about changes of the limit, which may change with every
@@ -217,7 +216,7 @@
     }
 
     fn retire_leaving(&self, upstream: &UpstreamKey) {
-        self.retire(upstream, LEAVING_REASON);
+        self.retire(upstream, &Reason::Response);
         for on_leaving in self.on_leaving.borrow().iter() {
             on_leaving(upstream);
         }
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -50,7 +50,7 @@
 use admitted::Admitted;
 pub(crate) use builder::Builder;
 use crash::Detector;
-pub(crate) use demands::{Demands, LEAVING_REASON};
+pub(crate) use demands::Demands;
 use kinds::Kinds;
 use lock::{Guard, Lock};
 use pool::Pool;
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -20,6 +20,7 @@
 use crate::clock;
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::request::{Request, Response};
+use crate::retired::Reason as Retirement;
 use crate::retry_after;
 
 /// On a rejection: when callers should come back.
@@ -129,8 +130,7 @@
         }
         let says_not_run = head.fields.get(fields.not_run).is_some();
         if head.status == MISDIRECTED {
-            self.upstream
-                .retire(upstream, "another upstream has its address");
+            self.upstream.retire(upstream, &Retirement::Replaced);
             self.pool.clear();
             return Response::rejected_by_upstream(Reason::NoUpstream)
                 .with_retry_after(retry_after::no_upstream());
--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -21,7 +21,7 @@
 use crate::gate::demands::Latest;
 use crate::gate::report::Report;
 use crate::key::UpstreamKey;
-use crate::retired::Retired;
+use crate::retired::{Reason, Retired};
 
 /// How long an upstream gets no requests after it refused a connection, unless it sends a heartbeat
 /// before.
@@ -60,10 +60,14 @@
         self.key.is_same_incarnation(&heartbeat.upstream)
     }
 
+    /// Returns true if it has sent no heartbeat for so long that it may have ended.
+    fn is_silent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_heartbeat) >= MAX_SILENCE
+    }
+
     /// Returns true if a heartbeat comes from an earlier incarnation and must be ignored.
     fn supersedes(&self, heartbeat: &Heartbeat, now: Instant) -> bool {
-        let silence = now.saturating_duration_since(self.last_heartbeat);
-        heartbeat.upstream.is_older_than(&self.key) && silence < MAX_SILENCE
+        heartbeat.upstream.is_older_than(&self.key) && !self.is_silent(now)
     }
 }
 
@@ -158,10 +162,7 @@
         if self.closed.get() || unreachable.is_some_and(|until| now < until) {
             return None;
         }
-        self.current
-            .borrow()
-            .as_ref()
-            .map(|current| current.key.clone())
+        self.current_key()
     }
 
     /// Records the load of an upstream to which this process has not sent anything yet.
@@ -230,11 +231,14 @@
             Some(earlier) => {
                 // An incarnation with a later start time may only have been silent, and may come
                 // back.
-                if !heartbeat.upstream.is_older_than(&earlier.key) {
+                let has_ended = !heartbeat.upstream.is_older_than(&earlier.key);
+                if has_ended {
                     self.replaced.replace(Some(earlier.key.clone()));
-                    self.retired.note(earlier.key);
                 }
                 self.start_incarnation(heartbeat, now);
+                if has_ended {
+                    self.retired.note(earlier.key, &Reason::Replaced);
+                }
             }
             None => self.start_incarnation(heartbeat, now),
         }
@@ -352,29 +356,37 @@
 
     /// Sends nothing new to this incarnation from now on and returns its key. A key without start
     /// time stands for the current incarnation with the same id.
-    pub(crate) fn retire(&self, upstream: &UpstreamKey, reason: &str) -> UpstreamKey {
-        let present = self
-            .current
-            .borrow()
-            .as_ref()
-            .map(|current| current.key.clone());
-        let present = present.filter(|key| key.is_same_incarnation(upstream));
-        let retired = match &present {
-            Some(key) if upstream.started().is_none() => key.clone(),
+    pub(crate) fn retire(&self, upstream: &UpstreamKey, reason: &Reason) -> UpstreamKey {
+        let retired = match self.current_key() {
+            Some(current)
+                if upstream.started().is_none() && current.is_same_incarnation(upstream) =>
+            {
+                current
+            }
             _ => upstream.clone(),
         };
-        self.retired.note(retired.clone());
-        if present.is_some() {
-            emit(
-                &catalogue::UPSTREAM_RETIRED,
-                &[("upstream", &retired), ("reason", &reason)],
-            );
-            *self.current.borrow_mut() = None;
-            self.notify_availability();
-        }
+        self.withdraw(&retired, reason);
+        self.retired.note(retired.clone(), reason);
         retired
     }
 
+    /// Sends nothing new to an incarnation that is known to have retired, if it is the current one.
+    pub(crate) fn withdraw(&self, retired: &UpstreamKey, reason: &Reason) {
+        if !self.is_current(retired) {
+            return;
+        }
+        emit(
+            &catalogue::UPSTREAM_RETIRED,
+            &[("upstream", retired), ("reason", reason)],
+        );
+        self.suspend_current();
+    }
+
+    fn current_key(&self) -> Option<UpstreamKey> {
+        let current = self.current.borrow();
+        current.as_ref().map(|current| current.key.clone())
+    }
+
     /// Records that the upstream refused a connection.
     pub(crate) fn record_unreachable(&self, now: Instant) {
         let was = self
--- a/crates/mesh/src/gate/upstream/tests.rs
+++ b/crates/mesh/src/gate/upstream/tests.rs
@@ -11,7 +11,7 @@
 use crate::gate::upstream::{MAX_SILENCE, Upstream, limit};
 use crate::key::UpstreamKey;
 use crate::node::ADMISSION_CONFIG;
-use crate::retired::Retired;
+use crate::retired::{Reason, Retired};
 
 const FIRST: u64 = 1_790_000_000_000;
 const SECOND: u64 = FIRST + 60_000;
@@ -108,9 +108,9 @@
     let upstream = upstream(now);
     let second = key("i-1", Some(SECOND));
     upstream.handle_heartbeat(&heartbeat(second.clone(), 1), now);
-    upstream.retire(&key("i-1", Some(FIRST)), "leaving");
+    upstream.retire(&key("i-1", Some(FIRST)), &Reason::Draining);
     assert_eq!(upstream.ready(now), Some(second.clone()));
-    let retired = upstream.retire(&key("i-1", None), "goodbye");
+    let retired = upstream.retire(&key("i-1", None), &Reason::Deregistered);
     assert_eq!(retired, second, "it stands for the current incarnation");
     assert_eq!(upstream.ready(now), None);
     upstream.handle_heartbeat(&heartbeat(second, 2), now);
--- a/crates/mesh/src/gossip.rs
+++ b/crates/mesh/src/gossip.rs
@@ -17,7 +17,7 @@
 use crate::key::UpstreamKey;
 use crate::peer::Delegate;
 use crate::quarantine::Quarantine;
-use crate::retired::Retired;
+use crate::retired::{Reason, Retired};
 use crate::status::Status;
 use crate::store::{Clock, StoreTime};
 
@@ -53,7 +53,7 @@
             // Peers only propagate keys that they could parse. A key that cannot be parsed here
             // cannot match an upstream of this node.
             if let Ok(key) = upstream.parse::<UpstreamKey>() {
-                self.retired.note(key);
+                self.retired.note(key, &Reason::Told(from.clone()));
             }
         }
         for known in &presence.known {
@@ -98,7 +98,11 @@
     }
 
     fn handle_leaving(&self, upstream: &UpstreamKey) {
-        self.retired.note(upstream.clone());
+        self.retired.note(upstream.clone(), &Reason::Response);
+    }
+
+    fn is_retired(&self, upstream: &UpstreamKey) -> bool {
+        self.retired.contains(upstream)
     }
 
     fn handle_crash(&self, upstream: &UpstreamKey, executions: &[Execution]) {
--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -22,6 +22,7 @@
 use crate::peer::Peers;
 use crate::quota::{Election, Fetcher as TokenFetcher, Quotas};
 use crate::reload::{Components, Reload};
+use crate::retired::Retired;
 use crate::settings::Settings;
 use crate::status::Status;
 use crate::suspension;
@@ -66,6 +67,16 @@
     upstream.on_availability_change(move || status.publish());
     let announcements = table.find::<Announcements>()?;
     upstream.on_leaving(move |upstream| announcements.handle_leaving(upstream));
+    connect_retirements(table)
+}
+
+/// Registers the callbacks by which a retirement takes effect, whenever this node learns of it.
+fn connect_retirements(table: &Table) -> Result<(), Error> {
+    let retired = table.find::<Retired>()?;
+    let peers = table.find::<Peers>()?;
+    retired.on_added(move |upstream, _| peers.handle_retirement(upstream));
+    let announcements = table.find::<Announcements>()?;
+    retired.on_added(move |upstream, reason| announcements.handle_retired(upstream, reason));
     Ok(())
 }
 
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -36,7 +36,7 @@
 use crate::quota::Quotas;
 use crate::rate_limit::RateLimit;
 use crate::request::Response;
-use crate::retired::Retired;
+use crate::retired::{Reason as Retirement, Retired};
 use crate::status::Status;
 use crate::store::{Clock, StoreTime};
 
@@ -161,7 +161,7 @@
                     }
                 }
                 Body::Recall(recall) => self.recall(recall, outgoing, exchanges),
-                Body::Retire(retire) => self.record_retirement(&retire, outgoing),
+                Body::Retire(retire) => self.record_retirement(&retire, holder, outgoing),
                 Body::Fetch(fetch) => self.send_configuration(fetch, outgoing),
                 // If the channel is full, the messages in it show that this node is alive.
                 Body::Ping(_) => drop(outgoing.clone().try_send(Body::Pong(self.pong()))),
@@ -286,12 +286,20 @@
         spawn_response(exchange, response, outgoing, exchanges);
     }
 
-    fn record_retirement(&self, retire: &Retire, outgoing: &mpsc::Sender<Body>) {
+    fn record_retirement(
+        &self,
+        retire: &Retire,
+        holder: Option<&Holder>,
+        outgoing: &mpsc::Sender<Body>,
+    ) {
+        let Some(peer) = holder.map(|holder| holder.node.clone()) else {
+            return reject(&"retirement from a peer without a name");
+        };
         let upstream = match retire.upstream.parse::<UpstreamKey>() {
             Ok(upstream) => upstream,
             Err(error) => return reject(&error),
         };
-        self.retired.note(upstream);
+        self.retired.note(upstream, &Retirement::Told(peer));
         let exchange = retire.exchange;
         // Without an acknowledgement the peer does not count this node among the replicas of the
         // retirement.
--- a/crates/mesh/src/peer/link/mod.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -25,6 +25,7 @@
 
 use crate::clock;
 use crate::directory::Member;
+use crate::key::UpstreamKey;
 use crate::peer::Delegate;
 use crate::peer::convert::{MAX_CHUNK, request_to_wire};
 use crate::peer::link::lost::Lost;
@@ -144,6 +145,11 @@
         self.incarnation.get() != Incarnation::default()
     }
 
+    /// Sends no requests to an incarnation of the node's upstream that has retired.
+    pub(crate) fn handle_retirement(&self, upstream: &UpstreamKey) {
+        self.upstream.record_retirement(upstream);
+    }
+
     /// Returns true if the node accepts requests for its upstream, according to its last message.
     pub(crate) fn is_serving(&self) -> bool {
         let accepts = self.state.get() == State::Serving && !self.upstream.is_leaving();
@@ -301,6 +307,7 @@
     fn handle_presence(&self, presence: &Presence) {
         if self.upstream.apply_presence(presence) {
             self.load.borrow_mut().reset();
+            self.check_retirement(&presence.upstream);
         }
         if let Some(member) = &presence.member {
             self.state.set(member.state());
@@ -325,6 +332,16 @@
         }
     }
 
+    /// Checks whether the incarnation that the node names as its upstream has retired.
+    fn check_retirement(&self, upstream: &str) {
+        // A key that cannot be parsed here is in no table of this node.
+        if let Ok(upstream) = upstream.parse()
+            && self.delegate.is_retired(&upstream)
+        {
+            self.upstream.record_retirement(&upstream);
+        }
+    }
+
     fn disconnect(&self) {
         self.incarnation.set(Incarnation::default());
         self.state.set(State::Joining);
--- a/crates/mesh/src/peer/link/tests.rs
+++ b/crates/mesh/src/peer/link/tests.rs
@@ -53,6 +53,10 @@
 
     fn handle_leaving(&self, _upstream: &UpstreamKey) {}
 
+    fn is_retired(&self, _: &UpstreamKey) -> bool {
+        false
+    }
+
     fn handle_crash(&self, _upstream: &UpstreamKey, _ran: &[Execution]) {}
 }
 
--- a/crates/mesh/src/peer/link/upstream.rs
+++ b/crates/mesh/src/peer/link/upstream.rs
@@ -21,7 +21,7 @@
     incarnation: RefCell<String>,
     slots: Cell<u32>,
     rate_limit: Cell<RateLimit>,
-    /// The last incarnation that said in a response that it is leaving.
+    /// The last incarnation that is known to be leaving.
     leaving: RefCell<Option<UpstreamKey>>,
     /// Whether that is the current one.
     is_leaving: Cell<bool>,
@@ -43,7 +43,7 @@
         self.slots.set(slots);
     }
 
-    /// Returns true if the current incarnation said in a response that it is leaving.
+    /// Returns true if the current incarnation is known to be leaving.
     pub(super) fn is_leaving(&self) -> bool {
         self.is_leaving.get()
     }
@@ -68,11 +68,23 @@
     pub(super) fn apply_response(&self, response: &Response) {
         self.set_rate_limit(response.rate_limit);
         if let Some(leaving) = &response.leaving {
-            self.leaving.replace(Some(leaving.clone()));
-            self.update_leaving();
+            self.set_leaving(leaving);
         }
     }
 
+    /// Records that an incarnation retired, if it is the current one.
+    pub(super) fn record_retirement(&self, retired: &UpstreamKey) {
+        let current = self.incarnation.borrow().parse::<UpstreamKey>();
+        if current.is_ok_and(|current| current.is_same_incarnation(retired)) {
+            self.set_leaving(retired);
+        }
+    }
+
+    fn set_leaving(&self, leaving: &UpstreamKey) {
+        self.leaving.replace(Some(leaving.clone()));
+        self.update_leaving();
+    }
+
     /// Returns the message that tells the node which rate limit its upstream named.
     pub(super) fn rate_limit_to_wire(&self) -> Option<RateLimitMessage> {
         let limited = self.rate_limit.get().rate().is_some();
--- a/crates/mesh/src/peer/link/upstream/tests.rs
+++ b/crates/mesh/src/peer/link/upstream/tests.rs
@@ -65,3 +65,19 @@
         assert!(upstream.is_leaving(), "{known_as:?}");
     }
 }
+
+/// Peers that knew from elsewhere that an upstream had retired went on sending to it for as long as
+/// its node said that it was ready.
+#[test]
+fn retirement_from_elsewhere() {
+    let upstream = Upstream::default();
+    let key = |text: &str| text.parse().expect("a key");
+    upstream.apply_presence(&presence("i-1/5", RateLimit::Unknown));
+    upstream.record_retirement(&key("i-2/5"));
+    upstream.record_retirement(&key("i-1/4"));
+    assert!(!upstream.is_leaving(), "another incarnation retired");
+    upstream.record_retirement(&key("i-1/5"));
+    assert!(upstream.is_leaving());
+    upstream.apply_presence(&presence("i-1/6", RateLimit::Unknown));
+    assert!(!upstream.is_leaving(), "the next incarnation is sound");
+}
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -59,6 +59,9 @@
     /// Handles that an upstream said in a response that it is leaving.
     fn handle_leaving(&self, upstream: &UpstreamKey);
 
+    /// Returns true if an incarnation of an upstream is leaving or has left.
+    fn is_retired(&self, upstream: &UpstreamKey) -> bool;
+
     /// Handles the crash of an incarnation of an upstream, with the requests that this node had in
     /// flight there.
     fn handle_crash(&self, upstream: &UpstreamKey, executions: &[Execution]);
@@ -192,6 +195,13 @@
         link.is_some_and(|link| link.incarnation() != incarnation)
     }
 
+    /// Sends no requests to an incarnation of an upstream of another node that has retired.
+    pub(crate) fn handle_retirement(&self, upstream: &UpstreamKey) {
+        for link in self.links.borrow().values() {
+            link.handle_retirement(upstream);
+        }
+    }
+
     /// Replicates the retirement of an upstream to peers; returns true once enough have recorded it.
     pub(crate) async fn replicate_retirement(&self, upstream: &UpstreamKey) -> bool {
         let links: Vec<Rc<Link>> = self.links.borrow().values().cloned().collect();
--- a/crates/mesh/src/retired.rs
+++ b/crates/mesh/src/retired.rs
@@ -7,18 +7,42 @@
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 
+use displaydoc::Display;
 use sailtrack_kernel::Service;
+use sailtrack_log::{catalogue, emit};
+use sailtrack_units::NodeName;
 
 use crate::key::UpstreamKey;
 
 /// The maximum number of entries: two days' worth at 220 replacements a day in a mesh.
 const CAPACITY: usize = 512;
 
+/// Why an incarnation counts as retired.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub(crate) enum Reason {
+    /// goodbye
+    Deregistered,
+    /// leaving
+    Draining,
+    /// said so in a response
+    Response,
+    /// another upstream has its address
+    Replaced,
+    /// the store has its row
+    Stored,
+    /// told by {0}
+    Told(NodeName),
+}
+
+/// Is called with each new entry.
+type Observer = Box<dyn Fn(&UpstreamKey, &Reason)>;
+
 /// Incarnations of upstreams that are leaving or have left.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(crate) struct Retired {
     by_id: RefCell<HashMap<String, Vec<UpstreamKey>>>,
     by_age: RefCell<VecDeque<UpstreamKey>>,
+    observers: RefCell<Vec<Observer>>,
 }
 
 impl Service for Retired {
@@ -26,18 +50,29 @@
 }
 
 impl Retired {
-    /// Adds an incarnation; returns false if it was known.
-    pub(crate) fn note(&self, upstream: UpstreamKey) -> bool {
+    /// Calls `observer` with each entry that is added from now on.
+    pub(crate) fn on_added(&self, observer: impl Fn(&UpstreamKey, &Reason) + 'static) {
+        self.observers.borrow_mut().push(Box::new(observer));
+    }
+
+    /// Adds an incarnation, unless it is known.
+    pub(crate) fn note(&self, upstream: UpstreamKey, reason: &Reason) {
         let mut by_id = self.by_id.borrow_mut();
         let incarnations = by_id.entry(upstream.id().to_owned()).or_default();
         if incarnations.contains(&upstream) {
-            return false;
+            return;
         }
         incarnations.push(upstream.clone());
         drop(by_id);
-        self.by_age.borrow_mut().push_back(upstream);
+        self.by_age.borrow_mut().push_back(upstream.clone());
         self.forget_oldest();
-        true
+        emit(
+            &catalogue::RETIREMENT_KNOWN,
+            &[("upstream", &upstream), ("reason", reason)],
+        );
+        for observer in self.observers.borrow().iter() {
+            observer(&upstream, reason);
+        }
     }
 
     fn forget_oldest(&self) {
--- a/crates/mesh/src/suspension/tests.rs
+++ b/crates/mesh/src/suspension/tests.rs
@@ -39,6 +39,10 @@
 
     fn handle_leaving(&self, _upstream: &UpstreamKey) {}
 
+    fn is_retired(&self, _: &UpstreamKey) -> bool {
+        false
+    }
+
     fn handle_crash(&self, _upstream: &UpstreamKey, _ran: &[Execution]) {}
 }
 
