Retired upstreams: a row that the store refused is written when it is back

Cause: without the store an acknowledgement rests on copies in the memory of peers. The row was tried once; only a restore of the store from a backup made the node write it again. So the promise ended with the processes that held it, also when the store had been back for long.

Evidence: the log of the case shows one event 302 "record retirement" and no further attempt; the store has no row when the processes are killed. leaving::written_later and written_by_next_process (the acknowledging process is killed before the store is back) were red before: no row within 10 s.

Change: the rows have an owner, announcement/rows.rs. What the store did not record is written by one task that tries again until it has; the same task writes rows after a restore, which had a loop of its own. A process that hears from a peer of a retirement beside itself writes its row too, since its predecessor may not have. A row of a later incarnation is not overwritten, and a retirement that is written is not written again with each heartbeat.

Peers do not write: at 560 nodes each outage would end with 560 writes for each upstream that left.

Events 307, 308 and 427 tell on what an acknowledgement rests, when the row was written, and which record a restarted node asked.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -77,6 +77,10 @@
     STORE_COPIED = 305 Warn "the store came back from a copy" ["era"];
     /// A row that was missing from the restored backup was written again.
     ROW_RESTORED = 306 Info "row written again" ["table", "key"];
+    /// The retirement of the own upstream was acknowledged, since it outlasts this process: it is in the store (`store` is `written`) or in the memory of `copies` other nodes. In the latter case it is written once the store responds (308).
+    RETIREMENT_RECORDED = 307 Info "retirement recorded" ["upstream", "store", "copies"];
+    /// The retirement of the own upstream, which the store did not record at first, is in the store now.
+    RETIREMENT_WRITTEN = 308 Info "retirement written later" ["upstream"];
     /// A node joined or rejoined.
     MEMBER_JOINED = 400 Info "member joined" ["node", "service", "domain"];
     /// A node does not answer and is suspected to be dead.
@@ -119,6 +123,8 @@
     UPSTREAM_LOOKED_AT = 425 Info "upstream looked at" ["request", "finding", "took_ms"];
     /// Another node reported that its upstream crashed. `requests` is the number of requests in flight that the report names.
     CRASH_TOLD = 426 Info "crash told" ["upstream", "requests"];
+    /// The records of retired upstreams were asked about an incarnation that announced itself to this node. `source` is `store` if the store responded, otherwise `peers`; `finding` is `retired` or `unknown`.
+    UPSTREAM_LOOKED_UP = 427 Info "records of retired upstreams asked" ["upstream", "source", "finding"];
     /// A request was refused, since it has no key, more than one key, or a key that belongs to no workspace in this version of the configuration.
     KEY_REFUSED = 430 Info "key refused" ["request", "kind", "reason", "version"];
     /// The configuration may be outdated, so requests with keys are refused from now on. The age is -1 if it is unknown.
--- a/crates/mesh/src/announcement/mod.rs
+++ b/crates/mesh/src/announcement/mod.rs
@@ -2,9 +2,9 @@
 
 mod error;
 mod retirement;
+mod rows;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,6 +18,7 @@
 use sailtrack_units::ServiceName;
 
 use crate::announcement::error::AnnouncementError;
+pub(crate) use crate::announcement::rows::Rows;
 use crate::clock;
 use crate::configuration::Current;
 use crate::dialect::{Announcement, Dialect, Heartbeat, Readiness};
@@ -26,7 +27,7 @@
 use crate::metrics::Metrics;
 use crate::peer::Peers;
 use crate::retired::{Reason, Retired};
-use crate::store::{Clock, Store};
+use crate::store::Store;
 
 /// Timeout for the health check that identifies the upstream at the start.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -45,7 +46,6 @@
     pub(crate) store: Rc<dyn Store>,
     pub(crate) upstream: Rc<Upstream>,
     pub(crate) retired: Rc<Retired>,
-    pub(crate) clock: Rc<Clock>,
     pub(crate) peers: Rc<Peers>,
     pub(crate) metrics: Rc<Metrics>,
     /// The service of this node's upstream.
@@ -57,8 +57,9 @@
     pub(crate) started: Instant,
     /// Whether a lookup for a new incarnation of the upstream is in progress.
     pub(crate) is_looking_up: Cell<bool>,
-    /// The last retired incarnation that this process acknowledged, by upstream id.
-    pub(crate) acknowledged: RefCell<BTreeMap<String, UpstreamKey>>,
+    /// The incarnation that the upstream named last.
+    pub(crate) named: RefCell<Option<UpstreamKey>>,
+    pub(crate) rows: Rows,
 }
 
 impl Service for Announcements {
@@ -145,6 +146,7 @@
     /// one, sent before an earlier process of this node acknowledged that the
     /// upstream retires.
     fn handle_ready(self: &Rc<Self>, heartbeat: Heartbeat) {
+        self.record_name(&heartbeat.upstream);
         let now = Instant::now();
         // At a first start this process knows of all retirements.
         if self.first_start || !self.upstream.is_new_incarnation(&heartbeat, now) {
@@ -214,14 +216,15 @@
             values(fields.rate_limit),
             values(fields.leaving),
         );
-        if let Some(id) = upstream {
-            self.upstream.record_initial_limit(id, &demands);
+        // The response lacks the start time of the upstream; its first heartbeat contains it.
+        let upstream = upstream.and_then(|id| UpstreamKey::new(id, None).ok());
+        if let Some(upstream) = &upstream {
+            self.upstream.record_initial_limit(upstream.id(), &demands);
+            self.record_name(upstream);
         }
         if demands.is_leaving {
             return;
         }
-        // The response lacks the start time of the upstream; its first heartbeat contains it.
-        let upstream = upstream.and_then(|id| UpstreamKey::new(id, None).ok());
         let (StatusCode::OK, Some(upstream), Some(load)) = (response.status, upstream, load) else {
             // The upstream is draining or the response is incomplete: wait for its heartbeats.
             return;
--- a/crates/mesh/src/announcement/retirement.rs
+++ b/crates/mesh/src/announcement/retirement.rs
@@ -1,12 +1,11 @@
 //! Records which incarnations of this node's upstream retired, and looks them up.
 
-use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Duration;
 
+use displaydoc::Display;
 use futures::future::{Either, select};
 use monoio::time::{sleep, timeout};
-use rand::Rng as _;
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::task;
 use sailtrack_units::Era;
@@ -15,20 +14,25 @@
 use super::{Announcements, POLL_INTERVAL};
 use crate::key::UpstreamKey;
 use crate::retired::Reason;
-use crate::store::{Content, Row, Table};
+use crate::store::{Content, Lookup, Row, Table};
 
 /// Timeout for the acknowledgement of a retirement. The upstream itself gives up after 1 s.
 const RETIRE_TIMEOUT: Duration = Duration::from_millis(900);
-/// Timeout for storing a retirement, after which copies on peers suffice.
-const STORE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Timeout for looking up in the store whether an upstream retired.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(800);
-/// Minimum delay before another attempt to write a row that a restored store lacks.
-const MIN_RESTORE_BACKOFF: Duration = Duration::from_millis(500);
 /// How long after its start a node waits for peers that may know of a retirement, before it accepts
 /// a heartbeat.
 const MAX_PEER_WAIT: Duration = Duration::from_secs(3);
 
+/// Who told whether an upstream retired.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+enum Source {
+    /// store
+    Store,
+    /// peers
+    Peers,
+}
+
 impl Announcements {
     /// Records that an upstream said in a response that it is leaving. It gets no acknowledgement;
     /// peers that passed on such a response know it anyway.
@@ -44,8 +48,9 @@
     /// outside this process.
     pub(super) async fn retire(self: &Rc<Self>, upstream: &UpstreamKey, reason: &Reason) -> bool {
         let key = self.upstream.retire(upstream, reason);
-        let id = key.id().to_owned();
-        self.acknowledged.borrow_mut().insert(id, key.clone());
+        if self.rows.is_written(&key) {
+            return true;
+        }
         let announcements = Rc::clone(self);
         let (sender, receiver) = futures::channel::oneshot::channel();
         // The task continues after a timeout, so that a retry of the upstream succeeds immediately.
@@ -57,76 +62,80 @@
         matches!(timeout(RETIRE_TIMEOUT, receiver).await, Ok(Ok(true)))
     }
 
-    /// Records a retirement in the store and on peers. The peers suffice if the store fails.
+    /// Records a retirement in the store and on peers. The peers suffice until the store responds.
     async fn record_retirement(&self, upstream: &UpstreamKey) -> bool {
-        let stored = std::pin::pin!(self.store_retirement(upstream));
+        let stored = std::pin::pin!(self.rows.write(upstream));
         let replicated = std::pin::pin!(self.peers.replicate_retirement(upstream));
-        match select(stored, replicated).await {
-            Either::Left((true, _)) => true,
-            Either::Left((false, replicated)) => replicated.await,
-            Either::Right((replicated, stored)) => stored.await || replicated,
+        let (is_stored, copies) = match select(stored, replicated).await {
+            Either::Left((true, _)) => (true, 0),
+            Either::Left((false, replicated)) => (false, replicated.await),
+            Either::Right((copies, stored)) => (stored.await, copies),
+        };
+        if !is_stored && copies == 0 {
+            return false;
         }
+        let store = if is_stored { "written" } else { "missing" };
+        emit(
+            &catalogue::RETIREMENT_RECORDED,
+            &[
+                ("upstream", upstream),
+                ("store", &store),
+                ("copies", &copies),
+            ],
+        );
+        true
     }
 
-    /// Applies a retirement that this node has learned of.
+    /// Applies a retirement that this node has learned of. A peer may know of one that an earlier
+    /// process of this node acknowledged and could not write to the store.
     pub(crate) fn handle_retired(&self, upstream: &UpstreamKey, reason: &Reason) {
         self.upstream.withdraw(upstream, reason);
+        let named = self.named.borrow();
+        let is_own = named
+            .as_ref()
+            .is_some_and(|named| named.is_same_incarnation(upstream));
+        if is_own && matches!(reason, Reason::Told(_)) {
+            self.rows.write_later(upstream);
+        }
     }
 
-    /// Writes the rows of acknowledged retirements again after the store was restored from a backup.
-    /// Without them, a later process of this node would accept a late heartbeat.
-    pub(crate) fn restore_rows(self: &Rc<Self>) {
-        let announcements = Rc::clone(self);
-        let era = self.clock.era();
-        task::spawn("retired rows", async move {
-            let all: Vec<_> = announcements
-                .acknowledged
-                .borrow()
-                .values()
-                .cloned()
-                .collect();
-            for upstream in all {
-                // A further restore starts this again for all rows.
-                while announcements.clock.era() == era
-                    && !announcements.store_retirement(&upstream).await
-                {
-                    sleep(MIN_RESTORE_BACKOFF.mul_f64(rand::rng().random_range(1.0..2.0))).await;
-                }
-                let fields: &[(&str, &dyn Display)] =
-                    &[("table", &Table::Retired), ("key", &upstream.id())];
-                emit(&catalogue::ROW_RESTORED, fields);
-            }
-        });
+    /// Writes the rows of retirements that the store does not have, forever.
+    pub(crate) async fn write_rows(self: Rc<Self>) {
+        self.rows.write_missing().await;
     }
 
-    async fn store_retirement(&self, upstream: &UpstreamKey) -> bool {
-        let retired = upstream.to_string();
-        let put = self.store.put(Table::Retired, upstream.id(), &retired);
-        let reason = match timeout(STORE_TIMEOUT, put).await {
-            Ok(Ok(())) => return true,
-            Ok(Err(error)) => error.to_string(),
-            Err(_) => "late".to_owned(),
+    /// Returns true if the store, a peer or this node knows that the incarnation retired.
+    pub(super) async fn is_retired(&self, upstream: &UpstreamKey) -> bool {
+        let (source, is_retired) = match self.read_row(upstream).await {
+            Some(Lookup { row: Some(row), .. }) => {
+                (Source::Store, self.is_retired_by(upstream, &row))
+            }
+            // A restored store may lack the row, so peers are asked too.
+            Some(Lookup { era, .. }) if era == Era::default() => {
+                (Source::Store, self.is_known_retired(upstream))
+            }
+            _ => (Source::Peers, self.is_known_to_peers(upstream).await),
         };
+        let finding = if is_retired { "retired" } else { "unknown" };
         emit(
-            &catalogue::STORE_FAILED,
-            &[("operation", &"record retirement"), ("reason", &reason)],
+            &catalogue::UPSTREAM_LOOKED_UP,
+            &[
+                ("upstream", upstream),
+                ("source", &source),
+                ("finding", &finding),
+            ],
         );
-        false
+        is_retired
     }
 
-    /// Returns true if the store, a peer or this node knows that the incarnation retired.
-    pub(super) async fn is_retired(&self, upstream: &UpstreamKey) -> bool {
-        let row = self.store.row(Table::Retired, upstream.id());
-        let reason = match timeout(LOOKUP_TIMEOUT, row).await {
-            Ok(Ok(reading)) => match reading.row.as_ref().map(parse_retired) {
-                // A restored store may lack the row, so peers are asked too.
-                None if reading.era > Era::default() => {
-                    return self.is_known_to_peers(upstream).await;
-                }
-                None => return self.retired.contains(upstream),
-                Some(Ok(retired)) => return self.is_retired_by(upstream, retired),
+    /// Reads the row of an upstream; returns `None` if the store or the row cannot be read.
+    async fn read_row(&self, upstream: &UpstreamKey) -> Option<Lookup> {
+        let reading = self.store.row(Table::Retired, upstream.id());
+        let reason = match timeout(LOOKUP_TIMEOUT, reading).await {
+            Ok(Ok(lookup)) => match lookup.row.as_ref().map(parse_retired) {
                 // The row was not written by a node.
                 Some(Err(error)) => error.to_string(),
+                _ => return Some(lookup),
             },
             Ok(Err(error)) => error.to_string(),
             Err(_) => "late".to_owned(),
@@ -135,7 +144,23 @@
             &catalogue::STORE_FAILED,
             &[("operation", &"look up upstream"), ("reason", &reason)],
         );
-        self.is_known_to_peers(upstream).await
+        None
+    }
+
+    /// Records the incarnation that the upstream names. If an earlier process of this node
+    /// acknowledged its retirement, the store may lack the row.
+    pub(super) fn record_name(&self, upstream: &UpstreamKey) {
+        self.named.replace(Some(upstream.clone()));
+        self.is_known_retired(upstream);
+    }
+
+    /// Returns true if this node knows that the incarnation retired. The store has no row of it.
+    fn is_known_retired(&self, upstream: &UpstreamKey) -> bool {
+        let known = self.retired.find(upstream);
+        if let Some(known) = &known {
+            self.rows.write_later(known);
+        }
+        known.is_some()
     }
 
     /// Waits until peers are connected; returns true if one of them reported the retirement.
@@ -145,22 +170,25 @@
         }
         // Peers send the retirements that they know of when a connection opens.
         sleep(POLL_INTERVAL).await;
-        self.retired.contains(upstream)
+        self.is_known_retired(upstream)
     }
 
-    /// Records the retirement of an incarnation with the same id; returns true if `upstream` is
+    /// Applies the row of an incarnation with the same id; returns true if `upstream` is
     /// that incarnation or an earlier one.
-    fn is_retired_by(&self, upstream: &UpstreamKey, retired: UpstreamKey) -> bool {
-        if upstream.is_older_than(&retired) {
-            self.retired.note(upstream.clone(), &Reason::Stored);
+    fn is_retired_by(&self, upstream: &UpstreamKey, row: &Row) -> bool {
+        if let Ok(retired) = parse_retired(row) {
+            self.rows.record_written(&retired);
+            if upstream.is_older_than(&retired) {
+                self.retired.note(upstream.clone(), &Reason::Stored);
+            }
+            self.retired.note(retired, &Reason::Stored);
         }
-        self.retired.note(retired, &Reason::Stored);
         self.retired.contains(upstream)
     }
 }
 
 /// Parses a row of the table of retired upstreams.
-fn parse_retired(row: &Row) -> Result<UpstreamKey, RowError> {
+pub(super) fn parse_retired(row: &Row) -> Result<UpstreamKey, RowError> {
     let text = match &row.content {
         Content::Text(text) => text,
         Content::Unreadable(reason) => return Err(RowError::Unreadable(reason.clone())),
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -13,7 +13,7 @@
 use sailtrack_net::http::{Limits, Port, serve};
 use sailtrack_net::task;
 
-use crate::announcement::{Announcements, Endpoint};
+use crate::announcement::{Announcements, Endpoint, Rows};
 use crate::configuration::{Current, Provider, Splitter};
 use crate::contexts::Contexts;
 use crate::directory::{Directory, Member, Observer};
@@ -296,7 +296,6 @@
         store: Rc::clone(&environment.store),
         upstream: table.find()?,
         retired: table.find()?,
-        clock: table.find()?,
         peers: table.find()?,
         metrics: table.find()?,
         service: identity.service.clone(),
@@ -304,7 +303,8 @@
         first_start: settings.first_start,
         started: Instant::now(),
         is_looking_up: Cell::new(false),
-        acknowledged: RefCell::default(),
+        named: RefCell::default(),
+        rows: Rows::new(Rc::clone(&environment.store)),
     });
     Ok(())
 }
--- a/crates/mesh/src/node/store.rs
+++ b/crates/mesh/src/node/store.rs
@@ -182,11 +182,13 @@
         table.find()?,
     );
     task::spawn("cleanup", cleanup);
+    let announcements = table.find::<Announcements>()?;
     if !settings.first_start {
-        let announcements = table.find::<Announcements>()?;
+        let announcements = Rc::clone(&announcements);
         let current = table.find::<Current>()?;
         task::spawn("upstream probe", announcements.probe_upstream(current));
     }
+    task::spawn("retired rows", announcements.write_rows());
     let status = table.find::<Status>()?;
     table
         .find::<Reachability>()?
@@ -196,7 +198,7 @@
     let announcements = table.find::<Announcements>()?;
     table.find::<Clock>()?.on_restore(move || {
         directory.mark_own_row_unverified();
-        announcements.restore_rows();
+        announcements.rows.restore();
         status.publish();
     });
     Ok(())
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -202,14 +202,16 @@
         }
     }
 
-    /// Replicates the retirement of an upstream to peers; returns true once enough have recorded it.
-    pub(crate) async fn replicate_retirement(&self, upstream: &UpstreamKey) -> bool {
+    /// Replicates the retirement of an upstream to peers; returns the number of copies once there
+    /// are enough, or zero.
+    pub(crate) async fn replicate_retirement(&self, upstream: &UpstreamKey) -> usize {
         let links: Vec<Rc<Link>> = self.links.borrow().values().cloned().collect();
         let wanted = RETIREMENT_REPLICAS.min(links.len()).max(1);
         let requests = links.iter().map(|link| link.replicate_retirement(upstream));
         let requests: FuturesUnordered<_> = requests.collect();
         let recorded = requests.filter(|recorded| std::future::ready(*recorded));
-        recorded.take(wanted).count().await == wanted
+        let copies = recorded.take(wanted).count().await;
+        if copies == wanted { copies } else { 0 }
     }
 
     /// Returns the nodes that have been unreachable for at least `time`.
--- a/crates/mesh/src/retired.rs
+++ b/crates/mesh/src/retired.rs
@@ -95,13 +95,15 @@
     /// Returns true if this incarnation is leaving or has left, or may have: a key without start
     /// time matches all incarnations with its id.
     pub(crate) fn contains(&self, upstream: &UpstreamKey) -> bool {
+        self.find(upstream).is_some()
+    }
+
+    /// Returns the entry that matches an incarnation.
+    pub(crate) fn find(&self, upstream: &UpstreamKey) -> Option<UpstreamKey> {
         let by_id = self.by_id.borrow();
-        let incarnations = by_id.get(upstream.id());
-        incarnations.is_some_and(|incarnations| {
-            incarnations
-                .iter()
-                .any(|incarnation| incarnation.is_same_incarnation(upstream))
-        })
+        let mut incarnations = by_id.get(upstream.id())?.iter();
+        let known = incarnations.find(|incarnation| incarnation.is_same_incarnation(upstream));
+        known.cloned()
     }
 
     /// Returns all entries, the oldest first.
