Announcements: a heartbeat from before the start of a process proves nothing

Cause: a heartbeat describes its sender when it was sent, and a process that had just started took it for now. Nor did it ask whether an unknown incarnation or the one that it has is the later one, where neither tells its start time.

In the first 8 s of a process, or beside another living incarnation, a heartbeat leads to a health check, whose answer was sent after the question. A good one suffices at once, and the upstream keeps its requests if its heartbeats go on; each gives it 2 s until there are three in a row. So a leaving upstream that answers health checks falsely is left again. Without an answer two heartbeats in a row are needed, after a bad one three. Peers that have run for 15 s longer and told what they know stand in for all of this, since an acknowledgement without the store has two copies: a single restart is as before.

Weighed: an address for later heartbeats that each process names in its responses would tell late ones exactly, but an upstream need not use it, and the sender of a first heartbeat has not heard of it. A heartbeat address for each process is left for upstreams that can be relied on for it.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -125,6 +125,10 @@
     CRASH_TOLD = 426 Info "crash told" ["upstream", "requests"];
     /// The records of retired upstreams were asked about an incarnation that announced itself to this node. `source` is `store` if the store responded, otherwise `peers`; `finding` is `retired` or `unknown`.
     UPSTREAM_LOOKED_UP = 427 Info "records of retired upstreams asked" ["upstream", "source", "finding"];
+    /// A heartbeat was not taken as proof that its sender accepts requests now, since it may have been sent before this process was started or before the current incarnation. `heartbeats` is the number that came in a row, `health` the answer to a health check sent because of it.
+    UPSTREAM_UNPROVEN = 428 Info "heartbeat proves nothing" ["upstream", "heartbeats", "health"];
+    /// The own upstream was accepted because of its answer to a health check and sent no heartbeats after that, so it gets no requests until it does.
+    UPSTREAM_UNCONFIRMED = 429 Warn "upstream sends no heartbeats" ["upstream"];
     /// A request was refused, since it has no key, more than one key, or a key that belongs to no workspace in this version of the configuration.
     KEY_REFUSED = 430 Info "key refused" ["request", "kind", "reason", "version"];
     /// The configuration may be outdated, so requests with keys are refused from now on. The age is -1 if it is unknown.
--- a/crates/mesh/src/announcement/retirement.rs
+++ b/crates/mesh/src/announcement/retirement.rs
@@ -179,9 +179,9 @@
         if let Ok(retired) = parse_retired(row) {
             self.rows.record_written(&retired);
             if upstream.is_older_than(&retired) {
-                self.retired.note(upstream.clone(), &Reason::Stored);
+                self.retired.note(upstream, &Reason::Stored);
             }
-            self.retired.note(retired, &Reason::Stored);
+            self.retired.note(&retired, &Reason::Stored);
         }
         self.retired.contains(upstream)
     }
--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -215,6 +215,16 @@
             && !self.retired.contains(&heartbeat.upstream)
     }
 
+    /// Returns true if a heartbeat names another incarnation than the current one, which sent one
+    /// recently, and their start times do not tell that the current one ended.
+    pub(crate) fn is_contradicted_by(&self, heartbeat: &Heartbeat, now: Instant) -> bool {
+        let current = self.current.borrow();
+        current.as_ref().is_some_and(|current| {
+            let is_earlier = current.key.is_older_than(&heartbeat.upstream);
+            !current.is_sender_of(heartbeat) && !is_earlier && !current.is_silent(now)
+        })
+    }
+
     /// Handles a heartbeat of an incarnation that is ready. Late ones and those of retired
     /// incarnations are ignored.
     pub(crate) fn handle_heartbeat(&self, heartbeat: &Heartbeat, now: Instant) {
@@ -237,7 +247,7 @@
                 }
                 self.start_incarnation(heartbeat, now);
                 if has_ended {
-                    self.retired.note(earlier.key, &Reason::Replaced);
+                    self.retired.note(&earlier.key, &Reason::Replaced);
                 }
             }
             None => self.start_incarnation(heartbeat, now),
@@ -330,13 +340,13 @@
     }
 
     /// Sends nothing new to the current incarnation, without retiring it.
-    pub(super) fn suspend_current(&self) {
+    pub(crate) fn suspend_current(&self) {
         *self.current.borrow_mut() = None;
         self.notify_availability();
     }
 
     /// Returns true if this is the incarnation that accepts requests.
-    pub(super) fn is_current(&self, upstream: &UpstreamKey) -> bool {
+    pub(crate) fn is_current(&self, upstream: &UpstreamKey) -> bool {
         let current = self.current.borrow();
         current
             .as_ref()
@@ -366,7 +376,7 @@
             _ => upstream.clone(),
         };
         self.withdraw(&retired, reason);
-        self.retired.note(retired.clone(), reason);
+        self.retired.note(&retired, reason);
         retired
     }
 
--- a/crates/mesh/src/gossip.rs
+++ b/crates/mesh/src/gossip.rs
@@ -53,7 +53,7 @@
             // Peers only propagate keys that they could parse. A key that cannot be parsed here
             // cannot match an upstream of this node.
             if let Ok(key) = upstream.parse::<UpstreamKey>() {
-                self.retired.note(key, &Reason::Told(from.clone()));
+                self.retired.note(&key, &Reason::Told(from.clone()));
             }
         }
         for known in &presence.known {
@@ -98,7 +98,7 @@
     }
 
     fn handle_leaving(&self, upstream: &UpstreamKey) {
-        self.retired.note(upstream.clone(), &Reason::Response);
+        self.retired.note(upstream, &Reason::Response);
     }
 
     fn is_retired(&self, upstream: &UpstreamKey) -> bool {
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -302,7 +302,11 @@
         address: settings.upstream,
         first_start: settings.first_start,
         started: Instant::now(),
+        incarnation: table.find::<Status>()?.incarnation,
+        current: table.find()?,
+        directory: table.find()?,
         is_looking_up: Cell::new(false),
+        evidence: RefCell::default(),
         named: RefCell::default(),
         rows: Rows::new(Rc::clone(&environment.store)),
     });
--- a/crates/mesh/src/node/store.rs
+++ b/crates/mesh/src/node/store.rs
@@ -185,8 +185,7 @@
     let announcements = table.find::<Announcements>()?;
     if !settings.first_start {
         let announcements = Rc::clone(&announcements);
-        let current = table.find::<Current>()?;
-        task::spawn("upstream probe", announcements.probe_upstream(current));
+        task::spawn("upstream probe", announcements.find_upstream());
     }
     task::spawn("retired rows", announcements.write_rows());
     let status = table.find::<Status>()?;
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -299,7 +299,7 @@
             Ok(upstream) => upstream,
             Err(error) => return reject(&error),
         };
-        self.retired.note(upstream, &Retirement::Told(peer));
+        self.retired.note(&upstream, &Retirement::Told(peer));
         let exchange = retire.exchange;
         // Without an acknowledgement the peer does not count this node among the replicas of the
         // retirement.
--- a/crates/mesh/src/peer/link/mod.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -83,6 +83,8 @@
     pings_since_received: Cell<u32>,
     lost_since: Cell<Option<Instant>>,
     closed: Cell<bool>,
+    /// Whether the node has told on this connection which upstreams retired.
+    introduced: Cell<bool>,
     /// Whether another node was found at the address.
     found_stranger: Cell<bool>,
     /// The position of the node in the order of watchers of the store.
@@ -122,6 +124,7 @@
             pings_since_received: Cell::new(0),
             lost_since: Cell::new(Some(Instant::now())),
             closed: Cell::new(false),
+            introduced: Cell::new(false),
             found_stranger: Cell::new(false),
             store_lost: Cell::new(false),
             quota_term: Cell::new(0),
@@ -145,6 +148,11 @@
         self.incarnation.get() != Incarnation::default()
     }
 
+    /// Returns true if the node has told on this connection which upstreams retired.
+    pub(crate) fn is_introduced(&self) -> bool {
+        self.introduced.get()
+    }
+
     /// Sends no requests to an incarnation of the node's upstream that has retired.
     pub(crate) fn handle_retirement(&self, upstream: &UpstreamKey) {
         self.upstream.record_retirement(upstream);
@@ -324,6 +332,7 @@
         }
         drop(load);
         self.delegate.handle_presence(&self.member.name, presence);
+        self.introduced.set(true);
         if self.delegate.wants_store_time() && self.pending_pings.get() == 0 {
             self.ping();
         }
@@ -344,6 +353,7 @@
 
     fn disconnect(&self) {
         self.incarnation.set(Incarnation::default());
+        self.introduced.set(false);
         self.state.set(State::Joining);
         self.quota_term.set(0);
         self.pending_pings.set(0);
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -202,6 +202,21 @@
         }
     }
 
+    /// Returns true if the connected peers know of every retirement that was acknowledged at least
+    /// `age` before this incarnation of the local node started.
+    ///
+    /// There are two copies of each at least, so one peer may be missing. One that started later
+    /// may have forgotten it.
+    pub(crate) fn remember_retirements(&self, incarnation: Incarnation, age: Duration) -> bool {
+        let links = self.links.borrow();
+        let remembers = |link: &&Rc<Link>| {
+            let age_difference = incarnation::start_difference(link.incarnation(), incarnation);
+            link.is_introduced() && age_difference >= age
+        };
+        let remembering = links.values().filter(remembers).count();
+        links.len() >= RETIREMENT_REPLICAS && remembering + RETIREMENT_REPLICAS > links.len()
+    }
+
     /// Replicates the retirement of an upstream to peers; returns the number of copies once there
     /// are enough, or zero.
     pub(crate) async fn replicate_retirement(&self, upstream: &UpstreamKey) -> usize {
--- a/crates/mesh/src/retired.rs
+++ b/crates/mesh/src/retired.rs
@@ -56,10 +56,10 @@
     }
 
     /// Adds an incarnation, unless it is known.
-    pub(crate) fn note(&self, upstream: UpstreamKey, reason: &Reason) {
+    pub(crate) fn note(&self, upstream: &UpstreamKey, reason: &Reason) {
         let mut by_id = self.by_id.borrow_mut();
         let incarnations = by_id.entry(upstream.id().to_owned()).or_default();
-        if incarnations.contains(&upstream) {
+        if incarnations.contains(upstream) {
             return;
         }
         incarnations.push(upstream.clone());
@@ -68,10 +68,10 @@
         self.forget_oldest();
         emit(
             &catalogue::RETIREMENT_KNOWN,
-            &[("upstream", &upstream), ("reason", reason)],
+            &[("upstream", upstream), ("reason", reason)],
         );
         for observer in self.observers.borrow().iter() {
-            observer(&upstream, reason);
+            observer(upstream, reason);
         }
     }
 
