Quotas: a lease is taken from its holder only if that has ended

Cause: a node took a valid lease if it had an open connection to the holder's node that showed another incarnation than the lease. A connection that has gone silent shows the killed process, and the lease is that of its successor; so the living allocator lost its lease, and both granted tokens.

Ruled out: an expiry that is judged too early (the new term begins 0.1 to 0.4 s after the holder's, which had 4 s left), and the node's own rule for its predecessor (the taker is another node). Comparing the incarnations would tell which is later only while the clocks of an instance don't step between starts.

Change: the candidate pings the node after it has read the lease. An answer shows which process runs then; without one the lease runs out, as for any holder that cannot be reached. An allocator that reads that another node holds its lease stops granting at once instead of at the expiry.

--- a/crates/mesh/src/peer/link/liveness.rs
+++ b/crates/mesh/src/peer/link/liveness.rs
@@ -9,7 +9,7 @@
 
 use futures::channel::oneshot;
 use futures::future::{Either, select};
-use monoio::time::sleep;
+use monoio::time::{sleep, timeout};
 use sailtrack_log::{catalogue, emit};
 use sailtrack_units::Era;
 use sailtrack_wire::{Body, Ping, Pong};
@@ -32,6 +32,11 @@
 /// instance that freezes for 2 s loses no requests.
 const DEAD_PINGS: u32 = 8;
 
+/// How long to wait for the answer to a ping that decides whether a process is alive.
+const PONG_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often to check for that answer.
+const PONG_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 impl Link {
     /// Returns true if the node seems to have stopped.
     ///
@@ -53,6 +58,7 @@
     pub(super) fn handle_pong(&self, pong: Pong) {
         self.pending_pings
             .set(self.pending_pings.get().saturating_sub(1));
+        self.pongs.set(self.pongs.get() + 1);
         if pong.store_at_most_ms > 0 {
             let bound = StoreTime::from_millis(pong.store_at_most_ms);
             let era = Era(pong.store_era);
@@ -61,6 +67,21 @@
         }
     }
 
+    /// Pings the node; returns true if the process at the other end of the connection responds.
+    pub(crate) async fn responds(&self) -> bool {
+        let incarnation = self.incarnation();
+        self.ping();
+        // Pings are answered in their order.
+        let expected = self.pongs.get() + u64::from(self.pending_pings.get());
+        let answered = async {
+            while self.pongs.get() < expected {
+                sleep(PONG_CHECK_INTERVAL).await;
+            }
+        };
+        let is_answered = timeout(PONG_TIMEOUT, answered).await.is_ok();
+        is_answered && self.incarnation() == incarnation
+    }
+
     /// Waits for a reply and pings the node meanwhile to detect whether it stopped.
     pub(super) async fn await_reply(
         &self,
--- a/crates/mesh/src/peer/link/mod.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -75,6 +75,8 @@
     last_received: Cell<Moment>,
     /// Number of pings on this connection without a pong.
     pending_pings: Cell<u32>,
+    /// Number of pongs so far.
+    pongs: Cell<u64>,
     /// When the first of these pings was sent.
     first_ping: Cell<Moment>,
     /// When the last ping was sent.
@@ -119,6 +121,7 @@
             upstream: Upstream::default(),
             last_received: Cell::new(clock::now()),
             pending_pings: Cell::new(0),
+            pongs: Cell::new(0),
             first_ping: Cell::new(clock::now()),
             last_ping: Cell::new(clock::now()),
             pings_since_received: Cell::new(0),
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -188,11 +188,20 @@
         others.len()
     }
 
-    /// Returns true if a node is connected and runs as another incarnation than the given one.
-    pub(crate) fn has_other_incarnation(&self, name: &NodeName, incarnation: Incarnation) -> bool {
-        let links = self.links.borrow();
-        let link = links.get(name).filter(|link| link.is_open());
-        link.is_some_and(|link| link.incarnation() != incarnation)
+    /// Returns true if a node responds now and runs as another incarnation than the given one.
+    ///
+    /// That a connection is open says less: its other end may have been killed without a sign, and
+    /// the given incarnation started since.
+    pub(crate) async fn runs_as_other_incarnation(
+        &self,
+        name: &NodeName,
+        incarnation: Incarnation,
+    ) -> bool {
+        let link = self.get(name).filter(|link| link.is_open());
+        match link.filter(|link| link.incarnation() != incarnation) {
+            Some(link) => link.responds().await,
+            None => false,
+        }
     }
 
     /// Sends no requests to an incarnation of an upstream of another node that has retired.
--- a/crates/mesh/src/quota/election.rs
+++ b/crates/mesh/src/quota/election.rs
@@ -88,6 +88,9 @@
             match self.claim().await {
                 Ok(lease) => self.record_lease(&lease),
                 Err(error) => {
+                    if matches!(error, ElectionError::Held(_)) {
+                        self.step_down();
+                    }
                     self.log_error(&error);
                     sleep(RETRY_PAUSE.mul_f64(rand::rng().random_range(1.0..2.0))).await;
                 }
@@ -146,15 +149,9 @@
         let (mut shares, version, now) = self.read().await?;
         let claim = self.build_claim();
         let own = &self.quotas.node;
-        let is_gone = |lease: &Lease| {
-            let is_own = lease.holder == own.name && lease.incarnation != own.incarnation.0;
-            is_own
-                || self
-                    .peers
-                    .has_other_incarnation(&lease.holder, Incarnation(lease.incarnation))
-        };
+        let is_gone = self.is_holder_gone(&shares).await;
         let previous_era = shares.era;
-        let Some(lease) = shares.claim(&claim, now, is_gone) else {
+        let Some(lease) = shares.claim(&claim, now, |_| is_gone) else {
             if shares.era != previous_era {
                 self.write(&shares, version).await?;
             }
@@ -176,6 +173,22 @@
         Ok(lease)
     }
 
+    /// Returns true if the holder of this domain's lease has certainly ended.
+    async fn is_holder_gone(&self, shares: &Shares) -> bool {
+        let own = &self.quotas.node;
+        let Some(domain) = shares.domains.get(&own.domain) else {
+            return false;
+        };
+        let lease = &domain.lease;
+        let incarnation = Incarnation(lease.incarnation);
+        if lease.holder == own.name {
+            return incarnation != own.incarnation;
+        }
+        self.peers
+            .runs_as_other_incarnation(&lease.holder, incarnation)
+            .await
+    }
+
     async fn read(&self) -> Result<(Shares, StoreVersion, Now), ElectionError> {
         let requested_at = clock::now();
         let lookup = self.store.row(Table::Quotas, ROW_KEY).await;
