Announcements: heartbeats that arrived during a suspension are read before a lease ends

A node that stood still in the first seconds after its start woke up with the lease of its upstream over and the heartbeats unread. It reads for 50 ms first. Links whose upstream has another id skip the parsing of a retired key.

--- a/crates/mesh/src/announcement/acceptance.rs
+++ b/crates/mesh/src/announcement/acceptance.rs
@@ -30,6 +30,9 @@
 /// asks again.
 const VERIFICATION_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time to read heartbeats that arrived while the node itself was suspended or blocked.
+const READ_TIME: Duration = Duration::from_millis(50);
+
 /// From what an incarnation is known to be ready.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Origin {
@@ -171,26 +174,33 @@
             .evidence
             .borrow_mut()
             .begin_lease(upstream, clock::now());
-        if !is_open {
-            return;
+        if is_open {
+            let (announcements, upstream) = (Rc::clone(self), upstream.clone());
+            task::spawn("upstream confirmation", async move {
+                announcements.watch_lease(&upstream).await;
+            });
         }
-        let (announcements, upstream) = (Rc::clone(self), upstream.clone());
-        task::spawn("upstream confirmation", async move {
-            while let Some(left) = announcements.lease_left(&upstream) {
-                if left.is_zero() {
-                    announcements.end_lease(&upstream);
-                    return;
-                }
+    }
+
+    async fn watch_lease(&self, upstream: &UpstreamKey) {
+        while let Some(left) = self.lease_left(upstream) {
+            if !left.is_zero() {
                 sleep(left).await;
+                continue;
             }
-        });
+            sleep(READ_TIME).await;
+            if self.lease_left(upstream) == Some(Duration::ZERO) {
+                self.end_acceptance(upstream);
+                return;
+            }
+        }
     }
 
     fn lease_left(&self, upstream: &UpstreamKey) -> Option<Duration> {
         self.evidence.borrow().lease_left(upstream, clock::now())
     }
 
-    fn end_lease(&self, upstream: &UpstreamKey) {
+    fn end_acceptance(&self, upstream: &UpstreamKey) {
         let mut evidence = self.evidence.borrow_mut();
         if self.do_peers_remember() {
             evidence.confirm();
--- a/crates/mesh/src/peer/link/upstream.rs
+++ b/crates/mesh/src/peer/link/upstream.rs
@@ -74,6 +74,10 @@
 
     /// Records that an incarnation retired, if it is the current one.
     pub(super) fn record_retirement(&self, retired: &UpstreamKey) {
+        // Most retirements concern other nodes' upstreams, and parsing a key costs more.
+        if !self.incarnation.borrow().starts_with(retired.id()) {
+            return;
+        }
         let current = self.incarnation.borrow().parse::<UpstreamKey>();
         if current.is_ok_and(|current| current.is_same_incarnation(retired)) {
             self.set_leaving(retired);
