Announcements: a health check that says "leaving" binds as any other answer

What callers saw: an upstream that says in its answers that it leaves, while its heartbeats go on to say ready, got a request again when all nodes that had passed on such an answer were killed with the store away.

Cause: the same as with late heartbeats: a process that has just started took a heartbeat for the whole truth; the health check that it sent was read for the id and the load only.

--- a/crates/mesh/src/announcement/acceptance.rs
+++ b/crates/mesh/src/announcement/acceptance.rs
@@ -95,11 +95,17 @@
 
     /// Returns the incarnation that is ready now: the sender of the heartbeat, or another one that
     /// answers a health check in its place.
-    async fn verify(&self, heartbeat: Heartbeat) -> Option<Heartbeat> {
+    async fn verify(self: &Rc<Self>, heartbeat: Heartbeat) -> Option<Heartbeat> {
         if !self.needs_proof(&heartbeat) {
             return Some(heartbeat);
         }
         let health = self.check_health(VERIFICATION_TIMEOUT).await;
+        if let Ok(health) = &health
+            && health.is_leaving(&heartbeat.upstream)
+        {
+            self.handle_leaving(&heartbeat.upstream);
+            return None;
+        }
         let answer = answer_of(&heartbeat.upstream, &health);
         let is_enough = self
             .evidence
--- a/crates/mesh/src/announcement/health.rs
+++ b/crates/mesh/src/announcement/health.rs
@@ -36,6 +36,12 @@
         let is_ready = self.status == StatusCode::OK && !self.demands.is_leaving;
         self.upstream.as_ref().filter(|_| is_ready)
     }
+
+    /// Returns true if this incarnation answered that it is leaving, whatever its heartbeats say.
+    pub(super) fn is_leaving(&self, upstream: &UpstreamKey) -> bool {
+        let named = self.upstream.as_ref();
+        self.demands.is_leaving && named.is_some_and(|named| named.is_same_incarnation(upstream))
+    }
 }
 
 impl fmt::Display for Health {
