--- a/crates/mesh/src/announcement/acceptance.rs
+++ b/crates/mesh/src/announcement/acceptance.rs
@@ -25,11 +25,9 @@
 /// whose upstreams may still have heartbeats on their way. The clocks of the instances that tell
 /// this may differ by seconds.
 const MIN_PEER_AGE: Duration = Duration::from_secs(15);
-
 /// Timeout for the health check that decides whether a heartbeat is believed. The next heartbeat
 /// asks again.
 const VERIFICATION_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Time to read heartbeats that arrived while the node itself was suspended or blocked.
 const READ_TIME: Duration = Duration::from_millis(50);
 
--- a/crates/mesh/src/gate/admitted.rs
+++ b/crates/mesh/src/gate/admitted.rs
@@ -6,9 +6,9 @@
 
 use sailtrack_admission::{Feedback, Pressure, ThrottlePermit};
 
+use super::incarnation::Ended;
 use super::lock::Guard;
 use super::slots::Slot;
-use super::upstream::Ended;
 use crate::key::UpstreamKey;
 use crate::request::Response;
 
--- a/crates/mesh/src/gate/demands.rs
+++ b/crates/mesh/src/gate/demands.rs
@@ -11,7 +11,7 @@
 use sailtrack_units::Rate;
 
 use super::Upstream;
-use super::upstream::MAX_SILENCE;
+use super::incarnation::MAX_SILENCE;
 use crate::dialect::Dialect;
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::rate_limit::RateLimit;
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -10,6 +10,7 @@
 mod crash;
 mod demands;
 mod exchange;
+mod incarnation;
 mod kinds;
 mod lock;
 mod loss;
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -15,7 +15,7 @@
 use super::admitted::Admitted;
 use super::demands::Demands;
 use super::exchange::{ExchangeError, UpstreamResponse, exchange};
-use super::upstream::Ended;
+use super::incarnation::Ended;
 use super::wait::Waited;
 use crate::clock;
 use crate::key::{AttemptKey, UpstreamKey};
--- a/crates/mesh/src/gate/upstream.rs
+++ b/crates/mesh/src/gate/upstream.rs
@@ -7,9 +7,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures::FutureExt as _;
-use futures::channel::oneshot;
-use futures::future::Shared;
 use sailtrack_admission::Admission;
 use sailtrack_declaration::Limit;
 use sailtrack_kernel::Service;
@@ -19,6 +16,7 @@
 use crate::clock;
 use crate::dialect::{Heartbeat, Load, Readiness};
 use crate::gate::demands::Latest;
+use crate::gate::incarnation::{End, Ended, Incarnation};
 use crate::gate::report::Report;
 use crate::key::UpstreamKey;
 use crate::retired::{Reason, Retired};
@@ -27,11 +25,6 @@
 /// before.
 const UNREACHABLE_BACKOFF: Duration = Duration::from_secs(3);
 
-/// How long the current incarnation must be silent before a heartbeat with an earlier start time is
-/// accepted. Such a heartbeat may be a late one of an incarnation that has ended, or come from a
-/// new incarnation after the clock of the instance went back. Three heartbeat intervals.
-pub(super) const MAX_SILENCE: Duration = Duration::from_millis(4500);
-
 /// The fraction of its slots that an upstream gets filled: some slow down when nearly full.
 const SLOT_SHARE: f64 = 0.96;
 
@@ -42,56 +35,6 @@
     (filled as u32).max(1)
 }
 
-/// The current incarnation of the local upstream.
-#[derive(Debug, Clone)]
-struct Incarnation {
-    key: UpstreamKey,
-    slots: u32,
-    sequence: u64,
-    /// When its last heartbeat arrived.
-    last_heartbeat: Instant,
-    /// The end of its slow phase after a cold start.
-    cold_until: Moment,
-}
-
-impl Incarnation {
-    /// Returns true if a heartbeat comes from this incarnation, as far as its key tells.
-    fn is_sender_of(&self, heartbeat: &Heartbeat) -> bool {
-        self.key.is_same_incarnation(&heartbeat.upstream)
-    }
-
-    /// Returns true if it has sent no heartbeat for so long that it may have ended.
-    fn is_silent(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.last_heartbeat) >= MAX_SILENCE
-    }
-
-    /// Returns true if a heartbeat comes from an earlier incarnation and must be ignored.
-    fn supersedes(&self, heartbeat: &Heartbeat, now: Instant) -> bool {
-        heartbeat.upstream.is_older_than(&self.key) && !self.is_silent(now)
-    }
-}
-
-/// Resolves when the incarnation from which it was taken is known to have ended, since a later one
-/// exists.
-pub(crate) type Ended = Shared<oneshot::Receiver<()>>;
-
-/// Signals the end of an incarnation.
-struct End {
-    /// Dropped when the incarnation ends, which resolves `ended`.
-    _sender: oneshot::Sender<()>,
-    ended: Ended,
-}
-
-impl End {
-    fn new() -> Self {
-        let (sender, receiver) = oneshot::channel();
-        Self {
-            _sender: sender,
-            ended: receiver.shared(),
-        }
-    }
-}
-
 /// Is called with an incarnation that says that it is leaving.
 pub(super) type LeavingCallback = Box<dyn Fn(&UpstreamKey)>;
 
--- a/crates/mesh/src/gate/upstream/tests.rs
+++ b/crates/mesh/src/gate/upstream/tests.rs
@@ -8,7 +8,8 @@
 use sailtrack_units::Timestamp;
 
 use crate::dialect::{Heartbeat, Readiness};
-use crate::gate::upstream::{MAX_SILENCE, Upstream, limit};
+use crate::gate::incarnation::MAX_SILENCE;
+use crate::gate::upstream::{Upstream, limit};
 use crate::key::UpstreamKey;
 use crate::node::ADMISSION_CONFIG;
 use crate::retired::{Reason, Retired};
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -1,14 +1,10 @@
 //! Serves incoming connections of peers, with a task per connection and per request.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use futures::SinkExt as _;
 use futures::channel::mpsc;
-use futures::future::{AbortHandle, Abortable};
-use futures::{SinkExt as _, StreamExt as _};
 use monoio::io::Splitable as _;
 use monoio::net::{TcpListener, TcpStream};
 use monoio::time::timeout;
@@ -24,14 +20,14 @@
     Recall, Retire, Retired as RetiredMessage,
 };
 
-use crate::body::{Body as AnswerBody, Stream};
 use crate::clock;
 use crate::configuration::Current;
 use crate::directory::{Directory, Member};
 use crate::gate::{Gate, Upstream};
 use crate::key::{AttemptKey, UpstreamKey};
-use crate::peer::convert::{INITIAL_GRANT, MAX_CHUNK, request_from_wire, response_to_wire};
+use crate::peer::convert::request_from_wire;
 use crate::peer::reassembly::Reassembly;
+use crate::peer::response::{Exchanges, spawn_response};
 use crate::quarantine::Quarantine;
 use crate::quota::Quotas;
 use crate::rate_limit::RateLimit;
@@ -64,17 +60,6 @@
     const NAME: &'static str = "peer-acceptor";
 }
 
-/// State of one connection, by exchange.
-#[derive(Default)]
-struct Exchanges {
-    /// Requests in flight.
-    running: RefCell<HashMap<u64, AbortHandle>>,
-    /// Requests whose bodies are incomplete.
-    arriving: RefCell<HashMap<u64, Reassembly<Forward>>>,
-    /// Channels that pass flow-control grants to the tasks that stream responses.
-    granting: RefCell<HashMap<u64, mpsc::UnboundedSender<u32>>>,
-}
-
 impl Acceptor {
     /// Accepts connections forever.
     pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
@@ -338,107 +323,3 @@
         &[("port", &"peer"), ("reason", reason)],
     );
 }
-
-/// Executes a request in its own task and sends the response, unless it is cancelled before.
-fn spawn_response(
-    exchange: u64,
-    response: impl Future<Output = Response> + 'static,
-    outgoing: &mpsc::Sender<Body>,
-    exchanges: &Rc<Exchanges>,
-) {
-    let (handle, registration) = AbortHandle::new_pair();
-    exchanges.running.borrow_mut().insert(exchange, handle);
-    let mut outgoing = outgoing.clone();
-    let exchanges = Rc::clone(exchanges);
-    task::spawn("peer request", async move {
-        let request = async {
-            let response = response.await;
-            send(&mut outgoing, exchange, response, &exchanges).await;
-        };
-        // An aborted request was cancelled and needs no response.
-        let _ = Abortable::new(request, registration).await;
-        exchanges.running.borrow_mut().remove(&exchange);
-        exchanges.granting.borrow_mut().remove(&exchange);
-    });
-}
-
-/// Sends the response to a request. A long body is split into chunks, so that it does not delay
-/// other messages.
-async fn send(
-    outgoing: &mut mpsc::Sender<Body>,
-    exchange: u64,
-    response: Response,
-    exchanges: &Exchanges,
-) {
-    let mut reply = response_to_wire(exchange, &response);
-    match response.body {
-        AnswerBody::Whole(mut rest) => {
-            reply.body = rest.split_to(rest.len().min(MAX_CHUNK));
-            if outgoing.send(Body::Reply(reply)).await.is_ok() {
-                send_rest(outgoing, exchange, rest).await;
-            }
-        }
-        AnswerBody::Stream(stream) => {
-            let (sender, grants) = mpsc::unbounded();
-            exchanges.granting.borrow_mut().insert(exchange, sender);
-            if outgoing.send(Body::Reply(reply)).await.is_ok() {
-                send_stream(outgoing, exchange, stream, grants).await;
-            }
-        }
-    }
-}
-
-async fn send_rest(outgoing: &mut mpsc::Sender<Body>, exchange: u64, mut rest: Bytes) {
-    while !rest.is_empty() {
-        let data = rest.split_to(rest.len().min(MAX_CHUNK));
-        let chunk = Chunk {
-            exchange,
-            data,
-            ..Chunk::default()
-        };
-        if outgoing.send(Body::Chunk(chunk)).await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Streams a body, never more than the peer has granted, so that a client that reads slowly delays
-/// only its own response.
-async fn send_stream(
-    outgoing: &mut mpsc::Sender<Body>,
-    exchange: u64,
-    mut stream: Stream,
-    mut grants: mpsc::UnboundedReceiver<u32>,
-) {
-    let mut granted = INITIAL_GRANT;
-    loop {
-        let chunk = stream.next().await;
-        let mut rest = match &chunk {
-            Ok(Some(chunk)) => chunk.clone(),
-            Ok(None) | Err(_) => Bytes::new(),
-        };
-        while !rest.is_empty() {
-            while granted == 0 {
-                let Some(more) = grants.next().await else {
-                    return;
-                };
-                granted += more;
-            }
-            granted -= 1;
-            let first = rest.split_to(rest.len().min(MAX_CHUNK));
-            send_rest(outgoing, exchange, first).await;
-        }
-        if matches!(chunk, Ok(Some(_))) {
-            continue;
-        }
-        let end = Chunk {
-            exchange,
-            last: chunk.is_ok(),
-            broken: chunk.is_err(),
-            ..Chunk::default()
-        };
-        // Without an end marker the peer treats the body as truncated.
-        let _ = outgoing.send(Body::Chunk(end)).await;
-        return;
-    }
-}
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod convert;
 mod link;
 mod reassembly;
+mod response;
 mod source;
 
 use std::cell::RefCell;
