Sight: what an upstream rejects, on which connection, and answers that are skipped

Change: event 807 for each rejection (upstream, status, whether it bears the id, connection and how many requests it carried before), 808 for each skipped answer, a counter of these. Both are bounded like all events about requests and written only where something was rejected or skipped. An exchange has its parts in a struct. No decision changes.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -171,6 +171,10 @@
     REQUEST_ANSWERED_BADLY = 805 Info "request answered with a failure" ["request", "kind", "status", "below", "node", "tries", "pressure", "workspace", "version", "after_ms"];
     /// The own upstream did not answer a request within `waited_ms` milliseconds, and the node stops waiting. Nearly all requests of its kind take less than `usual_ms`; `overtaken` requests of its kind were sent later and have been answered.
     ANSWER_MISSING = 806 Info "no answer expected any more" ["request", "kind", "waited_ms", "usual_ms", "overtaken"];
+    /// The own upstream rejected a request and did not run it. `named` says whether its response bears the id of the request; `earlier` requests were sent on the connection with this number before.
+    UPSTREAM_REJECTED = 807 Info "own upstream rejected a request" ["request", "upstream", "status", "named", "connection", "earlier"];
+    /// A response of the own upstream was skipped while the one to this request was awaited, since it does not belong to it. `of` is the id that it bears.
+    ANSWER_SKIPPED = 808 Info "answer to another request skipped" ["request", "of", "status", "connection", "earlier"];
     /// Some events about requests were left out in the last `span_ms` milliseconds, because there were too many. The events of `kept` percent of the requests are complete.
     EVENTS_LEFT_OUT = 810 Info "events left out" ["count", "about", "kept", "span_ms"];
     /// Lines were dropped because the reader of the log is too slow.
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -69,6 +69,31 @@
     pub(crate) overtaken: u32,
 }
 
+/// A request that the own upstream rejected, and the connection on which it did.
+pub(crate) struct Rejection<'a> {
+    pub(crate) attempt: &'a AttemptKey,
+    pub(crate) upstream: &'a UpstreamKey,
+    pub(crate) status: u16,
+    /// Whether the response bears the id of the request.
+    pub(crate) is_named: bool,
+    /// The number of the connection.
+    pub(crate) connection: u64,
+    /// The requests that were sent on the connection before.
+    pub(crate) earlier_requests: u32,
+}
+
+/// A response of the own upstream that does not belong to the request that it was read for.
+pub(crate) struct Skipped<'a> {
+    pub(crate) attempt: &'a AttemptKey,
+    /// The id that the response bears, or `none`.
+    pub(crate) named: &'a str,
+    pub(crate) status: u16,
+    /// The number of the connection.
+    pub(crate) connection: u64,
+    /// The requests that were sent on the connection before.
+    pub(crate) earlier_requests: u32,
+}
+
 /// The result of a request at the entry, and what led to it.
 pub(crate) struct Completion<'a> {
     pub(crate) attempt: &'a AttemptKey,
@@ -147,6 +172,40 @@
         );
     }
 
+    /// Logs that the own upstream rejected a request.
+    pub(crate) fn log_rejection(&self, rejection: &Rejection<'_>) {
+        write(
+            &self.refusals,
+            rejection.attempt,
+            &catalogue::UPSTREAM_REJECTED,
+            &[
+                ("request", rejection.attempt),
+                ("upstream", rejection.upstream),
+                ("status", &rejection.status),
+                ("named", &rejection.is_named),
+                ("connection", &rejection.connection),
+                ("earlier", &rejection.earlier_requests),
+            ],
+        );
+    }
+
+    /// Logs that a response of the own upstream was skipped, since it does not belong to the
+    /// request that it was read for.
+    pub(crate) fn log_skipped_response(&self, skipped: &Skipped<'_>) {
+        write(
+            &self.failures,
+            skipped.attempt,
+            &catalogue::ANSWER_SKIPPED,
+            &[
+                ("request", skipped.attempt),
+                ("of", &skipped.named),
+                ("status", &skipped.status),
+                ("connection", &skipped.connection),
+                ("earlier", &skipped.earlier_requests),
+            ],
+        );
+    }
+
     /// Logs the result of probing the port of the own upstream after an answer was lost.
     pub(crate) fn log_probe(&self, attempt: &AttemptKey, finding: Finding, took: Duration) {
         write(
--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -18,10 +18,15 @@
 
 use crate::body::{Body, Source, Stream, Truncated};
 use crate::dialect::FieldNames;
+use crate::events::{Events, Rejection, Skipped};
+use crate::gate::history::History;
 use crate::gate::pool::{Connection, Pool};
 use crate::key::{AttemptKey, UpstreamKey};
+use crate::metrics::Metrics;
 use crate::request::Request;
 
+/// The status of another upstream at the address of the expected one.
+pub(super) const MISDIRECTED: u16 = 421;
 /// The maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Longer bodies are streamed. A response that breaks off within this limit can be retried or
@@ -117,60 +122,128 @@
     }
 }
 
-/// Sends a request to an incarnation of the upstream and returns the response, with a long body as
-/// a stream. `on_head` is called with its head before the body is read.
-///
-/// Dropping the future or the stream closes the connection, which tells the upstream to stop.
-pub(super) async fn exchange(
-    pool: &Pool,
-    fields: &FieldNames,
-    upstream: &UpstreamKey,
-    request: &Request,
-    on_head: impl Fn(&ResponseHead),
-) -> Result<UpstreamResponse, ExchangeError> {
-    let acquired = pool.acquire(!request.idempotent).await;
-    let mut connection = acquired.map_err(ExchangeError::Connect)?;
-    // The node may have been suspended since the request was admitted, and the caller may have been
-    // told that its time is over.
-    if request.time_left().is_zero() {
-        return Err(ExchangeError::Late);
+/// A request to be sent to an incarnation of the upstream.
+pub(super) struct Exchange<'a> {
+    pub(super) pool: &'a Pool,
+    pub(super) fields: &'a FieldNames,
+    pub(super) events: &'a Events,
+    pub(super) metrics: &'a Metrics,
+    pub(super) upstream: &'a UpstreamKey,
+    pub(super) request: &'a Request,
+}
+
+impl Exchange<'_> {
+    /// Sends the request and returns the response, with a long body as a stream. `on_head` is
+    /// called with its head before the body is read.
+    ///
+    /// Dropping the future or the stream closes the connection, which tells the upstream to stop.
+    pub(super) async fn run(
+        &self,
+        on_head: impl Fn(&ResponseHead),
+    ) -> Result<UpstreamResponse, ExchangeError> {
+        let acquired = self.pool.acquire(!self.request.idempotent).await;
+        let mut connection = acquired.map_err(ExchangeError::Connect)?;
+        // The node may have been suspended since the request was admitted, and the caller may have
+        // been told that its time is over.
+        if self.request.time_left().is_zero() {
+            return Err(ExchangeError::Late);
+        }
+        connection.history.record_request();
+        let bytes = request_bytes(self.fields, self.upstream, self.request);
+        let (first_head, was_sent) = send(&mut connection, bytes).await?;
+        let matched = self.read_matching_head(&mut connection, first_head).await?;
+        let MatchedHead {
+            head,
+            framing,
+            mut rest,
+        } = matched;
+        if is_rejection(&head, self.fields) {
+            self.log_rejection(&head, &connection.history);
+        }
+        on_head(&head);
+        let prefix = read_prefix(&mut connection, &mut rest).await?;
+        if rest.is_ended() {
+            if was_sent && framing != Framing::UntilClose {
+                self.pool.release(connection, &head);
+            }
+            let body = Body::Whole(prefix);
+            return Ok(UpstreamResponse { head, body });
+        }
+        let length = match framing {
+            Framing::Length(length) => Some(length),
+            Framing::None | Framing::Chunked | Framing::UntilClose => None,
+        };
+        let source = UpstreamSource {
+            connection,
+            first_piece: Some(prefix),
+            rest,
+        };
+        let body = Body::Stream(Stream::new(length, Box::new(source)));
+        Ok(UpstreamResponse { head, body })
     }
-    let bytes = request_bytes(fields, upstream, request);
-    let (first_head, was_sent) = send(&mut connection, bytes).await?;
-    let is_head_request = request.head.starts_with(b"HEAD ");
-    let matched = read_matching_head(
-        &mut connection,
-        fields,
-        &request.attempt,
-        first_head,
-        is_head_request,
-    )
-    .await?;
-    let MatchedHead {
-        head,
-        framing,
-        mut rest,
-    } = matched;
-    on_head(&head);
-    let prefix = read_prefix(&mut connection, &mut rest).await?;
-    if rest.is_ended() {
-        if was_sent && framing != Framing::UntilClose {
-            pool.release(connection, &head);
+
+    /// Skips stale responses until the one to this request.
+    ///
+    /// An upstream may answer an earlier request twice; the second response then precedes the
+    /// expected one on the connection.
+    async fn read_matching_head(
+        &self,
+        connection: &mut Connection,
+        first_head: Bytes,
+    ) -> Result<MatchedHead, ExchangeError> {
+        let is_head_request = self.request.head.starts_with(b"HEAD ");
+        let mut bytes = first_head;
+        for _ in 0..=MAX_STALE_RESPONSES {
+            let head = ResponseHead::parse(&bytes).map_err(ExchangeError::Head)?;
+            let framing = response_framing(head.status, is_head_request, &head.fields);
+            let framing = framing.map_err(ExchangeError::Head)?;
+            let is_interim = head.status < 200;
+            if !is_interim && belongs_to(&head, self.fields, &self.request.attempt) {
+                verify(&head, self.fields)?;
+                return Ok(MatchedHead {
+                    rest: BodyRest::new(framing),
+                    head,
+                    framing,
+                });
+            }
+            let body = connection.reader.body(framing, MAX_STALE_BODY_BYTES).await;
+            body.map_err(ExchangeError::Body)?;
+            if !is_interim {
+                self.record_skipped(&head, &connection.history);
+                if !head.keeps_alive() {
+                    return Err(ExchangeError::Mismatched);
+                }
+            }
+            bytes = connection
+                .reader
+                .response_head(MAX_HEAD_BYTES)
+                .await
+                .map_err(ExchangeError::Message)?;
         }
-        let body = Body::Whole(prefix);
-        return Ok(UpstreamResponse { head, body });
+        Err(ExchangeError::Mismatched)
+    }
+
+    fn log_rejection(&self, head: &ResponseHead, history: &History) {
+        self.events.log_rejection(&Rejection {
+            attempt: &self.request.attempt,
+            upstream: self.upstream,
+            status: head.status,
+            is_named: head.fields.get(self.fields.attempt).is_some(),
+            connection: history.number(),
+            earlier_requests: history.earlier_requests(),
+        });
+    }
+
+    fn record_skipped(&self, head: &ResponseHead, history: &History) {
+        self.metrics.record_skipped_response();
+        self.events.log_skipped_response(&Skipped {
+            attempt: &self.request.attempt,
+            named: head.fields.get(self.fields.attempt).unwrap_or("none"),
+            status: head.status,
+            connection: history.number(),
+            earlier_requests: history.earlier_requests(),
+        });
     }
-    let length = match framing {
-        Framing::Length(length) => Some(length),
-        Framing::None | Framing::Chunked | Framing::UntilClose => None,
-    };
-    let source = UpstreamSource {
-        connection,
-        first_piece: Some(prefix),
-        rest,
-    };
-    let body = Body::Stream(Stream::new(length, Box::new(source)));
-    Ok(UpstreamResponse { head, body })
 }
 
 /// Sends a request and returns the first response head, and whether the request was completely
@@ -235,55 +308,21 @@
     rest: BodyRest,
 }
 
-/// Skips stale responses until the one to this request.
-///
-/// An upstream may answer an earlier request twice; the second response then precedes the expected
-/// one on the connection.
-async fn read_matching_head(
-    connection: &mut Connection,
-    fields: &FieldNames,
-    attempt: &AttemptKey,
-    first_head: Bytes,
-    is_head_request: bool,
-) -> Result<MatchedHead, ExchangeError> {
-    let mut bytes = first_head;
-    for _ in 0..=MAX_STALE_RESPONSES {
-        let head = ResponseHead::parse(&bytes).map_err(ExchangeError::Head)?;
-        let framing = response_framing(head.status, is_head_request, &head.fields);
-        let framing = framing.map_err(ExchangeError::Head)?;
-        let is_interim = head.status < 200;
-        if !is_interim && belongs_to(&head, fields, attempt) {
-            verify(&head, fields)?;
-            return Ok(MatchedHead {
-                rest: BodyRest::new(framing),
-                head,
-                framing,
-            });
-        }
-        let body = connection.reader.body(framing, MAX_STALE_BODY_BYTES).await;
-        body.map_err(ExchangeError::Body)?;
-        if !is_interim && !head.keeps_alive() {
-            return Err(ExchangeError::Mismatched);
-        }
-        bytes = connection
-            .reader
-            .response_head(MAX_HEAD_BYTES)
-            .await
-            .map_err(ExchangeError::Message)?;
-    }
-    Err(ExchangeError::Mismatched)
-}
-
 /// Returns true if the response belongs to the request with this id.
 ///
 /// Only a refusal may lack the id; late and duplicate responses always carry it.
 fn belongs_to(head: &ResponseHead, fields: &FieldNames, attempt: &AttemptKey) -> bool {
     match head.fields.get(fields.attempt) {
         Some(id) => id == attempt.as_str(),
-        None => head.status == 421 || head.fields.get(fields.not_run).is_some(),
+        None => is_rejection(head, fields),
     }
 }
 
+/// Returns true if a response says that the upstream did not run its request.
+pub(super) fn is_rejection(head: &ResponseHead, fields: &FieldNames) -> bool {
+    head.status == MISDIRECTED || head.fields.get(fields.not_run).is_some()
+}
+
 /// Checks that a successful response was produced by the upstream itself and that its body is not
 /// encoded.
 fn verify(head: &ResponseHead, fields: &FieldNames) -> Result<(), ExchangeError> {
--- a/crates/mesh/src/gate/exchange/tests.rs
+++ b/crates/mesh/src/gate/exchange/tests.rs
@@ -7,12 +7,14 @@
 use monoio::time::timeout;
 use sailtrack_net::runtime;
 
-use super::exchange;
+use super::Exchange;
 use crate::clock;
 use crate::contexts::tests::request;
 use crate::dialect::FieldNames;
+use crate::events::Events;
 use crate::gate::pool::Pool;
 use crate::key::UpstreamKey;
+use crate::metrics::Metrics;
 use crate::request::Request;
 
 const FIELDS: FieldNames = FieldNames {
@@ -41,10 +43,16 @@
         ..request("a")
     };
     let upstream = UpstreamKey::new("i-1", None).expect("a sound id");
-    let result = runtime::run(async {
-        let exchange = exchange(&pool, &FIELDS, &upstream, &expired, |_| {});
-        timeout(Duration::from_secs(1), exchange).await
-    });
+    let exchange = Exchange {
+        pool: &pool,
+        fields: &FIELDS,
+        events: &Events::default(),
+        metrics: &Metrics::new(),
+        upstream: &upstream,
+        request: &expired,
+    };
+    let result =
+        runtime::run(async { timeout(Duration::from_secs(1), exchange.run(|_| {})).await });
     let result = result
         .expect("a runtime")
         .expect("it must not wait for a response");
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -10,6 +10,7 @@
 mod crash;
 mod demands;
 mod exchange;
+mod history;
 mod incarnation;
 mod kinds;
 mod lock;
--- a/crates/mesh/src/gate/pool.rs
+++ b/crates/mesh/src/gate/pool.rs
@@ -10,6 +10,7 @@
 use sailtrack_net::transparent::{Reader, ResponseHead};
 use sailtrack_units::Moment;
 
+use super::history::History;
 use crate::clock;
 
 /// How long an upstream on the same instance may take to accept a connection.
@@ -31,6 +32,7 @@
 pub(super) struct Connection {
     pub(super) reader: Reader,
     pub(super) writer: OwnedWriteHalf<TcpStream>,
+    pub(super) history: History,
     last_used: Moment,
     idle_timeout: Duration,
 }
@@ -46,6 +48,8 @@
     target: SocketAddr,
     idle: RefCell<Vec<Connection>>,
     max_idle: Cell<usize>,
+    /// The number of connections opened so far.
+    opened: Cell<u64>,
 }
 
 impl Pool {
@@ -54,6 +58,7 @@
             target,
             idle: RefCell::default(),
             max_idle: Cell::new(MAX_IDLE),
+            opened: Cell::new(0),
         }
     }
 
@@ -112,9 +117,12 @@
     async fn connect(&self) -> Result<Connection, DialError> {
         let dialed = dial(self.target, None, CONNECT_TIMEOUT).await?;
         let (read, writer) = dialed.stream.into_split();
+        let number = self.opened.get() + 1;
+        self.opened.set(number);
         Ok(Connection {
             reader: Reader::new(read),
             writer,
+            history: History::new(number),
             last_used: clock::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
         })
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -14,7 +14,7 @@
 use super::Gate;
 use super::admitted::Admitted;
 use super::demands::Demands;
-use super::exchange::{ExchangeError, UpstreamResponse, exchange};
+use super::exchange::{Exchange, ExchangeError, MISDIRECTED, UpstreamResponse};
 use super::incarnation::Ended;
 use super::wait::Waited;
 use crate::clock;
@@ -25,8 +25,6 @@
 
 /// On a rejection: when callers should come back.
 const RETRY_AFTER: &str = "retry-after";
-/// The status of another upstream at the address of the expected one.
-const MISDIRECTED: u16 = 421;
 /// Statuses that by their definition promise that the request did not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -44,15 +42,16 @@
         let on_head = |head: &ResponseHead| {
             is_leaving.set(self.handle_head(upstream, head, &request.attempt));
         };
-        let exchange = exchange(
-            &self.pool,
-            self.dialect.fields(),
+        let exchange = Exchange {
+            pool: &self.pool,
+            fields: self.dialect.fields(),
+            events: &self.events,
+            metrics: &self.metrics,
             upstream,
             request,
-            on_head,
-        );
+        };
         // Boxed, since each of the enclosing futures would otherwise reserve space for its state.
-        let exchange = exchange.boxed_local();
+        let exchange = exchange.run(on_head).boxed_local();
         let exchange = until_ended(exchange, admitted.ended.clone());
         let sent = self.track(request, admitted);
         let result = self
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -212,6 +212,11 @@
         self.counters.rate_refusals.inc();
     }
 
+    /// Counts a response of the own upstream that does not belong to the request it was read for.
+    pub(crate) fn record_skipped_response(&self) {
+        self.counters.skipped_responses.inc();
+    }
+
     /// Records a pipelined request; `depth` is the number of unanswered requests of its connection,
     /// including this one.
     pub(crate) fn record_pipelined(&self, depth: usize) {
--- a/crates/mesh/src/metrics/counters.rs
+++ b/crates/mesh/src/metrics/counters.rs
@@ -17,6 +17,7 @@
     pub(super) unread: Counter<u64, AtomicU64>,
     pub(super) sent: Counter<u64, AtomicU64>,
     pub(super) rate_refusals: Counter<u64, AtomicU64>,
+    pub(super) skipped_responses: Counter<u64, AtomicU64>,
 }
 
 impl Counters {
@@ -67,6 +68,11 @@
                 "over_rate_limit",
                 "Requests refused since the own upstream limits their rate",
             ),
+            skipped_responses: counter(
+                registry,
+                "skipped_answers",
+                "Answers of the own upstream to other requests than the one that was waited for",
+            ),
             unread: counter(
                 registry,
                 "requests_not_read",
