Gate: a late copy of a rejection is not taken for the next attempt's response

Cause: responses of an upstream are matched by the id of the request. A request that an upstream rejected is sent again under the same id, to the same upstream when no other is left, and mostly on the same connection, as the pool hands out the one used last. An upstream that answers twice may send the copy of the first rejection after the second attempt; it bears the right id and says "not run" of what runs.

Why it works: a connection remembers the requests that were rejected on it and does not carry these again, so that a response which bears the id is the response to the one attempt on that connection. Copies stay on the connection of their original. Only what was rejected pays: a search of the idle connections, and a new one if all fresh ones carried it.

--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -141,7 +141,7 @@
         &self,
         on_head: impl Fn(&ResponseHead),
     ) -> Result<UpstreamResponse, ExchangeError> {
-        let acquired = self.pool.acquire(!self.request.idempotent).await;
+        let acquired = self.pool.acquire(self.request).await;
         let mut connection = acquired.map_err(ExchangeError::Connect)?;
         // The node may have been suspended since the request was admitted, and the caller may have
         // been told that its time is over.
@@ -159,6 +159,7 @@
         } = matched;
         if is_rejection(&head, self.fields) {
             self.log_rejection(&head, &connection.history);
+            connection.history.record_rejection(&self.request.attempt);
         }
         on_head(&head);
         let prefix = read_prefix(&mut connection, &mut rest).await?;
--- a/crates/mesh/src/gate/pool.rs
+++ b/crates/mesh/src/gate/pool.rs
@@ -12,6 +12,7 @@
 
 use super::history::History;
 use crate::clock;
+use crate::request::Request;
 
 /// How long an upstream on the same instance may take to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -62,14 +63,15 @@
         }
     }
 
-    /// Returns an idle connection, or opens a new one.
+    /// Returns an idle connection that may carry the request, or opens a new one.
     ///
     /// An upstream may close a connection earlier than announced, and a request sent at that moment
-    /// is lost. Idempotent requests are then retried; `only_fresh` is for all others.
-    pub(super) async fn acquire(&self, only_fresh: bool) -> Result<Connection, DialError> {
+    /// is lost. Idempotent requests are then retried; all others get a connection that was used
+    /// lately.
+    pub(super) async fn acquire(&self, request: &Request) -> Result<Connection, DialError> {
         let now = clock::now();
         loop {
-            let idle = self.pop(now, only_fresh);
+            let idle = self.pop(now, request);
             let Some(mut connection) = idle else {
                 return self.connect().await;
             };
@@ -79,17 +81,21 @@
         }
     }
 
-    /// Takes the most recently used connection, if it is fresh enough.
-    fn pop(&self, now: Moment, only_fresh: bool) -> Option<Connection> {
-        let is_wanted = |connection: &mut Connection| {
-            !only_fresh || now.since(connection.last_used) < MAX_FRESH_AGE
+    /// Takes the most recently used connection that may carry the request, if it is fresh enough.
+    fn pop(&self, now: Moment, request: &Request) -> Option<Connection> {
+        let is_fresh = |connection: &Connection| {
+            request.idempotent || now.since(connection.last_used) < MAX_FRESH_AGE
         };
-        self.idle.borrow_mut().pop_if(is_wanted)
+        let mut idle = self.idle.borrow_mut();
+        let newest = idle.iter().enumerate().rev();
+        let mut fresh = newest.take_while(|(_, connection)| is_fresh(connection));
+        let (at, _) = fresh.find(|(_, connection)| connection.history.allows(&request.attempt))?;
+        Some(idle.remove(at))
     }
 
     /// Returns a connection to the pool after a successful exchange, if the response permits reuse.
     pub(super) fn release(&self, mut connection: Connection, head: &ResponseHead) {
-        if !head.keeps_alive() || connection.reader.buffered() > 0 {
+        if !head.keeps_alive() || connection.reader.buffered() > 0 || connection.history.is_full() {
             return;
         }
         connection.last_used = clock::now();
