Gate: a rejection without an id counts only on a connection's first request

Cause: a rejection may lack the id, and was taken for the response to whatever request waited on its connection. Nothing tells it from a late copy of an earlier rejection.

Why it works: on a connection that carried nothing before there is no earlier response of which it could be a copy. Elsewhere it is skipped, as other responses to other requests; the one to the request follows, or the deadline.

--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -21,7 +21,7 @@
 use crate::events::{Events, Rejection, Skipped};
 use crate::gate::history::History;
 use crate::gate::pool::{Connection, Pool};
-use crate::key::{AttemptKey, UpstreamKey};
+use crate::key::UpstreamKey;
 use crate::metrics::Metrics;
 use crate::request::Request;
 
@@ -199,7 +199,7 @@
             let framing = response_framing(head.status, is_head_request, &head.fields);
             let framing = framing.map_err(ExchangeError::Head)?;
             let is_interim = head.status < 200;
-            if !is_interim && belongs_to(&head, self.fields, &self.request.attempt) {
+            if !is_interim && self.is_response(&head, &connection.history) {
                 verify(&head, self.fields)?;
                 return Ok(MatchedHead {
                     rest: BodyRest::new(framing),
@@ -224,6 +224,17 @@
         Err(ExchangeError::Mismatched)
     }
 
+    /// Returns true if a response is the one to this request.
+    ///
+    /// A rejection may lack the id. Without one it can only be told from a copy of an earlier
+    /// rejection if the connection carried nothing before.
+    fn is_response(&self, head: &ResponseHead, history: &History) -> bool {
+        match head.fields.get(self.fields.attempt) {
+            Some(id) => id == self.request.attempt.as_str(),
+            None => is_rejection(head, self.fields) && history.earlier_requests() == 0,
+        }
+    }
+
     fn log_rejection(&self, head: &ResponseHead, history: &History) {
         self.events.log_rejection(&Rejection {
             attempt: &self.request.attempt,
@@ -309,16 +320,6 @@
     rest: BodyRest,
 }
 
-/// Returns true if the response belongs to the request with this id.
-///
-/// Only a refusal may lack the id; late and duplicate responses always carry it.
-fn belongs_to(head: &ResponseHead, fields: &FieldNames, attempt: &AttemptKey) -> bool {
-    match head.fields.get(fields.attempt) {
-        Some(id) => id == attempt.as_str(),
-        None => is_rejection(head, fields),
-    }
-}
-
 /// Returns true if a response says that the upstream did not run its request.
 pub(super) fn is_rejection(head: &ResponseHead, fields: &FieldNames) -> bool {
     head.status == MISDIRECTED || head.fields.get(fields.not_run).is_some()
