Own interface: a late copy of a rejection is not taken for the next call's

Cause: on the own interface a response is matched with its call by its place on the connection alone. An upstream that sends a rejection twice, late, rejects the next call that way, which runs.

Why it works: the connection closes after a rejection, so no copy of one can meet another call. Upstreams need not change. It costs a new connection for each rejection; a node's limit adapts, so they are few.

Stand-in: a relay before its port sends responses twice, if its settings and an order say so.

--- a/crates/net/src/http/client.rs
+++ b/crates/net/src/http/client.rs
@@ -99,6 +99,8 @@
     host: HeaderValue,
     limits: Limits,
     capacity: usize,
+    /// Returns true if a connection may be reused after a response.
+    keeps: fn(&Response) -> bool,
     idle: RefCell<Vec<Connection>>,
 }
 
@@ -113,10 +115,18 @@
             host: host.unwrap_or_else(|_| HeaderValue::from_static("upstream")),
             limits: Limits::client(),
             capacity,
+            keeps: |_| true,
             idle: RefCell::default(),
         }
     }
 
+    /// Reuses connections only after responses for which `keeps` returns true.
+    #[must_use]
+    pub fn keep_after(mut self, keeps: fn(&Response) -> bool) -> Self {
+        self.keeps = keeps;
+        self
+    }
+
     /// Returns the server's address.
     #[must_use]
     pub fn target(&self) -> SocketAddr {
@@ -159,7 +169,7 @@
             Err(_) => return Err(ExchangeError::Late),
             Ok(result) => result?,
         };
-        if !has_connection_close(&response.headers) {
+        if (self.keeps)(&response) && !has_connection_close(&response.headers) {
             self.put_idle(connection);
         }
         Ok(response)
--- a/crates/node/src/execute.rs
+++ b/crates/node/src/execute.rs
@@ -21,7 +21,7 @@
 use crate::metrics::Metrics;
 use crate::routing::Downstream;
 use crate::ticket::{CloseGuard, Disposition, Tickets};
-use crate::upstream::Upstream;
+use crate::upstream::{Upstream, is_rejection};
 use sailtrack_admission::Policy;
 use sailtrack_admission::{Admission, WindowPermit, Windows};
 
@@ -280,9 +280,7 @@
     ) -> Answer {
         let now = Instant::now();
         self.apply_demands(&response);
-        let was_shed_by_upstream = response.status == StatusCode::SERVICE_UNAVAILABLE
-            && response.header(header::OUTCOME) == Some("not-run");
-        if was_shed_by_upstream && registration.context.made_no_calls() {
+        if is_rejection(&response) && registration.context.made_no_calls() {
             self.admission.record_shed(now);
             return self.retry_later(Answer::not_run(Reason::UpstreamShed));
         }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -6,10 +6,13 @@
 use std::time::{Duration, Instant};
 
 use displaydoc::Display;
+use http::StatusCode;
 use sailtrack_kernel::Service;
 use sailtrack_net::http::{ExchangeError, Pool, Request, Response};
 use serde::Deserialize;
 
+use crate::header;
+
 /// An upstream whose last announcement is older than this is considered gone.
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(5);
 /// Limit on idle connections to an upstream.
@@ -64,7 +67,9 @@
         });
         if !is_same_incarnation {
             let source = Some(announcement.address.ip());
-            let pool = Pool::new(announcement.address, source, POOL_CAPACITY);
+            // A late copy of a rejection would pass for that of the next call on the connection.
+            let pool = Pool::new(announcement.address, source, POOL_CAPACITY)
+                .keep_after(|response| !is_rejection(response));
             *self.pool.borrow_mut() = Some(Rc::new(pool));
         }
         self.unreachable.set(false);
@@ -155,3 +160,9 @@
             .map_or(0, |pool| pool.idle_count())
     }
 }
+
+/// Returns true if a response says that the upstream did not run the call.
+pub(crate) fn is_rejection(response: &Response) -> bool {
+    response.status == StatusCode::SERVICE_UNAVAILABLE
+        && response.header(header::OUTCOME) == Some("not-run")
+}
--- a/standins/upstream/src/control.rs
+++ b/standins/upstream/src/control.rs
@@ -6,6 +6,8 @@
 use sailtrack_units::Rate;
 use serde::Deserialize;
 
+use crate::copies::{Copies, Selection};
+
 /// How the load is reported.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -39,6 +41,8 @@
     pub(crate) rate_limit: Option<f64>,
     /// Whether it says in its answers that it leaves; its announcements don't.
     pub(crate) leave_in_answers: Option<bool>,
+    /// Which responses it sends twice; it needs the setting `copies`.
+    pub(crate) copies: Option<Copies>,
 }
 
 /// The behaviour at present.
@@ -53,6 +57,7 @@
     leaving: Cell<bool>,
     rate_limit: Cell<Option<Rate>>,
     leaves_in_answers: Cell<bool>,
+    pub(crate) copies: Selection,
 }
 
 impl Control {
@@ -67,6 +72,7 @@
             leaving: Cell::new(false),
             rate_limit: Cell::default(),
             leaves_in_answers: Cell::new(false),
+            copies: Selection::default(),
         }
     }
 
@@ -96,6 +102,9 @@
         if let Some(leave) = order.leave_in_answers {
             self.leaves_in_answers.set(leave);
         }
+        if let Some(copies) = order.copies {
+            self.copies.set(copies);
+        }
     }
 
     /// Returns the rate that it says in its answers to take.
--- a/standins/upstream/src/main.rs
+++ b/standins/upstream/src/main.rs
@@ -2,6 +2,7 @@
 
 mod announce;
 mod control;
+mod copies;
 mod record;
 mod route;
 mod service;
@@ -9,6 +10,7 @@
 mod slots;
 
 use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,8 +46,17 @@
         accept_time: settings.accept_time.0,
         ..Limits::server()
     };
-    let port = Port::open("service", settings.address, limits)?;
+    let address = if settings.sends_copies {
+        SocketAddr::new(settings.address.ip(), 0)
+    } else {
+        settings.address
+    };
+    let port = Port::open("service", address, limits)?;
     let service = Rc::new(Service::new(settings)?);
+    if service.settings.sends_copies {
+        let selection = &service.control.copies;
+        copies::start(service.settings.address, port.address()?, selection)?;
+    }
     task::spawn("service port", serve(port, Rc::clone(&service)));
     task::spawn(
         "announcements",
--- a/standins/upstream/src/settings.rs
+++ b/standins/upstream/src/settings.rs
@@ -27,6 +27,8 @@
     /// How long it is slower after its start.
     pub(crate) cold_time: Period,
     pub(crate) announce_every: Period,
+    /// Whether it may be ordered to send responses twice.
+    pub(crate) sends_copies: bool,
     /// Where each execution is written down.
     pub(crate) record: Option<PathBuf>,
     pub(crate) routes: Vec<Route>,
@@ -46,6 +48,7 @@
         let accept_time = section.or("accept-time", Period::default(), PERIOD);
         let cold_time = section.or("cold-time", Period::default(), PERIOD);
         let announce_every = section.or("announce-every", Period::from_millis(500), PERIOD);
+        let sends_copies = section.or("copies", false, "true or false");
         let record = section.optional("record", "a path");
         drop(section);
         let routes = document.read_all("route", read_route);
@@ -63,6 +66,7 @@
             accept_time,
             cold_time,
             announce_every,
+            sends_copies,
             record,
             routes,
         })
