Own interface: an answer that bears the context of another call is skipped

What callers saw: answers of other calls, and a "not-run" of a call that ran, once an upstream sent an answer twice.

Why it works: the context that a node gives to each call is unique; an upstream copies it into its own calls already and now into its answer. An answer with another context is skipped, up to three of them.

--- a/crates/net/src/http/client.rs
+++ b/crates/net/src/http/client.rs
@@ -22,6 +22,9 @@
 /// How long an unused connection may still be reused.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The maximum number of responses to other requests that are skipped before the expected one.
+const MAX_SKIPPED: u32 = 3;
+
 /// How long opening a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -67,6 +70,7 @@
         &mut self,
         request: Request,
         host: &HeaderValue,
+        tag: Option<&Tag>,
     ) -> Result<Response, ExchangeError> {
         let payload: Payload = if request.body.is_empty() {
             Payload::None
@@ -85,10 +89,30 @@
         Sink::<http::Request<Payload>>::flush(&mut self.writer)
             .await
             .map_err(|_| ExchangeError::Lost)?;
-        self.reader.read().await.map_err(|error| match error {
-            InputError::Cut => ExchangeError::Lost,
-            other => ExchangeError::Answer(other),
-        })
+        for _ in 0..=MAX_SKIPPED {
+            let response = self.reader.read().await.map_err(|error| match error {
+                InputError::Cut => ExchangeError::Lost,
+                other => ExchangeError::Answer(other),
+            })?;
+            if tag.is_none_or(|tag| tag.matches(&response)) {
+                return Ok(response);
+            }
+        }
+        Err(ExchangeError::Lost)
+    }
+}
+
+/// A header of a request, by which its response is told from those to other requests.
+struct Tag {
+    name: &'static str,
+    value: HeaderValue,
+}
+
+impl Tag {
+    /// Returns true unless the response bears the tag of another request.
+    fn matches(&self, response: &Response) -> bool {
+        let value = response.headers.get(self.name);
+        value.is_none_or(|value| *value == self.value)
     }
 }
 
@@ -101,6 +125,8 @@
     capacity: usize,
     /// Returns true if a connection may be reused after a response.
     keeps: fn(&Response) -> bool,
+    /// The header that a server may copy from a request into its response.
+    tag_name: Option<&'static str>,
     idle: RefCell<Vec<Connection>>,
 }
 
@@ -116,6 +142,7 @@
             limits: Limits::client(),
             capacity,
             keeps: |_| true,
+            tag_name: None,
             idle: RefCell::default(),
         }
     }
@@ -127,6 +154,13 @@
         self
     }
 
+    /// Skips responses that bear another value of this header than the request.
+    #[must_use]
+    pub fn match_by(mut self, name: &'static str) -> Self {
+        self.tag_name = Some(name);
+        self
+    }
+
     /// Returns the server's address.
     #[must_use]
     pub fn target(&self) -> SocketAddr {
@@ -163,7 +197,11 @@
                     .await?
             }
         };
-        let exchange = connection.exchange(request, &self.host);
+        let tag = self.tag_name.and_then(|name| {
+            let value = request.headers.get(name)?.clone();
+            Some(Tag { name, value })
+        });
+        let exchange = connection.exchange(request, &self.host, tag.as_ref());
         let deadline = monoio::time::Instant::from_std(deadline);
         let response = match timeout_at(deadline, exchange).await {
             Err(_) => return Err(ExchangeError::Late),
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -69,7 +69,8 @@
             let source = Some(announcement.address.ip());
             // A late copy of a rejection would pass for that of the next call on the connection.
             let pool = Pool::new(announcement.address, source, POOL_CAPACITY)
-                .keep_after(|response| !is_rejection(response));
+                .keep_after(|response| !is_rejection(response))
+                .match_by(header::CONTEXT);
             *self.pool.borrow_mut() = Some(Rc::new(pool));
         }
         self.unreachable.set(false);
--- a/standins/upstream/src/service.rs
+++ b/standins/upstream/src/service.rs
@@ -19,7 +19,7 @@
 use crate::settings::Settings;
 use crate::slots::Slots;
 
-/// The headers that the service copies into the calls that it makes.
+/// The header that the service copies into the calls that it makes and into its answer.
 const CONTEXT: &str = "sailtrack-context";
 /// The service that is called.
 const SERVICE: &str = "sailtrack-service";
@@ -205,7 +205,11 @@
             "/.counts" => self.counts(),
             _ => {
                 let response = self.run(&request).await;
-                self.with_demands(response)
+                let response = self.with_demands(response);
+                match request.header(CONTEXT) {
+                    Some(context) => response.with(CONTEXT, context),
+                    None => response,
+                }
             }
         }
     }
