Gate: an upstream that rejects without ids is heard on each connection

What callers saw: where an upstream rejects without naming the request, one request waited until its route's timeout and got 504, since the second rejection on a connection is not believed.

Why it works: a connection with an unnamed rejection is closed, so the next request has one of its own.

The errors of an exchange have a module of their own.

--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -1,20 +1,17 @@
 //! One request to the local upstream and its response.
 
+mod error;
 #[cfg(test)]
 mod tests;
 
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use displaydoc::Display;
 use futures::FutureExt as _;
 use futures::future::{Either, LocalBoxFuture, select};
 use monoio::io::AsyncWriteRentExt as _;
 use monoio::time::timeout;
-use sailtrack_net::dial::DialError;
-use sailtrack_net::transparent::{
-    BodyError, BodyRest, Framing, HeadError, MessageError, ResponseHead, response_framing,
-};
+use sailtrack_net::transparent::{BodyRest, Framing, ResponseHead, response_framing};
 
 use crate::body::{Body, Source, Stream, Truncated};
 use crate::dialect::FieldNames;
@@ -24,6 +21,7 @@
 use crate::key::UpstreamKey;
 use crate::metrics::Metrics;
 use crate::request::Request;
+pub(super) use error::ExchangeError;
 
 /// The status of another upstream at the address of the expected one.
 pub(super) const MISDIRECTED: u16 = 421;
@@ -39,60 +37,6 @@
 /// The maximum number of responses to other requests that are skipped before the expected one.
 const MAX_STALE_RESPONSES: u32 = 3;
 
-/// Why an exchange produced no response that can be forwarded.
-#[derive(Debug, Display)]
-pub(super) enum ExchangeError {
-    /// the connection failed, nothing was sent: {0}
-    Connect(DialError),
-    /// the deadline passed before the request was sent
-    Late,
-    /// the connection was lost: {0}
-    Io(std::io::Error),
-    /// {0}
-    Message(MessageError),
-    /// {0}
-    Body(BodyError),
-    /// {0}
-    Head(HeadError),
-    /// the answer lacks the signature field of the upstream
-    Unsigned,
-    /// the answer has a content encoding that was not requested
-    Encoded,
-    /// the answer belongs to another request
-    Mismatched,
-    /// the upstream was restarted and has no knowledge of the request
-    Restarted,
-}
-
-impl ExchangeError {
-    /// Returns true if the connection broke before the response was complete.
-    pub(super) fn is_broken(&self) -> bool {
-        match self {
-            Self::Io(_) => true,
-            Self::Message(error) => !matches!(error, MessageError::Head(_)),
-            Self::Body(error) => matches!(error, BodyError::Cut | BodyError::Io(_)),
-            _ => false,
-        }
-    }
-
-    /// Returns true if the upstream may still work on the request.
-    pub(super) fn may_still_run(&self) -> bool {
-        match self {
-            Self::Connect(_) | Self::Late | Self::Restarted | Self::Unsigned | Self::Encoded => {
-                false
-            }
-            Self::Io(_) | Self::Message(_) | Self::Body(_) | Self::Head(_) | Self::Mismatched => {
-                true
-            }
-        }
-    }
-
-    /// Returns true if the upstream cannot have received the request.
-    pub(super) fn is_unsent(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::Late)
-    }
-}
-
 /// A response of the upstream.
 pub(super) struct UpstreamResponse {
     pub(super) head: ResponseHead,
@@ -164,7 +108,7 @@
         on_head(&head);
         let prefix = read_prefix(&mut connection, &mut rest).await?;
         if rest.is_ended() {
-            if was_sent && framing != Framing::UntilClose {
+            if was_sent && framing != Framing::UntilClose && self.is_named(&head) {
                 self.pool.release(connection, &head);
             }
             let body = Body::Whole(prefix);
@@ -235,12 +179,18 @@
         }
     }
 
+    /// Returns true if a response bears an id. Of an upstream whose rejections lack it, only the
+    /// first one on each connection can be matched.
+    fn is_named(&self, head: &ResponseHead) -> bool {
+        head.fields.get(self.fields.attempt).is_some()
+    }
+
     fn log_rejection(&self, head: &ResponseHead, history: &History) {
         self.events.log_rejection(&Rejection {
             attempt: &self.request.attempt,
             upstream: self.upstream,
             status: head.status,
-            is_named: head.fields.get(self.fields.attempt).is_some(),
+            is_named: self.is_named(head),
             connection: history.number(),
             earlier_requests: history.earlier_requests(),
         });
