Retired upstreams: the row of a later incarnation is not replaced by an earlier's

What callers would see: an upstream that had left gets requests again beside a process that was started later.

Cause: rows are kept by id; a late "draining" or deregistration of an earlier incarnation wrote its own row over that of a later one.

Why it works: a row stands for the incarnation that it names and all earlier ones, so the later one is kept. A process that has no row of the id yet reads it first, since an earlier process may have written it: one read more at the first retirement of an id.

--- a/crates/mesh/src/announcement/rows.rs
+++ b/crates/mesh/src/announcement/rows.rs
@@ -40,6 +40,14 @@
     state: State,
 }
 
+impl Entry {
+    /// Returns true if the row says that an incarnation has retired: it names that one or a later
+    /// one.
+    fn covers(&self, upstream: &UpstreamKey) -> bool {
+        self.upstream == *upstream || upstream.is_older_than(&self.upstream)
+    }
+}
+
 /// The rows of upstreams that retired beside this node.
 pub(crate) struct Rows {
     store: Rc<dyn Store>,
@@ -60,11 +68,12 @@
         }
     }
 
-    /// Returns true if the store has recorded the retirement of an incarnation.
+    /// Returns true if the store has recorded the retirement of an incarnation or of a later one
+    /// with the same id.
     pub(super) fn is_written(&self, upstream: &UpstreamKey) -> bool {
         let entries = self.entries.borrow();
         let entry = entries.get(upstream.id());
-        entry.is_some_and(|entry| entry.upstream == *upstream && entry.state == State::Written)
+        entry.is_some_and(|entry| entry.covers(upstream) && entry.state == State::Written)
     }
 
     /// Records that the store has the row of an incarnation.
@@ -74,8 +83,17 @@
 
     /// Writes the row of an incarnation; if that fails, it is written later.
     pub(super) async fn write(&self, upstream: &UpstreamKey) -> bool {
+        let is_known = self.entries.borrow().contains_key(upstream.id());
         let entry = self.set(upstream, State::Missing);
-        let is_written = self.put(upstream).await;
+        if entry.upstream != *upstream {
+            return entry.state == State::Written;
+        }
+        // An earlier process may have written the row of a later incarnation.
+        let is_written = if is_known {
+            self.put(upstream).await
+        } else {
+            self.write_entry(&entry).await
+        };
         if is_written {
             self.finish(&entry);
         } else {
@@ -126,12 +144,17 @@
             Err(_) => return log_failure(&"late"),
         };
         let stored = reading.row.as_ref().map(parse_retired);
-        let is_superseded = stored.is_some_and(|stored| {
-            stored.is_ok_and(|stored| {
-                stored == entry.upstream || entry.upstream.is_older_than(&stored)
-            })
-        });
-        is_superseded || self.put(&entry.upstream).await
+        if let Some(Ok(stored)) = stored {
+            let stored = Entry {
+                upstream: stored,
+                state: State::Written,
+            };
+            if stored.covers(&entry.upstream) {
+                self.record_written(&stored.upstream);
+                return true;
+            }
+        }
+        self.put(&entry.upstream).await
     }
 
     async fn put(&self, upstream: &UpstreamKey) -> bool {
@@ -152,13 +175,19 @@
         missing.next().cloned()
     }
 
+    /// Sets the state of the row of an incarnation, unless a later one with the same id has retired;
+    /// returns the entry of the id.
     fn set(&self, upstream: &UpstreamKey, state: State) -> Entry {
+        let mut entries = self.entries.borrow_mut();
+        let known = entries.get(upstream.id());
+        if let Some(later) = known.filter(|known| upstream.is_older_than(&known.upstream)) {
+            return later.clone();
+        }
         let entry = Entry {
             upstream: upstream.clone(),
             state,
         };
-        let id = upstream.id().to_owned();
-        self.entries.borrow_mut().insert(id, entry.clone());
+        entries.insert(upstream.id().to_owned(), entry.clone());
         entry
     }
 
