Mesh: large files in parts, no behaviour changed

The two events about responses of the own upstream share what they tell (events::Received). Mesh tests, and those of doubled responses, at most once, logs, memberships, silence and the whole path pass.

--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -1,5 +1,6 @@
 //! Rate-limited log events about single requests.
 
+mod responses;
 mod sampler;
 #[cfg(test)]
 mod tests;
@@ -20,10 +21,10 @@
 use crate::contexts::Context;
 use crate::dispatch::Trail;
 use crate::entry::CredentialError;
-use crate::gate::Finding;
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::metrics::Stage;
 use crate::request::Response;
+pub(crate) use responses::{Received, Silence};
 use sampler::{Decision, Sampler};
 
 /// The most requests that a crash event names; an upstream runs some hundred at once.
@@ -58,42 +59,6 @@
     pub(crate) in_flight: usize,
 }
 
-/// A request that is no longer waited for, since the own upstream does not answer it.
-pub(crate) struct Silence<'a> {
-    pub(crate) attempt: &'a AttemptKey,
-    pub(crate) kind: &'a KindName,
-    pub(crate) waited: Duration,
-    /// The time within which nearly all requests of its kind are answered normally.
-    pub(crate) expected: Duration,
-    /// How many requests of its kind that were sent later have been answered.
-    pub(crate) overtaken: u32,
-}
-
-/// A request that the own upstream rejected, and the connection on which it did.
-pub(crate) struct Rejection<'a> {
-    pub(crate) attempt: &'a AttemptKey,
-    pub(crate) upstream: &'a UpstreamKey,
-    pub(crate) status: u16,
-    /// Whether the response bears the id of the request.
-    pub(crate) is_named: bool,
-    /// The number of the connection.
-    pub(crate) connection: u64,
-    /// The requests that were sent on the connection before.
-    pub(crate) earlier_requests: u32,
-}
-
-/// A response of the own upstream that does not belong to the request that it was read for.
-pub(crate) struct Skipped<'a> {
-    pub(crate) attempt: &'a AttemptKey,
-    /// The id that the response bears, or `none`.
-    pub(crate) named: &'a str,
-    pub(crate) status: u16,
-    /// The number of the connection.
-    pub(crate) connection: u64,
-    /// The requests that were sent on the connection before.
-    pub(crate) earlier_requests: u32,
-}
-
 /// The result of a request at the entry, and what led to it.
 pub(crate) struct Completion<'a> {
     pub(crate) attempt: &'a AttemptKey,
@@ -162,64 +127,6 @@
         );
     }
 
-    /// Logs that the own upstream's answer to a request was lost or cannot be passed on.
-    pub(crate) fn log_lost_answer(&self, attempt: &AttemptKey, reason: &dyn fmt::Display) {
-        write(
-            &self.failures,
-            attempt,
-            &catalogue::ANSWER_LOST,
-            &[("request", attempt), ("reason", reason)],
-        );
-    }
-
-    /// Logs that the own upstream rejected a request.
-    pub(crate) fn log_rejection(&self, rejection: &Rejection<'_>) {
-        write(
-            &self.refusals,
-            rejection.attempt,
-            &catalogue::UPSTREAM_REJECTED,
-            &[
-                ("request", rejection.attempt),
-                ("upstream", rejection.upstream),
-                ("status", &rejection.status),
-                ("named", &rejection.is_named),
-                ("connection", &rejection.connection),
-                ("earlier", &rejection.earlier_requests),
-            ],
-        );
-    }
-
-    /// Logs that a response of the own upstream was skipped, since it does not belong to the
-    /// request that it was read for.
-    pub(crate) fn log_skipped_response(&self, skipped: &Skipped<'_>) {
-        write(
-            &self.failures,
-            skipped.attempt,
-            &catalogue::ANSWER_SKIPPED,
-            &[
-                ("request", skipped.attempt),
-                ("of", &skipped.named),
-                ("status", &skipped.status),
-                ("connection", &skipped.connection),
-                ("earlier", &skipped.earlier_requests),
-            ],
-        );
-    }
-
-    /// Logs the result of probing the port of the own upstream after an answer was lost.
-    pub(crate) fn log_probe(&self, attempt: &AttemptKey, finding: Finding, took: Duration) {
-        write(
-            &self.failures,
-            attempt,
-            &catalogue::UPSTREAM_LOOKED_AT,
-            &[
-                ("request", attempt),
-                ("finding", &finding),
-                ("took_ms", &took.as_millis()),
-            ],
-        );
-    }
-
     /// Logs that another node reported a crash of its upstream.
     #[allow(clippy::unused_self, reason = "events are written through one service")]
     pub(crate) fn log_remote_crash(&self, upstream: &str, requests: usize) {
@@ -229,22 +136,6 @@
         );
     }
 
-    /// Logs that the node stopped waiting for the own upstream's answer to a request.
-    pub(crate) fn log_missing_answer(&self, silence: &Silence<'_>) {
-        write(
-            &self.failures,
-            silence.attempt,
-            &catalogue::ANSWER_MISSING,
-            &[
-                ("request", silence.attempt),
-                ("kind", silence.kind),
-                ("waited_ms", &silence.waited.as_millis()),
-                ("usual_ms", &silence.expected.as_millis()),
-                ("overtaken", &silence.overtaken),
-            ],
-        );
-    }
-
     /// Logs that the own upstream crashed, with the requests in flight. There is one such event for
     /// each incarnation.
     #[allow(clippy::unused_self, reason = "events are written through one service")]
--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -15,7 +15,7 @@
 
 use crate::body::{Body, Source, Stream, Truncated};
 use crate::dialect::FieldNames;
-use crate::events::{Events, Rejection, Skipped};
+use crate::events::{Events, Received};
 use crate::gate::history::History;
 use crate::gate::pool::{Connection, Pool};
 use crate::key::UpstreamKey;
@@ -186,25 +186,24 @@
     }
 
     fn log_rejection(&self, head: &ResponseHead, history: &History) {
-        self.events.log_rejection(&Rejection {
-            attempt: &self.request.attempt,
-            upstream: self.upstream,
-            status: head.status,
-            is_named: self.is_named(head),
-            connection: history.number(),
-            earlier_requests: history.earlier_requests(),
-        });
+        let rejection = self.received(head, history);
+        self.events.log_rejection(&rejection, self.upstream);
     }
 
     fn record_skipped(&self, head: &ResponseHead, history: &History) {
         self.metrics.record_skipped_response();
-        self.events.log_skipped_response(&Skipped {
+        let skipped = self.received(head, history);
+        self.events.log_skipped_response(&skipped);
+    }
+
+    fn received<'a>(&'a self, head: &'a ResponseHead, history: &History) -> Received<'a> {
+        Received {
             attempt: &self.request.attempt,
-            named: head.fields.get(self.fields.attempt).unwrap_or("none"),
+            named: head.fields.get(self.fields.attempt),
             status: head.status,
             connection: history.number(),
             earlier_requests: history.earlier_requests(),
-        });
+        }
     }
 }
 
--- a/crates/mesh/src/gate/slots.rs
+++ b/crates/mesh/src/gate/slots.rs
@@ -9,6 +9,7 @@
 //! pace. Until a later response confirms that, few slots are released by that time.
 
 mod expectation;
+mod slot;
 #[cfg(test)]
 mod tests;
 
@@ -26,6 +27,7 @@
 use sailtrack_units::Moment;
 
 pub(super) use self::expectation::Expectation;
+pub(super) use self::slot::Slot;
 use crate::clock::{self, READ_GRACE};
 
 /// A request that was sent this long before a response came is assumed to have been read by the
@@ -155,13 +157,7 @@
 
     /// Returns the slot of a request that is about to be sent.
     pub(super) fn admit(self: &Rc<Self>, permit: Permit) -> Slot {
-        Slot {
-            slots: Rc::clone(self),
-            permit: RefCell::new(Some(permit)),
-            expectation: RefCell::default(),
-            sequence: Cell::default(),
-            state: Cell::new(State::Unsent),
-        }
+        Slot::new(Rc::clone(self), permit)
     }
 
     /// Returns the number of retained slots.
@@ -183,7 +179,7 @@
         if self.retained.borrow().is_empty() {
             return;
         }
-        let (slots, sequence) = (Rc::clone(self), answered.sequence.get());
+        let (slots, sequence) = (Rc::clone(self), answered.sequence());
         task::spawn("slot reconciliation", async move {
             sleep(READ_GRACE).await;
             slots.reconcile(reported, sequence, received);
@@ -300,78 +296,3 @@
         );
     }
 }
-
-/// The state of a request.
-#[derive(Debug, Clone, Copy)]
-enum State {
-    Unsent,
-    /// If dropped, the slot is retained.
-    InFlight,
-    /// The request was abandoned and its slot is retained.
-    Retained,
-    Released,
-}
-
-/// The slot of one request, released once the upstream has finished with the request.
-pub(super) struct Slot {
-    slots: Rc<Slots>,
-    permit: RefCell<Option<Permit>>,
-    /// How long the upstream may work on it, once it has been sent.
-    expectation: RefCell<Option<Expectation>>,
-    /// Its sequence number, once it has been sent.
-    sequence: Cell<u64>,
-    state: Cell<State>,
-}
-
-impl Slot {
-    /// Marks the request as sent.
-    pub(super) fn start(&self, now: Moment, expectation: Expectation) {
-        self.sequence.set(self.slots.sequence());
-        let mut in_flight = self.slots.in_flight.borrow_mut();
-        in_flight.insert(self.sequence.get(), now);
-        self.expectation.replace(Some(expectation));
-        self.state.set(State::InFlight);
-    }
-
-    /// Releases the slot: the upstream has finished the request or never received it.
-    pub(super) fn finish(&self) {
-        match self.state.replace(State::Released) {
-            State::InFlight => self.forget_in_flight(),
-            State::Retained => drop(self.slots.remove(self.sequence.get())),
-            State::Unsent | State::Released => {}
-        }
-    }
-
-    /// Marks the request as given up, since it takes longer than it usually would: the upstream may
-    /// work on it until its deadline.
-    pub(super) fn give_up(&self) {
-        let expectation = self.expectation.take();
-        self.abandon(expectation.map(Expectation::without_usual));
-    }
-
-    /// Marks the request as abandoned.
-    fn abandon(&self, expectation: Option<Expectation>) {
-        if !matches!(self.state.get(), State::InFlight) {
-            return;
-        }
-        self.forget_in_flight();
-        self.state.set(State::Released);
-        if let (Some(permit), Some(expectation)) = (self.permit.take(), expectation) {
-            self.state.set(State::Retained);
-            self.slots.retain(self.sequence.get(), permit, expectation);
-        }
-    }
-
-    fn forget_in_flight(&self) {
-        self.slots
-            .in_flight
-            .borrow_mut()
-            .remove(&self.sequence.get());
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.abandon(self.expectation.take());
-    }
-}
--- a/crates/mesh/src/gate/slots/tests.rs
+++ b/crates/mesh/src/gate/slots/tests.rs
@@ -84,7 +84,7 @@
 
     /// Handles the response to a request; returns the sequence number of the request.
     fn answer(&self, answered: Slot, reported: usize) -> u64 {
-        let number = answered.sequence.get();
+        let number = answered.sequence();
         answered.finish();
         drop(answered);
         self.slots.reconcile(reported, number, clock::now());
--- a/crates/mesh/src/peer/link/mod.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -1,6 +1,7 @@
 //! The outgoing connection to one other node, which is reopened whenever it is lost.
 
 mod connection;
+mod forward;
 mod liveness;
 mod lost;
 mod questions;
@@ -15,25 +16,22 @@
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-use futures::SinkExt as _;
 use futures::channel::{mpsc, oneshot};
 use sailtrack_quarantine::Execution;
 use sailtrack_units::{Incarnation, Moment, Pace};
-use sailtrack_wire::{
-    Body, Cancel, Chunk, Config, Forward, Grant, Presence, Reply, State, TokenAnswer,
-};
+use sailtrack_wire::{Body, Cancel, Chunk, Config, Grant, Presence, Reply, State, TokenAnswer};
 
 use crate::clock;
 use crate::directory::Member;
 use crate::key::UpstreamKey;
 use crate::peer::Delegate;
-use crate::peer::convert::{MAX_CHUNK, request_to_wire};
 use crate::peer::link::lost::Lost;
 use crate::peer::link::upstream::Upstream;
 use crate::peer::reassembly::Reassembly;
-use crate::request::{Request, Response};
+use crate::request::Response;
 use crate::routing::PeerLoad;
 use crate::watch::Priority;
+pub(crate) use forward::Delivery;
 
 /// A pending response of the other node.
 enum Pending {
@@ -42,17 +40,6 @@
     Retired(oneshot::Sender<()>),
 }
 
-/// The result of sending a request over a link.
-pub(crate) enum Delivery {
-    /// The other node responded.
-    Answered(Response),
-    /// Nothing was sent.
-    Unsent,
-    /// The connection was lost before the response arrived; contains the incarnation of the node
-    /// that the request was sent to.
-    Lost(Incarnation),
-}
-
 /// The outgoing connection to one other node, with what the node reports about itself.
 pub(crate) struct Link {
     pub(crate) member: Rc<Member>,
@@ -195,31 +182,6 @@
         since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
-    /// Sends a request and waits for the response. Dropping the future cancels the request.
-    pub(crate) async fn forward(&self, request: &Request) -> Delivery {
-        let incarnation = self.incarnation.get();
-        let execution = Execution {
-            identity: request.identity,
-            known_crashes: request.known_crashes,
-            succeeded_recently: false,
-        };
-        let (exchange, receiver) = self.begin_reply(Some(execution));
-        let guard = CancelGuard {
-            link: self,
-            exchange,
-        };
-        if !self.send_request(exchange, request).await {
-            guard.disarm();
-            return Delivery::Unsent;
-        }
-        let delivery = match self.await_reply(receiver).await {
-            Ok(response) => Delivery::Answered(response),
-            Err(_) => Delivery::Lost(incarnation),
-        };
-        guard.disarm();
-        delivery
-    }
-
     /// Grants the other node one more chunk of a streamed body.
     pub(super) fn grant(&self, exchange: u64) {
         // If the channel is full the grant is lost, and the reader of the body times out.
@@ -258,32 +220,6 @@
         outgoing.is_some_and(|outgoing| outgoing.try_send(body).is_ok())
     }
 
-    async fn send_request(&self, exchange: u64, request: &Request) -> bool {
-        let message = Forward {
-            rate_limit: self.upstream.rate_limit_to_wire(),
-            ..request_to_wire(exchange, request)
-        };
-        if !self.is_open() || !self.send(Body::Forward(message)) {
-            return false;
-        }
-        let Some(mut outgoing) = self.outgoing.borrow().clone() else {
-            return true;
-        };
-        let mut rest = request.body.slice(request.body.len().min(MAX_CHUNK)..);
-        while !rest.is_empty() {
-            let data = rest.split_to(rest.len().min(MAX_CHUNK));
-            let chunk = Body::Chunk(Chunk {
-                exchange,
-                data,
-                ..Chunk::default()
-            });
-            if outgoing.send(chunk).await.is_err() {
-                break;
-            }
-        }
-        true
-    }
-
     fn handle(&self, message: Body) {
         match message {
             Body::Reply(reply) => self.handle_reply(reply),
@@ -373,27 +309,3 @@
         self.config_requests.borrow_mut().clear();
     }
 }
-
-/// Cancels a request if its caller stops waiting before the response arrives.
-struct CancelGuard<'a> {
-    link: &'a Link,
-    exchange: u64,
-}
-
-impl CancelGuard<'_> {
-    /// Disarms the guard of a finished request.
-    fn disarm(self) {
-        self.link.pending.borrow_mut().remove(&self.exchange);
-    }
-}
-
-impl Drop for CancelGuard<'_> {
-    fn drop(&mut self) {
-        let waited = self.link.pending.borrow_mut().remove(&self.exchange);
-        self.link.replies.borrow_mut().remove(&self.exchange);
-        if waited.is_some() {
-            let exchange = self.exchange;
-            self.link.send(Body::Cancel(Cancel { exchange }));
-        }
-    }
-}
