Show a leaving that is forgotten after a restart of all nodes

A leaving that was acknowledged while the store was away is held by peers only; after all processes were killed, a heartbeat that arrives more than 8 s after the start is believed without a question.

--- a/review/standins-2/src/cases/broken_stream.rs
+++ b/review/standins-2/src/cases/broken_stream.rs
@@ -78,7 +78,8 @@
         move |upstream: &Upstream, request: &Message, stream: &mut TcpStream| {
             if upstream.service == "packs" {
                 let is_faulty = trouble && upstream.id.starts_with("i-0000");
-                let breaks = is_faulty && packs.fetch_add(1, Ordering::SeqCst) % ONE_IN == ONE_IN / 2;
+                let breaks =
+                    is_faulty && packs.fetch_add(1, Ordering::SeqCst) % ONE_IN == ONE_IN / 2;
                 return answer_pack(upstream, request, stream, breaks);
             }
             let id = request.field("X-Attempt-Id").unwrap_or("-").to_owned();
--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod broken_stream;
 mod ended_body;
+mod forgotten_leaving;
 mod held_bodies;
 mod stalled_stream;
 
@@ -22,6 +23,7 @@
     match name {
         "broken_stream" => broken_stream::run(trouble, record),
         "ended_body" => ended_body::run(trouble, record),
+        "forgotten_leaving" => forgotten_leaving::run(trouble, record),
         "held_bodies" => held_bodies::run(trouble, record),
         "stalled_stream" => stalled_stream::run(trouble, record),
         _ => Err(format!("there is no case {name}").into()),
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -22,6 +22,7 @@
     rows: BTreeMap<Key, Row>,
     version: u64,
     started: Instant,
+    is_down: bool,
 }
 
 /// The store; it answers at once and loses nothing.
@@ -41,6 +42,7 @@
                     rows: BTreeMap::new(),
                     version: 1,
                     started: Instant::now(),
+                    is_down: false,
                 }),
                 Condvar::new(),
             )),
@@ -66,11 +68,28 @@
         self.shared.1.notify_all();
     }
 
+    /// Lets it answer every call with 503, or serve calls again.
+    pub fn set_down(&self, is_down: bool) {
+        let mut state = self.shared.0.lock().expect("no thread panicked");
+        state.is_down = is_down;
+        self.shared.1.notify_all();
+    }
+
+    fn is_down(&self) -> bool {
+        let state = self.shared.0.lock().expect("no thread panicked");
+        state.is_down
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut reader = Reader::new(stream);
         while let Ok(message) = reader.message(false) {
-            let (status, body) = self.handle(&message);
+            let answer = if self.is_down() {
+                (503, Value::Null)
+            } else {
+                self.handle(&message)
+            };
+            let (status, body) = answer;
             let body = body.to_string();
             let response = format!(
                 "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
@@ -165,6 +184,9 @@
                 .collect();
             rows.sort_by_key(|(version, _)| *version);
             let left = until.saturating_duration_since(Instant::now());
+            if state.is_down {
+                return (503, Value::Null);
+            }
             if !rows.is_empty() || left.is_zero() {
                 let rows: Vec<Value> = rows.into_iter().map(|(_, row)| row).collect();
                 let now = state.started.elapsed().as_secs_f64();
