--- a/review/standins-2/src/cases/broken_stream.rs
+++ b/review/standins-2/src/cases/broken_stream.rs
@@ -3,8 +3,7 @@
 use std::collections::HashMap;
 use std::io::Write as _;
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use crate::cases::Verdict;
@@ -16,7 +15,8 @@
 
 /// The length of a pack, which is a download.
 const PACK_BYTES: usize = 400 * 1024;
-/// Of so many packs of one of the two upstreams one breaks off: 2 in 100.
+/// One of the two upstreams of the service, the first that has sent this many packs, breaks off one
+/// pack in so many: 2 in 100.
 const ONE_IN: u64 = 50;
 /// The packs that one client asks for, and the lookups that it sends behind each of them.
 const PACKS: usize = 30;
@@ -31,8 +31,7 @@
 
 pub fn run(trouble: bool, record: &Record) -> Result<Verdict, Failure> {
     let runs: Runs = Arc::default();
-    let packs = Arc::new(AtomicU64::new(0));
-    let handler = handler(trouble, Arc::clone(&runs), packs);
+    let handler = handler(trouble, Arc::clone(&runs));
     let configuration = configuration(
         &[
             ("pack", "download", "packs", 2.0),
@@ -73,13 +72,19 @@
     })
 }
 
-fn handler(trouble: bool, runs: Runs, packs: Arc<AtomicU64>) -> Arc<Handler> {
+fn handler(trouble: bool, runs: Runs) -> Arc<Handler> {
+    let counts: Mutex<HashMap<String, u64>> = Mutex::default();
+    let faulty: OnceLock<String> = OnceLock::new();
     Arc::new(
         move |upstream: &Upstream, request: &Message, stream: &mut TcpStream| {
             if upstream.service == "packs" {
-                let is_faulty = trouble && upstream.id.starts_with("i-0000");
+                let mut counts = counts.lock().expect("no thread panicked");
+                let count = counts.entry(upstream.id.clone()).or_default();
+                *count += 1;
+                let is_due = *count % ONE_IN == 0;
+                drop(counts);
                 let breaks =
-                    is_faulty && packs.fetch_add(1, Ordering::SeqCst) % ONE_IN == ONE_IN / 2;
+                    trouble && is_due && *faulty.get_or_init(|| upstream.id.clone()) == upstream.id;
                 return answer_pack(upstream, request, stream, breaks);
             }
             let id = request.field("X-Attempt-Id").unwrap_or("-").to_owned();
--- a/review/standins-2/src/cases/ended_body.rs
+++ b/review/standins-2/src/cases/ended_body.rs
@@ -7,7 +7,7 @@
 
 use crate::cases::Verdict;
 use crate::deployment::{
-    Deployment, Failure, Handler, Upstream, Upstreams, configuration, request,
+    Deployment, Failure, Handler, Node, Upstream, Upstreams, configuration, request,
 };
 use crate::http::{Message, Reader, connect};
 use crate::record::Record;
@@ -16,7 +16,7 @@
 const PIECES: usize = 10;
 const PIECE_BYTES: usize = 2000;
 const PAUSE: Duration = Duration::from_millis(20);
-const CLIENTS: usize = 14;
+const CLIENTS: usize = 28;
 /// How long the clients send, and when one of seven upstreams is killed.
 const LENGTH: Duration = Duration::from_secs(6);
 const KILL_AFTER: Duration = Duration::from_secs(3);
@@ -39,7 +39,10 @@
         .collect();
     std::thread::sleep(KILL_AFTER);
     if trouble {
-        let node = &mut deployment.nodes[1];
+        // The one that has run most, so that answers are under way.
+        let runs = |node: &&mut Node| node.upstream_record().map_or(0, |record| record.len());
+        let node = deployment.nodes.iter_mut().max_by_key(runs);
+        let node = node.ok_or("there is no node")?;
         record.line(&format!("the upstream {} is killed", node.upstream.id));
         node.kill_upstream()?;
     }
--- a/review/standins-2/src/cases/stalled_stream.rs
+++ b/review/standins-2/src/cases/stalled_stream.rs
@@ -1,9 +1,9 @@
 //! A long answer stands still after its beginning, past the timeout of its route.
 
+use std::collections::HashMap;
 use std::io::Write as _;
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use crate::cases::Verdict;
@@ -21,7 +21,9 @@
 const SLACK_S: f64 = 0.5;
 const CLIENTS: usize = 14;
 const PACKS: usize = 20;
-/// For how long one of seven upstreams hangs in two of five answers.
+/// One of seven upstreams, the first that has sent this many packs, hangs in two of five answers for
+/// some time.
+const PACKS_BEFORE: u64 = 20;
 const GREY_TIME: Duration = Duration::from_millis(6500);
 
 pub fn run(trouble: bool, record: &Record) -> Result<Verdict, Failure> {
@@ -64,8 +66,9 @@
 }
 
 fn handler(trouble: bool) -> Arc<Handler> {
-    let count = AtomicU64::new(0);
-    let began = OnceLock::new();
+    let counts: Mutex<HashMap<String, u64>> = Mutex::default();
+    // The upstream that hangs, and since when.
+    let grey: OnceLock<(String, Instant)> = OnceLock::new();
     Arc::new(
         move |upstream: &Upstream, request: &Message, stream: &mut TcpStream| {
             let head = upstream.head(request, &format!("Content-Length: {PACK_BYTES}\r\n"));
@@ -78,10 +81,16 @@
             {
                 return false;
             }
-            let began: &Instant = began.get_or_init(Instant::now);
-            let is_grey =
-                trouble && upstream.id.starts_with("i-0000") && began.elapsed() < GREY_TIME;
-            if is_grey && count.fetch_add(1, Ordering::SeqCst) % 5 < 2 {
+            let mut counts = counts.lock().expect("no thread panicked");
+            let count = counts.entry(upstream.id.clone()).or_default();
+            *count += 1;
+            let count = *count;
+            drop(counts);
+            let is_grey = trouble && count > PACKS_BEFORE && {
+                let (id, since) = grey.get_or_init(|| (upstream.id.clone(), Instant::now()));
+                *id == upstream.id && since.elapsed() < GREY_TIME
+            };
+            if is_grey && count % 5 < 2 {
                 let id = request.field("X-Attempt-Id").unwrap_or("-");
                 upstream.record.line(&format!(
                     "upstream {} hangs in its answer to {id}",
--- a/review/standins-2/src/deployment.rs
+++ b/review/standins-2/src/deployment.rs
@@ -235,6 +235,7 @@
     log: PathBuf,
     process: Option<Child>,
     upstream_process: Option<Child>,
+    upstream_record: PathBuf,
 }
 
 /// A running deployment, ended when dropped.
@@ -317,6 +318,7 @@
         );
         let settings = self.folder.join(format!("{name}.ini"));
         std::fs::write(&settings, text)?;
+        let upstream_record = self.folder.join(format!("{}.txt", upstream.id));
         let process = match handler {
             Upstreams::Threads(handler) => {
                 let handler = Arc::clone(handler);
@@ -325,8 +327,7 @@
             }
             Upstreams::Processes(handler) => {
                 drop(listener);
-                let record = self.folder.join(format!("{}.txt", upstream.id));
-                Some(upstream.spawn(control, zone, handler, &record)?)
+                Some(upstream.spawn(control, zone, handler, &upstream_record)?)
             }
         };
         self.nodes.push(Node {
@@ -340,6 +341,7 @@
             settings,
             process: None,
             upstream_process: process,
+            upstream_record,
         });
         Ok(())
     }
@@ -422,6 +424,11 @@
         Ok(())
     }
 
+    /// Returns what an upstream that is a process of its own has recorded.
+    pub fn upstream_record(&self) -> Option<String> {
+        std::fs::read_to_string(&self.upstream_record).ok()
+    }
+
     /// Kills the process of the upstream.
     pub fn kill_upstream(&mut self) -> Result<(), Failure> {
         let process = self.upstream_process.as_mut();
