Request bodies: each byte held is charged to a budget until it is released

Cause: the entry counted a chunked body as 256 KiB, the node beside the upstream counted nothing of what peers send, and the gate kept each body and a copy of it until the answer.

Change: a body is a memory::Buffer that owns its charge. Two budgets, for clients (3/8 of the memory limit) and peers (1/4); whether a body gets in is decided before it is read, at the peer before it is sent (a Grant). It waits for up to an eighth of the time left, 250 ms at most, then it is refused, not run, with Retry-After. The gate drops a body once it is written. Parts of bodies go over a link behind all other messages.

--- a/crates/mesh/src/contexts/tests.rs
+++ b/crates/mesh/src/contexts/tests.rs
@@ -12,6 +12,7 @@
 use crate::clock;
 use crate::contexts::{Context, Contexts};
 use crate::key::{AttemptKey, UpstreamKey};
+use crate::memory::Buffer;
 use crate::request::{OverLimit, Request, Response};
 
 /// Returns a request with this id whose deadline is now.
@@ -32,7 +33,7 @@
         over_limit: OverLimit::default(),
         deadline: clock::now(),
         head: Bytes::new(),
-        body: Bytes::new(),
+        body: Buffer::default(),
     }
 }
 
--- a/crates/mesh/src/entry/exchange.rs
+++ b/crates/mesh/src/entry/exchange.rs
@@ -15,10 +15,10 @@
 use crate::dispatch::Trail;
 use crate::entry::CredentialError;
 use crate::entry::Entry;
-use crate::entry::memory::Guard;
 use crate::entry::pipeline::{Charge, Permit, Reservation};
 use crate::entry::request::{Incoming, Payload};
 use crate::entry::response::Refusal;
+use crate::memory::Buffer;
 use crate::request::Response;
 
 /// A timer that fires this late shows that the process was stalled.
@@ -51,7 +51,6 @@
 pub(super) struct Admission {
     pub(super) reservation: Reservation,
     pub(super) payload: Payload,
-    pub(super) memory: Guard,
 }
 
 /// Returns the reply for a request that is not admitted.
@@ -78,7 +77,7 @@
         Ok(token) => {
             let reservation = permit.reserve(token);
             let payload = Payload {
-                body: Bytes::new(),
+                body: Buffer::default(),
                 identity: incoming.hasher(&entry.service).finish(),
             };
             let response = run(&entry, &incoming, payload, &trail).await;
@@ -98,7 +97,6 @@
 ) -> Reply {
     let trail = Trail::default();
     let response = run(&entry, &incoming, admission.payload, &trail).await;
-    drop(admission.memory);
     complete(incoming, response, trail, admission.reservation, permit)
 }
 
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -4,7 +4,7 @@
 mod caller;
 mod connection;
 mod exchange;
-mod memory;
+mod lengths;
 mod pipeline;
 mod receiver;
 mod request;
@@ -26,10 +26,11 @@
 use crate::dispatch::Dispatcher;
 use crate::events::Events;
 use crate::freshness::Freshness;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::quota::Quotas;
 pub(crate) use caller::CredentialError;
-pub(crate) use memory::Memory;
+pub(crate) use lengths::Lengths;
 
 /// Each connection costs a file descriptor, of which an instance has a few thousand, and up to
 /// about 20 KiB of memory.
@@ -64,7 +65,9 @@
     pub(crate) events: Rc<Events>,
     pub(crate) metrics: Rc<Metrics>,
     pub(crate) in_flight: Rc<Cell<usize>>,
-    pub(crate) memory: Memory,
+    pub(crate) memory: Rc<Memory>,
+    /// The lengths of bodies sent without one, by kind.
+    pub(crate) lengths: Lengths,
     /// Bytes of completed responses held in memory, most of which wait for earlier responses on
     /// their connection.
     pub(crate) pending_response_bytes: Rc<Cell<usize>>,
--- a/crates/mesh/src/entry/receiver.rs
+++ b/crates/mesh/src/entry/receiver.rs
@@ -1,5 +1,7 @@
 //! Reads the requests of a connection and starts them.
 
+mod intake;
+
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -7,17 +9,15 @@
 use futures::future::{Either, ready, select};
 use monoio::time::timeout;
 use sailtrack_net::task::Guard;
-use sailtrack_net::transparent::{BodyError, Framing, HeadError, MessageError, Reader};
-use sailtrack_wire::Reason;
+use sailtrack_net::transparent::{Framing, HeadError, MessageError, Reader};
 
-use crate::clock;
 use crate::configuration::ClientLimits;
 use crate::entry::Entry;
 use crate::entry::admission::Denial;
 use crate::entry::connection::Disposition;
-use crate::entry::exchange::{Admission, Reply, admit_and_run, reject, run_admitted};
+use crate::entry::exchange::{Reply, admit_and_run, reject, run_admitted};
 use crate::entry::pipeline::{Permit, Pipeline};
-use crate::entry::request::{Incoming, Payload};
+use crate::entry::request::Incoming;
 use crate::entry::response::Refusal;
 use crate::request::Response;
 
@@ -25,8 +25,6 @@
 const MAX_READ_AHEAD: usize = 64 * 1024;
 /// Retry-After of a node that has no configuration yet.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Retry-After when there is no memory for the body of a request.
-const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// The result of waiting for input.
 enum Input {
@@ -217,72 +215,6 @@
         )
         .map_err(Stop::refused)
     }
-
-    /// Admits a request with a body and reads the body.
-    async fn admit_with_body(
-        &mut self,
-        incoming: Incoming,
-        permit: Permit,
-        limits: ClientLimits,
-    ) -> Result<(Incoming, Admission, Permit), Stop> {
-        if let Some(response) = self.entry.refuse_if_closed(&incoming) {
-            let reply = reject(incoming, response, permit, true);
-            return Err(Stop::Refused(reply));
-        }
-        let token = match self.entry.acquire_token(&incoming).await {
-            Ok(token) => token,
-            Err(response) => {
-                let reply = reject(incoming, response, permit, true);
-                return Err(Stop::Refused(reply));
-            }
-        };
-        let mut reservation = permit.reserve(token);
-        let memory = self
-            .entry
-            .memory
-            .reserve(incoming.framing, limits.body_bytes);
-        let Some(memory) = memory else {
-            reservation.refund();
-            let response = Response::refused(Reason::Overload).with_retry_after(MEMORY_RETRY_AFTER);
-            let reply = reject(incoming, response, permit, true);
-            return Err(Stop::Refused(reply));
-        };
-        match self.read_body(&incoming, limits.body_bytes).await {
-            Ok(payload) => {
-                let admission = Admission {
-                    reservation,
-                    payload,
-                    memory,
-                };
-                Ok((incoming, admission, permit))
-            }
-            Err(stop) => {
-                // The request will not run.
-                reservation.refund();
-                Err(stop)
-            }
-        }
-    }
-
-    async fn read_body(&mut self, incoming: &Incoming, limit: usize) -> Result<Payload, Stop> {
-        if incoming.expects_continue() && self.reader.buffered() == 0 {
-            let is_exclusive = !incoming.route.is_idempotent();
-            self.pipeline.push(ready(Reply::Continue), is_exclusive);
-        }
-        let mut hasher = incoming.hasher(&self.entry.service);
-        let on_piece = |piece: &[u8]| hasher.update(piece);
-        let body = self.reader.inspect_body(incoming.framing, limit, on_piece);
-        match clock::timeout_at(incoming.deadline, body).await {
-            Ok(Ok(body)) => Ok(Payload {
-                body,
-                identity: hasher.finish(),
-            }),
-            Ok(Err(BodyError::TooLarge)) => Err(Stop::refused(Refusal::BodyTooLarge)),
-            Ok(Err(BodyError::Malformed)) => Err(Stop::refused(Refusal::Malformed)),
-            Ok(Err(BodyError::Cut | BodyError::Io(_))) => Err(Stop::Disconnected),
-            Err(_) => Err(Stop::refused(Refusal::Timeout)),
-        }
-    }
 }
 
 /// Waits until the client closes its connection; input that arrives meanwhile stays buffered.
--- a/crates/mesh/src/entry/request.rs
+++ b/crates/mesh/src/entry/request.rs
@@ -15,6 +15,7 @@
 use crate::entry::caller::{Caller, CredentialError};
 use crate::entry::response::Refusal;
 use crate::key::AttemptKey;
+use crate::memory::{Buffer, Caller as Owner};
 use crate::request::{OverLimit, Request};
 
 /// A request whose body has not been read yet.
@@ -32,7 +33,7 @@
 
 /// The body and the identity that includes it.
 pub(super) struct Payload {
-    pub(super) body: Bytes,
+    pub(super) body: Buffer,
     pub(super) identity: Identity,
 }
 
@@ -101,6 +102,15 @@
         self.caller.as_ref().ok()?.workspace()
     }
 
+    /// Returns on whose behalf the body is held.
+    pub(super) fn owner(&self) -> Owner {
+        match self.workspace() {
+            Some(workspace) => Owner::Workspace(workspace.name.clone()),
+            None if self.parent.is_some() => Owner::Upstream,
+            None => Owner::Anonymous,
+        }
+    }
+
     /// Returns the class, which decides before the rank in which order requests are shed; a nested
     /// call inherits that of its parent request.
     fn class(&self) -> Class {
@@ -129,6 +139,11 @@
             .map_or(own, |parent| parent.call_rank())
     }
 
+    /// Returns the time left until the deadline.
+    pub(super) fn time_left(&self) -> Duration {
+        self.deadline.since(clock::now())
+    }
+
     /// Returns true if the client waits for `100 Continue` before it sends the body.
     pub(super) fn expects_continue(&self) -> bool {
         self.head.fields.lists("expect", "100-continue")
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -43,6 +43,8 @@
     Rate,
     /// path
     Breaker,
+    /// memory
+    Memory,
 }
 
 /// A request that was refused at the gate, and why.
@@ -50,8 +52,8 @@
     pub(crate) attempt: &'a AttemptKey,
     pub(crate) kind: &'a KindName,
     pub(crate) reason: Reason,
-    /// The queue or the rate limit of the upstream, the window of the request's kind, or the circuit
-    /// breaker of a kind whose callees have no upstream.
+    /// The queue or the rate limit of the upstream, the window of the request's kind, the circuit
+    /// breaker of a kind whose callees have no upstream, or the memory for bodies.
     pub(crate) limiter: Limiter,
     /// The rate limit of the upstream, if it is the reason.
     pub(crate) rate: Option<Rate>,
--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -4,12 +4,14 @@
 #[cfg(test)]
 mod tests;
 
+use std::io;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use futures::FutureExt as _;
 use futures::future::{Either, LocalBoxFuture, select};
-use monoio::io::AsyncWriteRentExt as _;
+use monoio::io::{AsyncWriteRentExt as _, OwnedWriteHalf};
+use monoio::net::TcpStream;
 use monoio::time::timeout;
 use sailtrack_net::transparent::{BodyRest, Framing, ResponseHead, response_framing};
 
@@ -19,6 +21,7 @@
 use crate::gate::history::History;
 use crate::gate::pool::{Connection, Pool};
 use crate::key::UpstreamKey;
+use crate::memory::Buffer;
 use crate::metrics::Metrics;
 use crate::request::Request;
 pub(super) use error::ExchangeError;
@@ -30,6 +33,8 @@
 /// Longer bodies are streamed. A response that breaks off within this limit can be retried or
 /// refused; beyond it, a hundred concurrent responses still fit into 13 MB.
 const MAX_BUFFERED_BYTES: usize = 128 * 1024;
+/// A request body of up to this many bytes is copied behind the head, to save a system call.
+const MAX_JOINED_BYTES: usize = 16 * 1024;
 /// The maximum pause of an upstream within a streamed body.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(30);
 /// The maximum body size of a stale response, which is read and discarded.
@@ -78,11 +83,12 @@
 
 impl Exchange<'_> {
     /// Sends the request and returns the response, with a long body as a stream. `on_head` is
-    /// called with its head before the body is read.
+    /// called with its head before the body is read. `body` is released once it has been written.
     ///
     /// Dropping the future or the stream closes the connection, which tells the upstream to stop.
     pub(super) async fn run(
         &self,
+        body: Buffer,
         on_head: impl Fn(&ResponseHead),
     ) -> Result<UpstreamResponse, ExchangeError> {
         let acquired = self.pool.acquire(self.request).await;
@@ -93,8 +99,8 @@
             return Err(ExchangeError::Late);
         }
         connection.history.record_request();
-        let bytes = request_bytes(self.fields, self.upstream, self.request);
-        let (first_head, was_sent) = send(&mut connection, bytes).await?;
+        let head = request_head(self.fields, self.upstream, self.request);
+        let (first_head, was_sent) = send(&mut connection, head, body).await?;
         let matched = self.read_matching_head(&mut connection, first_head).await?;
         let MatchedHead {
             head,
@@ -211,13 +217,14 @@
 /// written by then: an upstream may respond and close before it has read a whole request.
 async fn send(
     connection: &mut Connection,
-    bytes: BytesMut,
+    head: BytesMut,
+    body: Buffer,
 ) -> Result<(Bytes, bool), ExchangeError> {
     let Connection { reader, writer, .. } = connection;
-    let writing = std::pin::pin!(writer.write_all(bytes));
+    let writing = std::pin::pin!(write(writer, head, body));
     let reading = std::pin::pin!(reader.response_head(MAX_HEAD_BYTES));
     let (head, was_sent) = match select(writing, reading).await {
-        Either::Left(((written, _), reading)) => {
+        Either::Left((written, reading)) => {
             let head = reading.await;
             if let (Err(error), Err(_)) = (written, &head) {
                 return Err(ExchangeError::Io(error));
@@ -229,6 +236,29 @@
     Ok((head.map_err(ExchangeError::Message)?, was_sent))
 }
 
+/// Writes a request; a short body goes into one write with the head.
+async fn write(
+    writer: &mut OwnedWriteHalf<TcpStream>,
+    mut head: BytesMut,
+    body: Buffer,
+) -> io::Result<()> {
+    let is_short = body.len() <= MAX_JOINED_BYTES;
+    let (joined, separate) = if is_short {
+        (body, Buffer::default())
+    } else {
+        (Buffer::default(), body)
+    };
+    for segment in joined.segments() {
+        head.extend_from_slice(segment);
+    }
+    drop(joined);
+    writer.write_all(head).await.0?;
+    for segment in separate.segments() {
+        writer.write_all(segment.clone()).await.0?;
+    }
+    Ok(())
+}
+
 /// Reads a body to its end, or up to the limit for buffered bodies.
 async fn read_prefix(
     connection: &mut Connection,
@@ -246,7 +276,7 @@
     Ok(body.freeze())
 }
 
-fn request_bytes(fields: &FieldNames, upstream: &UpstreamKey, request: &Request) -> BytesMut {
+fn request_head(fields: &FieldNames, upstream: &UpstreamKey, request: &Request) -> BytesMut {
     let time_left = request.time_left();
     let added = format!(
         "{}: {}\r\n{}: {}\r\n\r\n",
@@ -255,10 +285,9 @@
         fields.expected_upstream,
         upstream.id(),
     );
-    let mut bytes = BytesMut::with_capacity(request.head.len() + added.len() + request.body.len());
+    let mut bytes = BytesMut::with_capacity(request.head.len() + added.len());
     bytes.extend_from_slice(&request.head);
     bytes.extend_from_slice(added.as_bytes());
-    bytes.extend_from_slice(&request.body);
     bytes
 }
 
--- a/crates/mesh/src/gate/exchange/tests.rs
+++ b/crates/mesh/src/gate/exchange/tests.rs
@@ -14,6 +14,7 @@
 use crate::events::Events;
 use crate::gate::pool::Pool;
 use crate::key::UpstreamKey;
+use crate::memory::Buffer;
 use crate::metrics::Metrics;
 use crate::request::Request;
 
@@ -51,8 +52,13 @@
         upstream: &upstream,
         request: &expired,
     };
-    let result =
-        runtime::run(async { timeout(Duration::from_secs(1), exchange.run(|_| {})).await });
+    let result = runtime::run(async {
+        timeout(
+            Duration::from_secs(1),
+            exchange.run(Buffer::default(), |_| {}),
+        )
+        .await
+    });
     let result = result
         .expect("a runtime")
         .expect("it must not wait for a response");
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -45,6 +45,7 @@
 use crate::dialect::Dialect;
 use crate::events::Events;
 use crate::key::{AttemptKey, UpstreamKey};
+use crate::memory::Buffer;
 use crate::metrics::{Metrics, Stage};
 use crate::quarantine::Quarantine;
 use crate::request::{OverLimit, Request, Response};
@@ -158,9 +159,11 @@
             Ok(admitted) => admitted,
             Err(refused) => return refused,
         };
+        // Taken out of the request, so that it is released once the upstream has it.
+        let body = std::mem::take(&mut request.body);
         match entry {
-            None => self.run_idempotent(&request, admitted).await,
-            Some(entry) => self.run_once(request, admitted, entry).await,
+            None => self.run_idempotent(&request, body, admitted).await,
+            Some(entry) => self.run_once(request, body, admitted, entry).await,
         }
     }
 
@@ -217,8 +220,13 @@
     }
 
     /// Executes an idempotent request, which is cancelled when the caller stops waiting.
-    async fn run_idempotent(self: &Rc<Self>, request: &Request, admitted: Admitted) -> Response {
-        let mut response = self.send(request, &admitted, request.deadline).await;
+    async fn run_idempotent(
+        self: &Rc<Self>,
+        request: &Request,
+        body: Buffer,
+        admitted: Admitted,
+    ) -> Response {
+        let mut response = self.send(request, body, &admitted, request.deadline).await;
         admitted.record_result(&response, self.shared_pressure(request));
         response.body.hold(admitted);
         response
@@ -228,6 +236,7 @@
     async fn run_once(
         self: &Rc<Self>,
         request: Request,
+        body: Buffer,
         admitted: Admitted,
         entry: Entry,
     ) -> Response {
@@ -241,7 +250,7 @@
         let in_flight_guard = task::Guard::new(&self.in_flight);
         task::spawn("execution", async move {
             let until = request.deadline + RESPONSE_GRACE;
-            let mut response = gate.send(&request, &admitted, until).await;
+            let mut response = gate.send(&request, body, &admitted, until).await;
             entry.finish(&response, Instant::now());
             admitted.record_result(&response, gate.shared_pressure(&request));
             response.body.hold((admitted, in_flight_guard));
--- a/crates/mesh/src/gate/refusal.rs
+++ b/crates/mesh/src/gate/refusal.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Refuses a request for whose body there is no memory.
+    pub(crate) fn refuse_without_memory(&self, request: &Request) -> Response {
+        self.refuse_at(request, Reason::Overload, Limiter::Memory)
+    }
+
     pub(super) fn refuse(&self, request: &Request, reason: Reason) -> Response {
         self.refuse_at(request, reason, Limiter::None)
     }
@@ -58,6 +63,7 @@
         });
         let after = match (limiter, reason) {
             (Limiter::Breaker, _) => retry_after::no_upstream(),
+            (Limiter::Memory, _) => retry_after::memory(),
             (_, Reason::OnTrial) => retry_after::trial(),
             _ => retry_after::overload(self.admission.retry_spread(Instant::now())),
         };
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -19,6 +19,7 @@
 use super::wait::Waited;
 use crate::clock;
 use crate::key::{AttemptKey, UpstreamKey};
+use crate::memory::Buffer;
 use crate::request::{Request, Response};
 use crate::retired::Reason as Retirement;
 use crate::retry_after;
@@ -29,10 +30,11 @@
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 impl Gate {
-    /// Sends a request and waits for its response, until `until` at the latest.
+    /// Sends a request with its body and waits for its response, until `until` at the latest.
     pub(super) async fn send(
         self: &Rc<Self>,
         request: &Request,
+        body: Buffer,
         admitted: &Admitted,
         until: Moment,
     ) -> Response {
@@ -51,7 +53,7 @@
             request,
         };
         // Boxed, since each of the enclosing futures would otherwise reserve space for its state.
-        let exchange = exchange.run(on_head).boxed_local();
+        let exchange = exchange.run(body, on_head).boxed_local();
         let exchange = until_ended(exchange, admitted.ended.clone());
         let sent = self.track(request, admitted);
         let result = self
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -21,6 +21,7 @@
 mod gossip;
 mod incarnation;
 mod key;
+mod memory;
 mod metrics;
 mod node;
 mod peer;
--- /dev/null
+++ b/crates/mesh/src/memory.rs
@@ -0,0 +1,81 @@
+//! Limits on the memory used for request bodies.
+//!
+//! A body is charged to a budget from its first byte until its last copy is dropped. Bodies of
+//! clients and bodies of peers have separate budgets: a body of a client is held until another node
+//! accepts it, so with one budget two full nodes could wait for each other.
+
+mod budget;
+mod buffer;
+
+use std::time::Duration;
+
+use sailtrack_kernel::Service;
+use sailtrack_units::{ByteSize, NodeName, WorkspaceName};
+
+pub(crate) use budget::{Budget, Charge, Exhausted, Sample};
+pub(crate) use buffer::{Assembly, Buffer};
+
+/// The bodies of clients may use this share of the memory limit, as numerator and denominator.
+const CLIENT_SHARE: (usize, usize) = (3, 8);
+/// The bodies sent by peers may use this share; they are dropped once the upstream has them.
+const PEER_SHARE: (usize, usize) = (1, 4);
+/// A single body may use this share of the memory limit while its budget is otherwise unused.
+const SINGLE_BODY_SHARE: (usize, usize) = (1, 2);
+
+/// The longest wait of a body for memory, and the part of the time left of its request.
+const MAX_PATIENCE: Duration = Duration::from_millis(250);
+const PATIENCE_DIVISOR: u32 = 8;
+
+/// Returns how long the body of a request with this time left may wait for memory: so short that a
+/// refusal still leaves its caller time to retry.
+pub(crate) fn patience(time_left: Duration) -> Duration {
+    (time_left / PATIENCE_DIVISOR).min(MAX_PATIENCE)
+}
+
+/// On whose behalf a body is held.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) enum Caller {
+    /// Clients that name no workspace.
+    Anonymous,
+    /// The clients of a workspace.
+    Workspace(WorkspaceName),
+    /// The own upstream, which makes calls for the requests that it runs.
+    Upstream,
+    /// Another node.
+    Peer(NodeName),
+}
+
+/// The budgets of a node for request bodies.
+pub(crate) struct Memory {
+    /// Bodies that arrive from clients and from the own upstream.
+    pub(crate) clients: Budget,
+    /// Bodies that arrive from peers.
+    pub(crate) peers: Budget,
+}
+
+impl Service for Memory {
+    const NAME: &'static str = "memory";
+}
+
+impl Memory {
+    /// Returns the budgets of a process with this memory limit.
+    pub(crate) fn new(limit: ByteSize) -> Self {
+        let [clients, peers, single] = sizes(limit);
+        Self {
+            clients: Budget::new(clients, single),
+            peers: Budget::new(peers, single),
+        }
+    }
+
+    /// Changes the memory limit; bodies that are held stay.
+    pub(crate) fn resize(&self, limit: ByteSize) {
+        let [clients, peers, single] = sizes(limit);
+        self.clients.resize(clients, single);
+        self.peers.resize(peers, single);
+    }
+}
+
+fn sizes(limit: ByteSize) -> [usize; 3] {
+    [CLIENT_SHARE, PEER_SHARE, SINGLE_BODY_SHARE]
+        .map(|(numerator, denominator)| limit.as_usize() / denominator * numerator)
+}
--- a/crates/mesh/src/metrics/gauges.rs
+++ b/crates/mesh/src/metrics/gauges.rs
@@ -4,6 +4,8 @@
 use prometheus_client::registry::Registry;
 use sailtrack_units::Rate;
 
+use crate::memory::Sample;
+
 /// The values of all gauges at the time of a scrape.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Snapshot {
@@ -46,6 +48,10 @@
     pub(crate) rate_limit: Option<Rate>,
     /// The requests admitted to the own upstream in the last second.
     pub(crate) recent_rate: u32,
+    /// The memory used by request bodies of clients.
+    pub(crate) client_bodies: Sample,
+    /// The memory used by request bodies of peers.
+    pub(crate) peer_bodies: Sample,
 }
 
 /// A gauge and the function that reads its value from a snapshot.
@@ -58,6 +64,8 @@
     pub(super) fn new(registry: &mut Registry) -> Self {
         let mut gauges = register_traffic(registry);
         gauges.extend(register_state(registry));
+        gauges.extend(register_client_bodies(registry));
+        gauges.extend(register_peer_bodies(registry));
         Self(gauges)
     }
 
@@ -192,3 +200,67 @@
         ),
     ]
 }
+
+/// Registers the gauges of the request bodies of clients.
+fn register_client_bodies(registry: &mut Registry) -> Vec<Sampled> {
+    let mut gauge = |name, help, value| register(registry, name, help, value);
+    vec![
+        gauge(
+            "client_bodies_bytes",
+            "Bytes of request bodies of clients in memory",
+            |now| now.client_bodies.held as u64,
+        ),
+        gauge(
+            "client_bodies_bytes_peak",
+            "Most bytes of request bodies of clients that were in memory at once",
+            |now| now.client_bodies.peak as u64,
+        ),
+        gauge(
+            "client_bodies_bytes_limit",
+            "Bytes of request bodies of clients that may be in memory",
+            |now| now.client_bodies.capacity as u64,
+        ),
+        gauge(
+            "client_bodies_waiting",
+            "Request bodies of clients that wait for memory",
+            |now| now.client_bodies.waiting as u64,
+        ),
+        gauge(
+            "client_bodies_refused",
+            "Request bodies of clients refused for lack of memory",
+            |now| now.client_bodies.refused,
+        ),
+    ]
+}
+
+/// Registers the gauges of the request bodies of peers.
+fn register_peer_bodies(registry: &mut Registry) -> Vec<Sampled> {
+    let mut gauge = |name, help, value| register(registry, name, help, value);
+    vec![
+        gauge(
+            "peer_bodies_bytes",
+            "Bytes of request bodies of peers in memory",
+            |now| now.peer_bodies.held as u64,
+        ),
+        gauge(
+            "peer_bodies_bytes_peak",
+            "Most bytes of request bodies of peers that were in memory at once",
+            |now| now.peer_bodies.peak as u64,
+        ),
+        gauge(
+            "peer_bodies_bytes_limit",
+            "Bytes of request bodies of peers that may be in memory",
+            |now| now.peer_bodies.capacity as u64,
+        ),
+        gauge(
+            "peer_bodies_waiting",
+            "Request bodies of peers that wait for memory",
+            |now| now.peer_bodies.waiting as u64,
+        ),
+        gauge(
+            "peer_bodies_refused",
+            "Request bodies of peers refused for lack of memory",
+            |now| now.peer_bodies.refused,
+        ),
+    ]
+}
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -18,12 +18,13 @@
 use crate::contexts::Contexts;
 use crate::directory::{Directory, Member, Observer};
 use crate::dispatch::Dispatcher;
-use crate::entry::{Entry, Memory};
+use crate::entry::{Entry, Lengths};
 use crate::events::Events;
 use crate::freshness::Freshness;
 use crate::gate::{Builder as GateBuilder, Gate, Records, Upstream};
 use crate::gossip::Handler;
 use crate::incarnation;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::node::{ADMISSION_CONFIG, Environment, store, tasks};
 use crate::peer::{Acceptor, Delegate, Peers};
@@ -129,6 +130,7 @@
     table.install(Retired::default());
     table.install(Contexts::default());
     table.install(Records::default());
+    table.install(Memory::new(settings.memory));
     table.install(Windows::default());
     table.install(Splitter::default());
     table.install(Budget::new(settings.retry));
@@ -274,7 +276,8 @@
         events: table.find()?,
         metrics: table.find()?,
         in_flight: Rc::clone(in_flight),
-        memory: Memory::new(settings.body_memory()),
+        memory: table.find()?,
+        lengths: Lengths::default(),
         pending_response_bytes: Rc::default(),
         max_pending_response_bytes: Cell::new(settings.pending_response_memory()),
         is_closed: Cell::new(false),
@@ -282,6 +285,7 @@
     });
     table.install(Acceptor {
         gate: table.find::<Gate>()?,
+        memory: table.find()?,
         upstream: table.find()?,
         status: table.find()?,
         directory: table.find()?,
@@ -338,6 +342,7 @@
             watch: table.find()?,
             quarantine: table.find()?,
             entry: table.find()?,
+            memory: table.find()?,
             freshness: table.find()?,
             status: table.find()?,
         });
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -16,8 +16,8 @@
 use sailtrack_quota::Holder;
 use sailtrack_units::Incarnation;
 use sailtrack_wire::{
-    Body, Chunk, Config, Fetch, Forward, Hello, Pong, RateLimit as RateLimitMessage, Reason,
-    Recall, Retire, Retired as RetiredMessage,
+    Body, Config, Fetch, Forward, Hello, Pong, RateLimit as RateLimitMessage, Reason, Recall,
+    Retire, Retired as RetiredMessage,
 };
 
 use crate::clock;
@@ -25,8 +25,9 @@
 use crate::directory::{Directory, Member};
 use crate::gate::{Gate, Upstream};
 use crate::key::{AttemptKey, UpstreamKey};
+use crate::memory::{Caller, Memory};
 use crate::peer::convert::request_from_wire;
-use crate::peer::reassembly::Reassembly;
+use crate::peer::intake::Announcement;
 use crate::peer::response::{Exchanges, spawn_response};
 use crate::quarantine::Quarantine;
 use crate::quota::Quotas;
@@ -46,6 +47,7 @@
 /// Serves incoming connections of peers.
 pub(crate) struct Acceptor {
     pub(crate) gate: Rc<Gate>,
+    pub(crate) memory: Rc<Memory>,
     pub(crate) upstream: Rc<Upstream>,
     pub(crate) status: Rc<Status>,
     pub(crate) directory: Rc<Directory>,
@@ -131,10 +133,9 @@
     ) -> Result<(), ConnectionError> {
         loop {
             match reader.next().await? {
-                Body::Forward(message) => self.receive(message, outgoing, exchanges),
-                Body::Chunk(chunk) => self.receive_chunk(&chunk, outgoing, exchanges),
+                Body::Forward(message) => self.start(message, outgoing, exchanges, holder),
+                Body::Chunk(chunk) => exchanges.receive_chunk(&chunk),
                 Body::Cancel(cancel) => {
-                    exchanges.arriving.borrow_mut().remove(&cancel.exchange);
                     if let Some(running) = exchanges.running.borrow_mut().remove(&cancel.exchange) {
                         running.abort();
                     }
@@ -171,79 +172,57 @@
         }
     }
 
-    /// Handles the first message of a request.
-    fn receive(
-        self: &Rc<Self>,
-        mut message: Forward,
-        outgoing: &mpsc::Sender<Body>,
-        exchanges: &Rc<Exchanges>,
-    ) {
-        let exchange = message.exchange;
-        let length = message.body_length;
-        if message.body.len() as u64 == length {
-            self.start(message, outgoing, exchanges);
-            return;
-        }
-        let first = std::mem::take(&mut message.body);
-        match Reassembly::new(message, &first, length) {
-            Some(reassembly) => {
-                exchanges.arriving.borrow_mut().insert(exchange, reassembly);
-            }
-            None => reject(&"body exceeds the maximum length"),
-        }
-    }
-
-    fn receive_chunk(
-        self: &Rc<Self>,
-        chunk: &Chunk,
-        outgoing: &mpsc::Sender<Body>,
-        exchanges: &Rc<Exchanges>,
-    ) {
-        let mut arriving = exchanges.arriving.borrow_mut();
-        let Some(mut reassembly) = arriving.remove(&chunk.exchange) else {
-            return;
-        };
-        if !reassembly.add(&chunk.data) {
-            reject(&"body exceeds the announced length");
-            return;
-        }
-        if !reassembly.is_complete() {
-            arriving.insert(chunk.exchange, reassembly);
-            return;
-        }
-        drop(arriving);
-        let (mut message, body) = reassembly.finish();
-        message.body = body;
-        self.start(message, outgoing, exchanges);
-    }
-
+    /// Starts a request whose body may still have to arrive.
     fn start(
         self: &Rc<Self>,
-        message: Forward,
+        mut message: Forward,
         outgoing: &mpsc::Sender<Body>,
         exchanges: &Rc<Exchanges>,
+        holder: Option<&Holder>,
     ) {
-        let exchange = message.exchange;
         if let Some(limit) = &message.rate_limit {
             self.learn_limit(limit);
         }
+        let exchange = message.exchange;
+        let body = Announcement {
+            exchange,
+            length: message.body_length,
+            first: std::mem::take(&mut message.body),
+            peer: holder.map_or(Caller::Anonymous, |holder| {
+                Caller::Peer(holder.node.clone())
+            }),
+            outgoing: outgoing.clone(),
+            exchanges: Rc::clone(exchanges),
+        };
         let acceptor = Rc::clone(self);
         let is_full = exchanges.running.borrow().len() >= MAX_REQUESTS;
         let response = async move {
             if is_full {
                 return Response::refused(Reason::Overload);
             }
-            match request_from_wire(message) {
-                Ok(request) => acceptor.gate.run(request).await,
-                Err(error) => {
-                    reject(&error);
-                    Response::refused(Reason::Undeclared)
-                }
-            }
+            acceptor.run(message, body).await
         };
         spawn_response(exchange, response, outgoing, exchanges);
     }
 
+    /// Receives the body of a request and runs the request on the local upstream.
+    async fn run(&self, message: Forward, body: Announcement) -> Response {
+        let mut request = match request_from_wire(message) {
+            Ok(request) => request,
+            Err(error) => {
+                reject(&error);
+                return Response::refused(Reason::Undeclared);
+            }
+        };
+        match self.receive_body(&request, body).await {
+            Ok(buffer) => {
+                request.body = buffer;
+                self.gate.run(request).await
+            }
+            Err(refusal) => refusal,
+        }
+    }
+
     /// Applies the rate limit that the peer knows from before this process was started.
     fn learn_limit(&self, limit: &RateLimitMessage) {
         let rate = RateLimit::from_wire(Some(limit)).rate();
@@ -317,7 +296,7 @@
     })
 }
 
-fn reject(reason: &dyn std::fmt::Display) {
+pub(super) fn reject(reason: &dyn std::fmt::Display) {
     emit(
         &catalogue::INPUT_REFUSED,
         &[("port", &"peer"), ("reason", reason)],
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -12,6 +12,7 @@
 use crate::body::Body;
 use crate::clock;
 use crate::key::AttemptKey;
+use crate::memory::Buffer;
 use crate::rate_limit::RateLimit;
 use crate::request::{OverLimit, Request, Response};
 
@@ -27,9 +28,11 @@
 
 impl std::error::Error for RequestError {}
 
-/// Returns the message for a request; the rest of a long body follows in chunks.
+/// Returns the message for a request; a long body follows in chunks.
 pub(super) fn request_to_wire(exchange: u64, request: &Request) -> Forward {
-    let first = request.body.len().min(MAX_CHUNK);
+    let body = &request.body;
+    let is_short = body.len() <= MAX_CHUNK;
+    let first = is_short.then(|| body.pieces(MAX_CHUNK).next()).flatten();
     Forward {
         exchange,
         id: request.attempt.to_string(),
@@ -41,8 +44,8 @@
         begun: request.is_nested,
         time_left_us: u64::try_from(request.time_left().as_micros()).unwrap_or(u64::MAX),
         head: request.head.clone(),
-        body: request.body.slice(..first),
-        body_length: request.body.len() as u64,
+        body: first.unwrap_or_default(),
+        body_length: body.len() as u64,
         repeated: request.is_retry,
         identity: Bytes::copy_from_slice(&request.identity.to_bytes()),
         known_crashes: u32::from(request.known_crashes),
@@ -56,7 +59,7 @@
     }
 }
 
-/// Parses a request from a message with its complete body.
+/// Parses a request from a message, without its body.
 pub(super) fn request_from_wire(message: Forward) -> Result<Request, RequestError> {
     let error = |what: &dyn std::fmt::Display| RequestError(what.to_string());
     let rank = u8::try_from(message.rank).map_err(|e| error(&e))?;
@@ -88,7 +91,7 @@
         },
         deadline: clock::now() + Duration::from_micros(message.time_left_us),
         head: message.head,
-        body: message.body,
+        body: Buffer::default(),
     })
 }
 
--- a/crates/mesh/src/peer/link/connection.rs
+++ b/crates/mesh/src/peer/link/connection.rs
@@ -10,7 +10,9 @@
 use rand::Rng as _;
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::dial::{DialError, dial, set_user_timeout};
-use sailtrack_net::frames::{ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, write_frames};
+use sailtrack_net::frames::{
+    ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, prioritize, write_frames,
+};
 use sailtrack_units::Incarnation;
 use sailtrack_wire::{Body, Hello};
 
@@ -22,6 +24,8 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 /// Maximum backoff. Nodes must reconnect within about a second after a partition ends.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
+/// The capacity of the queue of body parts to be written, beside one for each request.
+const BULK_CAPACITY: usize = 4;
 /// Time after which a connection with unacknowledged data is closed (TCP user timeout).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Number of heartbeat intervals without any message after which a connection is closed.
@@ -53,8 +57,9 @@
         let (mut outgoing, frames) = mpsc::channel(OUTGOING_CAPACITY);
         // The channel is new, so there is room for the first message.
         let _ = outgoing.try_send(hello(self.delegate.local_member()));
-        let reading = std::pin::pin!(self.read(FrameReader::new(read), outgoing));
-        let writing = std::pin::pin!(write_frames(write, frames));
+        let (bulk, bulk_frames) = mpsc::channel(BULK_CAPACITY);
+        let reading = std::pin::pin!(self.read(FrameReader::new(read), outgoing, bulk));
+        let writing = std::pin::pin!(write_frames(write, prioritize(frames, bulk_frames)));
         match select(reading, writing).await {
             Either::Left((result, _)) | Either::Right((result, _)) => result,
         }
@@ -64,11 +69,13 @@
         &self,
         mut reader: FrameReader,
         outgoing: mpsc::Sender<Body>,
+        bulk: mpsc::Sender<Body>,
     ) -> Result<(), ConnectionError> {
         let greeting = timeout(CONNECT_TIMEOUT, reader.hello()).await;
         let hello = greeting.map_err(|_| ConnectionError::Dial(DialError::Timeout))??;
         self.check_member(&hello)?;
         *self.outgoing.borrow_mut() = Some(outgoing);
+        *self.bulk.borrow_mut() = Some(bulk);
         self.open(&hello);
         loop {
             let idle_timeout = self.delegate.heartbeat_interval() * DEAD_INTERVALS;
--- a/crates/mesh/src/peer/link/forward.rs
+++ b/crates/mesh/src/peer/link/forward.rs
@@ -1,10 +1,13 @@
 //! Requests for the upstream of the other node.
 
 use futures::SinkExt as _;
+use futures::channel::oneshot;
+use futures::future::{Either, select};
 use sailtrack_quarantine::Execution;
 use sailtrack_units::Incarnation;
 use sailtrack_wire::{Body, Cancel, Chunk, Forward};
 
+use crate::memory::Buffer;
 use crate::peer::convert::{MAX_CHUNK, request_to_wire};
 use crate::peer::link::Link;
 use crate::request::{Request, Response};
@@ -34,11 +37,18 @@
             link: self,
             exchange,
         };
-        if !self.send_request(exchange, request).await {
+        if !self.send_head(exchange, request) {
             guard.disarm();
             return Delivery::Unsent;
         }
-        let delivery = match self.await_reply(receiver).await {
+        let reply = std::pin::pin!(self.await_reply(receiver));
+        let sending = std::pin::pin!(self.send_body(exchange, &request.body));
+        let reply = match select(reply, sending).await {
+            // The node may refuse a request without its body.
+            Either::Left((reply, _)) => reply,
+            Either::Right(((), reply)) => reply.await,
+        };
+        let delivery = match reply {
             Ok(response) => Delivery::Answered(response),
             Err(_) => Delivery::Lost(incarnation),
         };
@@ -46,30 +56,56 @@
         delivery
     }
 
-    async fn send_request(&self, exchange: u64, request: &Request) -> bool {
+    /// Sends a request, without its body if that is long; returns false if it is certain not to be
+    /// sent.
+    fn send_head(&self, exchange: u64, request: &Request) -> bool {
         let message = Forward {
             rate_limit: self.upstream.rate_limit_to_wire(),
             ..request_to_wire(exchange, request)
         };
-        if !self.is_open() || !self.send(Body::Forward(message)) {
-            return false;
+        self.is_open() && self.send(Body::Forward(message))
+    }
+
+    /// Sends a long body once the other node has reserved memory for it. Returns early if the
+    /// connection is lost.
+    async fn send_body(&self, exchange: u64, body: &Buffer) {
+        if body.len() <= MAX_CHUNK {
+            return;
         }
-        let Some(mut outgoing) = self.outgoing.borrow().clone() else {
-            return true;
+        let (sender, granted) = oneshot::channel();
+        self.uploads.borrow_mut().insert(exchange, sender);
+        let _guard = UploadGuard {
+            link: self,
+            exchange,
+        };
+        let Some(mut bulk) = self.bulk.borrow().clone() else {
+            return;
         };
-        let mut rest = request.body.slice(request.body.len().min(MAX_CHUNK)..);
-        while !rest.is_empty() {
-            let data = rest.split_to(rest.len().min(MAX_CHUNK));
+        if granted.await.is_err() {
+            return;
+        }
+        for data in body.pieces(MAX_CHUNK) {
             let chunk = Body::Chunk(Chunk {
                 exchange,
                 data,
                 ..Chunk::default()
             });
-            if outgoing.send(chunk).await.is_err() {
-                break;
+            if bulk.send(chunk).await.is_err() {
+                return;
             }
         }
-        true
+    }
+}
+
+/// Removes the entry of an upload that has ended.
+struct UploadGuard<'a> {
+    link: &'a Link,
+    exchange: u64,
+}
+
+impl Drop for UploadGuard<'_> {
+    fn drop(&mut self) {
+        self.link.uploads.borrow_mut().remove(&self.exchange);
     }
 }
 
--- a/crates/mesh/src/peer/link/mod.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -47,6 +47,10 @@
     source: IpAddr,
     delegate: Rc<dyn Delegate>,
     outgoing: RefCell<Option<mpsc::Sender<Body>>>,
+    /// Messages that are sent when `outgoing` is empty: the bodies of requests.
+    bulk: RefCell<Option<mpsc::Sender<Body>>>,
+    /// Uploads that wait until the other node has memory for them, by exchange.
+    uploads: RefCell<HashMap<u64, oneshot::Sender<()>>>,
     pending: RefCell<HashMap<u64, Pending>>,
     replies: RefCell<HashMap<u64, Reassembly<Reply>>>,
     /// Channels for the chunks of streamed bodies, by exchange.
@@ -96,6 +100,8 @@
             source,
             delegate,
             outgoing: RefCell::default(),
+            bulk: RefCell::default(),
+            uploads: RefCell::default(),
             pending: RefCell::default(),
             replies: RefCell::default(),
             streams: RefCell::default(),
@@ -224,6 +230,12 @@
         match message {
             Body::Reply(reply) => self.handle_reply(reply),
             Body::Chunk(chunk) => self.handle_chunk(chunk),
+            Body::Grant(grant) => {
+                if let Some(upload) = self.uploads.borrow_mut().remove(&grant.exchange) {
+                    // The caller may have stopped waiting.
+                    let _ = upload.send(());
+                }
+            }
             Body::Presence(presence) => self.handle_presence(&presence),
             Body::Evidence(evidence) => self.delegate.handle_evidence(&evidence),
             Body::Retired(retired) => {
@@ -298,6 +310,8 @@
         self.pending_pings.set(0);
         self.cancel_token_requests();
         *self.outgoing.borrow_mut() = None;
+        *self.bulk.borrow_mut() = None;
+        self.uploads.borrow_mut().clear();
         let pending = std::mem::take(&mut *self.pending.borrow_mut());
         let execution = pending.into_values().filter_map(|pending| match pending {
             Pending::Reply(_, execution) => execution,
--- a/crates/mesh/src/peer/link/tests.rs
+++ b/crates/mesh/src/peer/link/tests.rs
@@ -20,6 +20,7 @@
 use crate::clock::tests::SUSPENSIONS;
 use crate::directory::Member;
 use crate::key::{AttemptKey, UpstreamKey};
+use crate::memory::Buffer;
 use crate::peer::Delegate;
 use crate::peer::link::{Delivery, Link};
 use crate::request::{OverLimit, Request};
@@ -86,7 +87,7 @@
         over_limit: OverLimit::default(),
         deadline: clock::now() + Duration::from_secs(10),
         head: Bytes::from_static(b"GET / HTTP/1.1\r\n"),
-        body: Bytes::new(),
+        body: Buffer::default(),
     }
 }
 
--- a/crates/mesh/src/peer/mod.rs
+++ b/crates/mesh/src/peer/mod.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod convert;
+mod intake;
 mod link;
 mod reassembly;
 mod response;
--- a/crates/mesh/src/peer/response.rs
+++ b/crates/mesh/src/peer/response.rs
@@ -9,11 +9,11 @@
 use futures::future::{AbortHandle, Abortable};
 use futures::{SinkExt as _, StreamExt as _};
 use sailtrack_net::task;
-use sailtrack_wire::{Body, Chunk, Forward};
+use sailtrack_wire::{Body, Chunk};
 
 use crate::body::{Body as AnswerBody, Stream};
 use crate::peer::convert::{INITIAL_GRANT, MAX_CHUNK, response_to_wire};
-use crate::peer::reassembly::Reassembly;
+use crate::peer::intake::Arrival;
 use crate::request::Response;
 
 /// State of one connection, by exchange.
@@ -21,8 +21,8 @@
 pub(super) struct Exchanges {
     /// Requests in flight.
     pub(super) running: RefCell<HashMap<u64, AbortHandle>>,
-    /// Requests whose bodies are incomplete.
-    pub(super) arriving: RefCell<HashMap<u64, Reassembly<Forward>>>,
+    /// Request bodies that are incomplete.
+    pub(super) arriving: RefCell<HashMap<u64, Arrival>>,
     /// Channels that pass flow-control grants to the tasks that stream responses.
     pub(super) granting: RefCell<HashMap<u64, mpsc::UnboundedSender<u32>>>,
 }
--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -157,7 +157,7 @@
             return;
         };
         components.budget.set_bounds(next.retry);
-        components.entry.memory.resize(next.body_memory());
+        components.entry.memory.resize(next.memory);
         components
             .entry
             .max_pending_response_bytes
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -11,6 +11,7 @@
 use crate::body::Body;
 use crate::clock;
 use crate::key::{AttemptKey, UpstreamKey};
+use crate::memory::{self, Buffer};
 use crate::rate_limit::RateLimit;
 
 /// What happens to a request while the rate limit of the upstream is used up.
@@ -51,7 +52,7 @@
     pub(crate) deadline: Moment,
     /// The request line and the header fields to be forwarded.
     pub(crate) head: Bytes,
-    pub(crate) body: Bytes,
+    pub(crate) body: Buffer,
 }
 
 impl Request {
@@ -59,6 +60,11 @@
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.since(clock::now())
     }
+
+    /// Returns how long the body may wait for memory.
+    pub(crate) fn memory_patience(&self) -> Duration {
+        memory::patience(self.time_left())
+    }
 }
 
 /// The result of a request.
--- a/crates/mesh/src/retry/tests.rs
+++ b/crates/mesh/src/retry/tests.rs
@@ -8,6 +8,7 @@
 
 use crate::clock;
 use crate::key::AttemptKey;
+use crate::memory::Buffer;
 use crate::request::{OverLimit, Request};
 use crate::retry::Budget;
 use crate::settings::RetryBounds;
@@ -35,7 +36,7 @@
         over_limit: OverLimit::default(),
         deadline: clock::now(),
         head: Bytes::new(),
-        body: Bytes::new(),
+        body: Buffer::default(),
     }
 }
 
--- a/crates/mesh/src/retry_after.rs
+++ b/crates/mesh/src/retry_after.rs
@@ -19,6 +19,10 @@
 /// to two times a typical execution.
 const TRIAL_DELAY: Duration = Duration::from_millis(250);
 const TRIAL_JITTER: Duration = Duration::from_millis(250);
+/// The base delay and jitter of a retry while the memory for request bodies is used up: about as
+/// long as the bodies that use it take.
+const MEMORY_DELAY: Duration = Duration::from_millis(500);
+const MEMORY_JITTER: Duration = Duration::from_millis(500);
 /// The shortest delay before a retry at a full upstream.
 const MIN_OVERLOAD_DELAY: Duration = Duration::from_millis(200);
 /// The longest delay that an upstream can state.
@@ -45,6 +49,11 @@
     TRIAL_DELAY + TRIAL_JITTER.mul_f64(rand::rng().random())
 }
 
+/// Returns the delay while there is no memory for the body of a request.
+pub(crate) fn memory() -> Duration {
+    MEMORY_DELAY + MEMORY_JITTER.mul_f64(rand::rng().random())
+}
+
 /// Returns the delay for a full upstream, with a random addition of up to `jitter`.
 pub(crate) fn overload(jitter: Duration) -> Duration {
     rejection(None, jitter)
--- a/crates/mesh/src/scrape.rs
+++ b/crates/mesh/src/scrape.rs
@@ -16,6 +16,7 @@
 use crate::entry::Entry;
 use crate::freshness::Freshness;
 use crate::gate::{Records, Upstream};
+use crate::memory::Memory;
 use crate::metrics::{Metrics, Sample, Snapshot};
 use crate::peer::Peers;
 use crate::quarantine::Quarantine;
@@ -38,6 +39,7 @@
     pub(crate) admission: Rc<Admission>,
     pub(crate) upstream: Rc<Upstream>,
     pub(crate) records: Rc<Records>,
+    pub(crate) memory: Rc<Memory>,
     pub(crate) directory: Rc<Directory>,
     pub(crate) peers: Rc<Peers>,
     pub(crate) current: Rc<Current>,
@@ -70,6 +72,8 @@
             waiting: self.admission.waiting(),
             slots: self.upstream.slots() as usize,
             records: self.records.len(),
+            client_bodies: self.memory.clients.sample(),
+            peer_bodies: self.memory.peers.sample(),
             members: self.directory.len(),
             links: self.peers.open_count(),
             serving: self.peers.serving_count(),
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -17,9 +17,6 @@
 /// The memory limit if none is set.
 const DEFAULT_MEMORY: ByteSize = ByteSize(256 << 20);
 
-/// Request bodies may use the memory limit divided by this. A body is held up to twice, at the
-/// entry and while it is sent to another node; the rest is for answers and connections.
-const BODY_MEMORY_DIVISOR: usize = 6;
 /// Answers that wait for earlier answers of their connection may use the memory limit divided by
 /// this.
 const PENDING_RESPONSE_MEMORY_DIVISOR: usize = 16;
@@ -108,11 +105,6 @@
         Self::read(Document::parse(file, text)?)
     }
 
-    /// Returns how much memory all request bodies together may use.
-    pub(crate) fn body_memory(&self) -> usize {
-        self.memory.as_usize() / BODY_MEMORY_DIVISOR
-    }
-
     /// Returns how much memory answers that wait for earlier answers may use. Beyond it, connections
     /// process pipelined requests one at a time.
     pub(crate) fn pending_response_memory(&self) -> usize {
--- a/crates/net/src/frames.rs
+++ b/crates/net/src/frames.rs
@@ -2,8 +2,9 @@
 
 use bytes::BytesMut;
 use displaydoc::Display;
-use futures::StreamExt as _;
 use futures::channel::mpsc;
+use futures::stream::{PollNext, select_with_strategy};
+use futures::{FutureExt as _, Stream, StreamExt as _};
 use monoio::io::{AsyncReadRent as _, AsyncWriteRentExt as _, OwnedReadHalf, OwnedWriteHalf};
 use monoio::net::TcpStream;
 use sailtrack_wire::{Body, Codec, Frame, FrameError, Hello, Member, VERSION};
@@ -89,17 +90,25 @@
     }
 }
 
+/// Returns the messages of two channels; those of `bulk` come only when there are no others.
+pub fn prioritize(
+    urgent: mpsc::Receiver<Body>,
+    bulk: mpsc::Receiver<Body>,
+) -> impl Stream<Item = Body> + Unpin {
+    select_with_strategy(urgent, bulk, |(): &mut ()| PollNext::Left)
+}
+
 /// Writes each message received from `outgoing` as a frame until the channel is closed.
 pub async fn write_frames(
     mut stream: OwnedWriteHalf<TcpStream>,
-    mut outgoing: mpsc::Receiver<Body>,
+    mut outgoing: impl Stream<Item = Body> + Unpin,
 ) -> Result<(), ConnectionError> {
     let mut codec = Codec::default();
     let mut buffer = BytesMut::new();
     while let Some(body) = outgoing.next().await {
         encode(&mut codec, body, &mut buffer)?;
         while buffer.len() < WRITE_BATCH_SIZE {
-            let Ok(body) = outgoing.try_recv() else {
+            let Some(Some(body)) = outgoing.next().now_or_never() else {
                 break;
             };
             encode(&mut codec, body, &mut buffer)?;
