Planned stop: no request is given more time than the stop leaves

What callers saw (report of other operators, and tests here): calls of the own upstream were taken to the end of the stop time and cut without an answer, as were requests of clients that last longer.

Cause: deadlines were those of callers and routes; the end of the process was none.

--- a/crates/mesh/src/clock.rs
+++ b/crates/mesh/src/clock.rs
@@ -42,10 +42,19 @@
 pub(crate) async fn timeout_at<T>(
     deadline: Moment,
     future: impl Future<Output = T>,
+) -> Result<T, Elapsed> {
+    timeout_when(|| deadline, future).await
+}
+
+/// Runs a future until it completes or the deadline passes, which may become earlier meanwhile. A
+/// change is noticed after [`CHECK_INTERVAL`] at the latest.
+pub(crate) async fn timeout_when<T>(
+    deadline: impl Fn() -> Moment,
+    future: impl Future<Output = T>,
 ) -> Result<T, Elapsed> {
     let expiry = async {
         loop {
-            let left = deadline.since(now());
+            let left = deadline().since(now());
             if left.is_zero() {
                 return;
             }
--- a/crates/mesh/src/entry/admission.rs
+++ b/crates/mesh/src/entry/admission.rs
@@ -60,9 +60,13 @@
         Err(Response::refused(reason).with_retry_after(after))
     }
 
-    /// Refuses a client request that arrives too late to complete before the node stops.
+    /// Refuses a request that arrives too late to complete before the node stops.
     pub(super) fn refuse_if_closed(&self, incoming: &Incoming) -> Option<Response> {
-        let is_refused = self.is_closed.get() && incoming.parent.is_none();
+        let is_refused = if incoming.parent.is_some() {
+            self.shutdown.is_too_late(clock::now())
+        } else {
+            self.is_closed.get()
+        };
         is_refused
             .then(|| Response::refused(Reason::Draining).with_retry_after(STOPPING_RETRY_AFTER))
     }
--- a/crates/mesh/src/entry/exchange.rs
+++ b/crates/mesh/src/entry/exchange.rs
@@ -143,19 +143,22 @@
         return Response::refused(Reason::NoUpstream);
     };
     let fields = entry.dialect.fields();
-    let request = incoming.forwarded(fields, &entry.service, service, payload);
+    let mut request = incoming.forwarded(fields, &entry.service, service, payload);
+    request.deadline = entry.shutdown.work_deadline(request.deadline);
+    if let Some(response) = entry.refuse_if_closed(incoming) {
+        return response;
+    }
     if request.time_left().is_zero() {
         // The deadline passed while the request waited for earlier ones.
         return Response::refused(Reason::Deadline);
     }
-    if let Some(response) = entry.refuse_if_closed(incoming) {
-        return response;
-    }
     // Boxed, since every enclosing future would otherwise reserve space for it again.
     let mut dispatch = Box::pin(entry.dispatcher.dispatch(request, &incoming.route, trail));
-    let response = match clock::timeout_at(incoming.deadline, &mut dispatch).await {
+    // A planned stop may begin meanwhile.
+    let deadline = || entry.shutdown.answer_deadline(incoming.deadline);
+    let response = match clock::timeout_when(deadline, &mut dispatch).await {
         Ok(response) => response,
-        Err(Elapsed) => poll_after_deadline(incoming.deadline, dispatch).await,
+        Err(Elapsed) => poll_after_deadline(deadline(), dispatch).await,
     };
     if let Some(parent) = &incoming.parent {
         parent.record_result(&response);
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -29,6 +29,7 @@
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::quota::Quotas;
+use crate::shutdown::Shutdown;
 pub(crate) use caller::CredentialError;
 pub(crate) use lengths::Lengths;
 
@@ -74,6 +75,7 @@
     /// No connection starts another pipelined request while `pending_response_bytes` is at this
     /// limit.
     pub(crate) max_pending_response_bytes: Cell<usize>,
+    pub(crate) shutdown: Rc<Shutdown>,
     /// Set during a planned stop, once the remaining time is needed for in-flight requests.
     pub(crate) is_closed: Cell<bool>,
     /// The number of open client connections.
@@ -85,7 +87,8 @@
 }
 
 impl Entry {
-    /// Refuses new client requests from now on; calls of the own upstream are still accepted.
+    /// Refuses new client requests from now on; calls of the own upstream are still accepted while
+    /// there is time for them.
     pub(crate) fn close(&self) {
         self.is_closed.set(true);
     }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -37,6 +37,7 @@
 mod routing;
 mod scrape;
 mod settings;
+mod shutdown;
 mod status;
 mod store;
 mod suspension;
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -37,6 +37,7 @@
 use crate::routing::{Routing, Statistics};
 use crate::scrape;
 use crate::settings::Settings;
+use crate::shutdown::Shutdown;
 use crate::status::Status;
 use crate::store::{Clock, Reachability};
 use crate::suspension;
@@ -131,6 +132,7 @@
     table.install(Contexts::default());
     table.install(Records::default());
     table.install(Memory::new(settings.memory));
+    table.install(Shutdown::default());
     table.install(Windows::default());
     table.install(Splitter::default());
     table.install(Budget::new(settings.retry));
@@ -278,6 +280,7 @@
         in_flight: Rc::clone(in_flight),
         memory: table.find()?,
         lengths: Lengths::default(),
+        shutdown: table.find()?,
         pending_response_bytes: Rc::default(),
         max_pending_response_bytes: Cell::new(settings.pending_response_memory()),
         is_closed: Cell::new(false),
@@ -294,6 +297,7 @@
         quarantine: table.find()?,
         quotas: table.find()?,
         clock: table.find()?,
+        shutdown: table.find()?,
     });
     table.install(Announcements {
         dialect: Rc::clone(dialect),
--- a/crates/mesh/src/node/stop.rs
+++ b/crates/mesh/src/node/stop.rs
@@ -16,6 +16,7 @@
 use crate::node::{POLL_INTERVAL, is_shutdown, start};
 use crate::quota::Election;
 use crate::reload::Reload;
+use crate::shutdown::Shutdown;
 
 /// Shortest drain, during which the node keeps accepting requests. A readiness probe that runs once
 /// a second has failed twice by then.
@@ -58,6 +59,7 @@
     let start_time = clock::now();
     let stop_time = table.find::<Reload>()?.settings().stop_time.0;
     let max_time = stop_time.saturating_sub(RESERVE);
+    table.find::<Shutdown>()?.begin(start_time + max_time);
     let mut last_busy = start_time;
     let election = table.find::<Election>()?;
     task::spawn("resignation", async move { election.resign().await });
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -34,6 +34,7 @@
 use crate::rate_limit::RateLimit;
 use crate::request::Response;
 use crate::retired::{Reason as Retirement, Retired};
+use crate::shutdown::Shutdown;
 use crate::status::Status;
 use crate::store::{Clock, StoreTime};
 
@@ -56,6 +57,7 @@
     pub(crate) quarantine: Rc<Quarantine>,
     pub(crate) quotas: Rc<Quotas>,
     pub(crate) clock: Rc<Clock>,
+    pub(crate) shutdown: Rc<Shutdown>,
 }
 
 impl Service for Acceptor {
@@ -214,6 +216,7 @@
                 return Response::refused(Reason::Undeclared);
             }
         };
+        request.deadline = self.shutdown.work_deadline(request.deadline);
         match self.receive_body(&request, body).await {
             Ok(buffer) => {
                 request.body = buffer;
