Long answers: their time ends with that of their request

Cause: only the wait for the head had a deadline; pieces of the body were awaited without one.

Change: a streamed body is written until the deadline of its request, or the end of a planned stop; then the connection closes without its end. Event 809 and sailtrack_mesh_answers_not_completed_total say so.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -175,6 +175,8 @@
     UPSTREAM_REJECTED = 807 Info "own upstream rejected a request" ["request", "upstream", "status", "named", "connection", "earlier"];
     /// A response of the own upstream was skipped while the one to this request was awaited, since it does not belong to it. `of` is the id that it bears.
     ANSWER_SKIPPED = 808 Info "answer to another request skipped" ["request", "of", "status", "connection", "earlier"];
+    /// The rest of a long answer, of which a client already had `bytes`, was not sent, and its connection was closed: the upstream broke off, the client reads no more, or the deadline passed.
+    ANSWER_TRUNCATED = 809 Info "answer not completed" ["request", "kind", "reason", "bytes", "after_ms"];
     /// Some events about requests were left out in the last `span_ms` milliseconds, because there were too many. The events of `kept` percent of the requests are complete.
     EVENTS_LEFT_OUT = 810 Info "events left out" ["count", "about", "kept", "span_ms"];
     /// Lines were dropped because the reader of the log is too slow.
--- a/crates/mesh/src/entry/sender.rs
+++ b/crates/mesh/src/entry/sender.rs
@@ -1,9 +1,11 @@
 //! Writes the responses of a connection, in the order of the requests.
 
+mod stream;
+
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use monoio::io::{AsyncWriteRentExt as _, OwnedWriteHalf};
 use monoio::net::TcpStream;
 use monoio::time::timeout;
@@ -11,7 +13,6 @@
 use sailtrack_net::task::Guard;
 use sailtrack_wire::Outcome;
 
-use crate::body::Stream;
 use crate::clock;
 use crate::dispatch::Trail;
 use crate::entry::CredentialError;
@@ -89,7 +90,7 @@
             close: closes || !incoming.head.keeps_alive() || self.should_close(was_refused),
         };
         let output = render(response, options);
-        let mut disposition = self.write_output(output).await;
+        let mut disposition = self.write_output(output, &incoming).await;
         if disposition == Disposition::Close && closes {
             disposition = Disposition::Linger;
         }
@@ -109,7 +110,7 @@
     }
 
     /// Writes a response; the connection closes immediately if it cannot be completed.
-    async fn write_output(&mut self, output: Output) -> Disposition {
+    async fn write_output(&mut self, output: Output, incoming: &Incoming) -> Disposition {
         if output.close {
             self.pipeline.close();
         }
@@ -117,7 +118,7 @@
             return Disposition::Abort;
         }
         if let Some(stream) = output.stream
-            && !self.write_stream(stream, output.is_chunked).await
+            && !self.write_stream(stream, output.is_chunked, incoming).await
         {
             return Disposition::Abort;
         }
@@ -128,26 +129,6 @@
         }
     }
 
-    /// Writes a streamed body; returns false if it was not completed.
-    async fn write_stream(&mut self, mut stream: Stream, is_chunked: bool) -> bool {
-        loop {
-            let Ok(piece) = stream.next().await else {
-                // The connection closes without the end of the body, so that the client sees a
-                // truncated response.
-                self.pipeline.close();
-                return false;
-            };
-            let is_last = piece.is_none();
-            let bytes = encode(piece, is_chunked);
-            if !bytes.is_empty() && !self.write(bytes).await {
-                return false;
-            }
-            if is_last {
-                return true;
-            }
-        }
-    }
-
     async fn refuse_credential(
         &mut self,
         incoming: &Incoming,
@@ -231,19 +212,3 @@
         matches!(written, Ok((Ok(_), _)))
     }
 }
-
-/// Returns the encoded bytes of a piece of a streamed body, or of its end.
-fn encode(piece: Option<Bytes>, is_chunked: bool) -> BytesMut {
-    match (piece, is_chunked) {
-        (Some(piece), false) => BytesMut::from(piece),
-        (Some(piece), true) => {
-            let mut bytes = BytesMut::with_capacity(piece.len() + 16);
-            bytes.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
-            bytes.extend_from_slice(&piece);
-            bytes.extend_from_slice(b"\r\n");
-            bytes
-        }
-        (None, true) => BytesMut::from(&b"0\r\n\r\n"[..]),
-        (None, false) => BytesMut::new(),
-    }
-}
--- a/crates/mesh/src/events.rs
+++ b/crates/mesh/src/events.rs
@@ -24,7 +24,7 @@
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::metrics::Stage;
 use crate::request::Response;
-pub(crate) use responses::{Received, Silence};
+pub(crate) use responses::{Received, Silence, Truncation};
 use sampler::{Decision, Sampler};
 
 /// The most requests that a crash event names; an upstream runs some hundred at once.
--- a/crates/mesh/src/events/responses.rs
+++ b/crates/mesh/src/events/responses.rs
@@ -34,7 +34,34 @@
     pub(crate) earlier_requests: u32,
 }
 
+/// A long answer that was not completed.
+pub(crate) struct Truncation<'a> {
+    pub(crate) attempt: &'a AttemptKey,
+    pub(crate) kind: &'a KindName,
+    pub(crate) reason: &'a dyn fmt::Display,
+    /// The bytes of the body that were sent to the client.
+    pub(crate) bytes: u64,
+    /// The time since the request arrived.
+    pub(crate) elapsed: Duration,
+}
+
 impl Events {
+    /// Logs that a long answer was not completed.
+    pub(crate) fn log_truncation(&self, truncation: &Truncation<'_>) {
+        write(
+            &self.failures,
+            truncation.attempt,
+            &catalogue::ANSWER_TRUNCATED,
+            &[
+                ("request", truncation.attempt),
+                ("kind", truncation.kind),
+                ("reason", &truncation.reason),
+                ("bytes", &truncation.bytes),
+                ("after_ms", &truncation.elapsed.as_millis()),
+            ],
+        );
+    }
+
     /// Logs that the own upstream's answer to a request was lost or cannot be passed on.
     pub(crate) fn log_lost_answer(&self, attempt: &AttemptKey, reason: &dyn fmt::Display) {
         write(
--- a/crates/mesh/src/metrics.rs
+++ b/crates/mesh/src/metrics.rs
@@ -217,6 +217,11 @@
         self.counters.skipped_responses.inc();
     }
 
+    /// Counts a long answer that was not completed.
+    pub(crate) fn record_truncated_response(&self) {
+        self.counters.truncated_responses.inc();
+    }
+
     /// Records a pipelined request; `depth` is the number of unanswered requests of its connection,
     /// including this one.
     pub(crate) fn record_pipelined(&self, depth: usize) {
--- a/crates/mesh/src/metrics/counters.rs
+++ b/crates/mesh/src/metrics/counters.rs
@@ -18,6 +18,7 @@
     pub(super) sent: Counter<u64, AtomicU64>,
     pub(super) rate_refusals: Counter<u64, AtomicU64>,
     pub(super) skipped_responses: Counter<u64, AtomicU64>,
+    pub(super) truncated_responses: Counter<u64, AtomicU64>,
 }
 
 impl Counters {
@@ -73,6 +74,11 @@
                 "skipped_answers",
                 "Answers of the own upstream to other requests than the one that was waited for",
             ),
+            truncated_responses: counter(
+                registry,
+                "answers_not_completed",
+                "Long answers of which clients did not get the rest",
+            ),
             unread: counter(
                 registry,
                 "requests_not_read",
