Network: input that never pauses does not keep the only thread

An idle connection on which bytes came without end stayed open.

Cause: a read that finds bytes completes at once, so a task whose input and output never block never returns to the runtime; and the runtime handles timers only when no task is ready.

Idle connections to the upstream are checked each 2 s.

Evidence: ends_in_time::endless_bytes (13 places of a response) and endless_input (26 floods of ports) failed on the code before, one run, and pass now; endless_store held before.

--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -32,6 +32,7 @@
 use std::time::{Duration, Instant};
 
 use futures::channel::oneshot;
+use monoio::time::sleep;
 use sailtrack_admission::{Admission, Pressure, Rejection, Throttle, ThrottlePermit};
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
@@ -68,6 +69,9 @@
 /// stops work at the deadline and then reports that.
 const RESPONSE_GRACE: Duration = Duration::from_millis(250);
 
+/// How often idle connections to the upstream are checked.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Admits requests to the local upstream and executes them there.
 pub(crate) struct Gate {
     dialect: Rc<dyn Dialect>,
@@ -261,6 +265,14 @@
         response.unwrap_or_else(|_| Response::unknown(Reason::Cancelled))
     }
 
+    /// Closes idle connections to the upstream that cannot be used again, forever.
+    pub(crate) async fn sweep_connections(self: Rc<Self>) {
+        loop {
+            sleep(SWEEP_INTERVAL).await;
+            self.pool.sweep();
+        }
+    }
+
     /// Sets the maximum number of connections that the local upstream accepts.
     pub(crate) fn limit_connections(&self, connections: usize) {
         self.pool.limit_idle(connections);
--- a/crates/mesh/src/gate/pool.rs
+++ b/crates/mesh/src/gate/pool.rs
@@ -115,6 +115,14 @@
         self.idle.borrow_mut().truncate(max_idle);
     }
 
+    /// Closes the idle connections that cannot be used again: their time is over, the upstream has
+    /// closed them, or it sends bytes that belong to no request.
+    pub(super) fn sweep(&self) {
+        let now = clock::now();
+        let mut idle = self.idle.borrow_mut();
+        idle.retain_mut(|connection| connection.is_usable(now));
+    }
+
     /// Closes all idle connections, as there is another upstream at the address.
     pub(super) fn clear(&self) {
         self.idle.borrow_mut().clear();
--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -55,6 +55,8 @@
     });
     let gate = table.find::<Gate>()?;
     let upstream = table.find::<Upstream>()?;
+    let sweeping = Rc::clone(&gate);
+    task::spawn("idle connections", sweeping.sweep_connections());
     upstream.on_new_incarnation(move || gate.handle_new_incarnation());
     let metrics = table.find::<Metrics>()?;
     let counted = Rc::clone(&current);
--- a/crates/net/src/frames.rs
+++ b/crates/net/src/frames.rs
@@ -1,5 +1,6 @@
 //! Reads and writes length-delimited frames on a connection between two nodes.
 
+use crate::turn::Turn;
 use bytes::BytesMut;
 use displaydoc::Display;
 use futures::channel::mpsc;
@@ -39,6 +40,7 @@
     codec: Codec,
     buffer: BytesMut,
     read_buffer: Vec<u8>,
+    turn: Turn,
 }
 
 impl FrameReader {
@@ -50,6 +52,7 @@
             codec: Codec::default(),
             buffer: BytesMut::new(),
             read_buffer: vec![0; READ_SIZE],
+            turn: Turn::default(),
         }
     }
 
@@ -86,6 +89,7 @@
         self.buffer.extend_from_slice(&read_buffer[..count]);
         self.read_buffer = read_buffer;
         self.read_buffer.resize(READ_SIZE, 0);
+        self.turn.record_read(count == READ_SIZE).await;
         Ok(())
     }
 }
--- a/crates/net/src/http/server.rs
+++ b/crates/net/src/http/server.rs
@@ -22,6 +22,7 @@
 use crate::http::message::{Request, Response};
 use crate::http::reader::{InputError, RequestReader};
 use crate::task::{self, Guard};
+use crate::turn::Turn;
 
 /// Handles the requests of a port.
 pub trait Handler: 'static {
@@ -106,6 +107,7 @@
     let (read, write) = stream.into_split();
     let mut writer = GenericEncoder::new(write);
     let mut next: Next = RequestReader::new(read, limits).advance().boxed_local();
+    let mut turn = Turn::default();
     loop {
         let Ok((reader, request)) = timeout(limits.read_time, next).await else {
             return;
@@ -133,6 +135,7 @@
         if !respond(&mut writer, response, close, limits).await || close {
             return;
         }
+        turn.record_read(false).await;
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod signal;
 pub mod task;
 pub mod transparent;
+mod turn;
 pub mod wakeup;
--- a/crates/net/src/transparent/reader.rs
+++ b/crates/net/src/transparent/reader.rs
@@ -14,6 +14,7 @@
 use crate::transparent::chunked::Decoder;
 use crate::transparent::framing::Framing;
 use crate::transparent::head::HeadError;
+use crate::turn::Turn;
 
 /// The size of the first read of a message, in bytes; most heads fit into it. An idle connection
 /// keeps a buffer of this size: with 8 KiB, a thousand idle clients took up 8 MiB.
@@ -91,6 +92,7 @@
     stream: OwnedReadHalf<TcpStream>,
     buffer: BytesMut,
     arrivals: Arrivals,
+    turn: Turn,
     /// The buffer for the next read; empty after a read was dropped before it completed.
     read_buffer: Vec<u8>,
 }
@@ -103,6 +105,7 @@
             stream,
             buffer: BytesMut::new(),
             arrivals: Arrivals::default(),
+            turn: Turn::default(),
             read_buffer: Vec::new(),
         }
     }
@@ -131,13 +134,14 @@
     ///
     /// Cancel-safe: a read consumes bytes only when it completes.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        let into = (&mut self.buffer, &mut self.arrivals);
+        let into = (&mut self.buffer, &mut self.arrivals, &mut self.turn);
         fill(&mut self.stream, into, &mut self.read_buffer).await
     }
 
     /// Returns true if the peer has neither closed the connection nor sent unsolicited data.
     pub fn is_quiet(&mut self) -> bool {
-        self.buffer.is_empty() && self.fill().now_or_never().is_none()
+        // A read may have completed although the future has not.
+        self.buffer.is_empty() && self.fill().now_or_never().is_none() && self.buffer.is_empty()
     }
 
     /// Returns the bytes of the head of the next request, including the empty line at its end.
@@ -242,7 +246,7 @@
                         return Ok((!body.is_empty()).then(|| body.freeze()));
                     }
                     // Borrows single fields of the reader beside the state of the body.
-                    let into = (&mut self.buffer, &mut self.arrivals);
+                    let into = (&mut self.buffer, &mut self.arrivals, &mut self.turn);
                     let filled = fill(&mut self.stream, into, &mut self.read_buffer).await;
                     if filled.map_err(BodyError::Io)? == 0 {
                         return Err(BodyError::Cut);
@@ -269,7 +273,7 @@
 
 async fn fill(
     stream: &mut OwnedReadHalf<TcpStream>,
-    (buffer, arrivals): (&mut BytesMut, &mut Arrivals),
+    (buffer, arrivals, turn): (&mut BytesMut, &mut Arrivals, &mut Turn),
     kept: &mut Vec<u8>,
 ) -> io::Result<usize> {
     let mut read_buffer = std::mem::take(kept);
@@ -280,10 +284,14 @@
     let count = result?;
     arrivals.record(count, buffer.len(), Instant::now());
     buffer.extend_from_slice(&read_buffer[..count]);
-    if count == read_buffer.len() && count < MAX_READ_SIZE {
+    let was_full = count == read_buffer.len();
+    if was_full && count < MAX_READ_SIZE {
         // The read filled the buffer, so more bytes may be waiting.
         read_buffer.resize(count * 4, 0);
     }
     *kept = read_buffer;
+    if count > 0 {
+        turn.record_read(was_full).await;
+    }
     Ok(count)
 }
