Pipelining: nothing is started behind a request whose answer may be long

Cause: requests were passed on while an earlier answer of their connection could still break off.

Change: a request whose kind had long answers lately, or none yet on a route for downloads, is the last that is started on its connection until it is answered. What is not started is sent again by its client.

--- a/crates/mesh/src/configuration/route.rs
+++ b/crates/mesh/src/configuration/route.rs
@@ -36,6 +36,8 @@
     pub timeout: Duration,
     /// Maximum number of upstreams that one request is sent to.
     pub attempts: u32,
+    /// Whether its answers are expected to be long.
+    pub has_long_answers: bool,
     /// The services that handle its requests, with their weights.
     pub split: Vec<Share>,
 }
@@ -52,6 +54,7 @@
             importance: Importance::Normal,
             timeout: DEFAULT_TIMEOUT,
             attempts: DEFAULT_ATTEMPTS,
+            has_long_answers: false,
             split: Vec::new(),
         })
     }
@@ -103,6 +106,13 @@
         self
     }
 
+    /// Sets whether long answers are expected.
+    #[must_use]
+    pub fn long_answers(mut self, has_long_answers: bool) -> Self {
+        self.0.has_long_answers = has_long_answers;
+        self
+    }
+
     /// Adds a service that handles a share of the requests.
     #[must_use]
     pub fn share(mut self, service: ServiceName, weight: u32) -> Self {
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod exchange;
 mod lengths;
+mod long_answers;
 mod pipeline;
 mod receiver;
 mod request;
@@ -32,6 +33,7 @@
 use crate::shutdown::Shutdown;
 pub(crate) use caller::CredentialError;
 pub(crate) use lengths::Lengths;
+pub(crate) use long_answers::LongAnswers;
 
 /// Each connection costs a file descriptor, of which an instance has a few thousand, and up to
 /// about 20 KiB of memory.
@@ -69,6 +71,8 @@
     pub(crate) memory: Rc<Memory>,
     /// The lengths of bodies sent without one, by kind.
     pub(crate) lengths: Lengths,
+    /// The kinds behind whose requests none is started.
+    pub(crate) long_answers: LongAnswers,
     /// Bytes of completed responses held in memory, most of which wait for earlier responses on
     /// their connection.
     pub(crate) pending_response_bytes: Rc<Cell<usize>>,
--- a/crates/mesh/src/entry/pipeline.rs
+++ b/crates/mesh/src/entry/pipeline.rs
@@ -45,7 +45,7 @@
     pending_response_bytes: Rc<Cell<usize>>,
     /// The length of `slots`, plus one while a response is being written.
     count: Cell<usize>,
-    /// The newest request must be the only one in the pipeline.
+    /// None may start behind the newest request.
     is_exclusive: Cell<bool>,
     has_changed: Cell<bool>,
     was_pipelined: Cell<bool>,
@@ -57,7 +57,7 @@
 struct State {
     /// Requests that have been started and not been answered.
     count: usize,
-    /// One of them is not idempotent.
+    /// None may start behind the newest one, since it is not idempotent or its answer may break off.
     is_exclusive: bool,
     lifecycle: Lifecycle,
     /// Bytes of completed responses on this connection.
--- a/crates/mesh/src/entry/receiver.rs
+++ b/crates/mesh/src/entry/receiver.rs
@@ -136,6 +136,7 @@
         let permit = self.pipeline.permit(held);
         let has_body = incoming.framing != Framing::None;
         let keeps_alive = incoming.head.keeps_alive();
+        let is_exclusive = !is_idempotent || self.entry.long_answers.are_expected(&incoming.route);
         let entry = Rc::clone(self.entry);
         match self.entry.check_credential(&incoming) {
             Err(Denial::Credential(refusal)) => {
@@ -148,10 +149,10 @@
                     self.admit_with_body(incoming, permit, limits).await?;
                 self.start(
                     run_admitted(entry, incoming, admission, permit),
-                    is_idempotent,
+                    is_exclusive,
                 );
             }
-            Ok(()) => self.start(admit_and_run(entry, incoming, permit), is_idempotent),
+            Ok(()) => self.start(admit_and_run(entry, incoming, permit), is_exclusive),
         }
         if keeps_alive {
             Ok(())
@@ -177,8 +178,8 @@
         Ok(())
     }
 
-    fn start(&self, exchange: impl Future<Output = Reply> + 'static, is_idempotent: bool) {
-        self.pipeline.push(exchange, !is_idempotent);
+    fn start(&self, exchange: impl Future<Output = Reply> + 'static, is_exclusive: bool) {
+        self.pipeline.push(exchange, is_exclusive);
         let depth = self.pipeline.len();
         if depth > 1 {
             self.entry.metrics.record_pipelined(depth);
--- a/crates/mesh/src/entry/sender.rs
+++ b/crates/mesh/src/entry/sender.rs
@@ -81,6 +81,10 @@
         let time = incoming.received_at.elapsed();
         let kind = &incoming.route.name;
         self.entry.metrics.record_answer(kind, &response, time);
+        if response.outcome == Outcome::Done {
+            let is_long = response.body.whole().is_none();
+            self.entry.long_answers.record(kind, is_long);
+        }
         let was_refused = response.outcome == Outcome::NotRun;
         let was_answered = response.outcome == Outcome::Done;
         let options = Options {
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -18,7 +18,7 @@
 use crate::contexts::Contexts;
 use crate::directory::{Directory, Member, Observer};
 use crate::dispatch::Dispatcher;
-use crate::entry::{Entry, Lengths};
+use crate::entry::{Entry, Lengths, LongAnswers};
 use crate::events::Events;
 use crate::freshness::Freshness;
 use crate::gate::{Builder as GateBuilder, Gate, Records, Upstream};
@@ -280,6 +280,7 @@
         in_flight: Rc::clone(in_flight),
         memory: table.find()?,
         lengths: Lengths::default(),
+        long_answers: LongAnswers::default(),
         shutdown: table.find()?,
         pending_response_bytes: Rc::default(),
         max_pending_response_bytes: Cell::new(settings.pending_response_memory()),
