Gate: the end of a killed upstream is not the end of its answer

Cause: the end of the connection was taken for the end of the body, whatever ended it.

Change: after such an end the node connects to the port, and again if that connection closes within 10 ms; if the port refuses, the answer is cut. A short one is lost, a long one ends without its end.

The 10 ms are chosen.

--- a/crates/mesh/src/gate/builder.rs
+++ b/crates/mesh/src/gate/builder.rs
@@ -53,7 +53,7 @@
             kinds: Kinds::default(),
             slots,
             pool: Pool::new(target),
-            detector: Detector::new(target),
+            detector: Rc::new(Detector::new(target)),
             quarantine,
             suspension,
             trials: Lock::default(),
--- a/crates/mesh/src/gate/crash.rs
+++ b/crates/mesh/src/gate/crash.rs
@@ -10,6 +10,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures::FutureExt as _;
 use futures::future::{LocalBoxFuture, Shared};
@@ -21,6 +22,9 @@
 use crate::contexts::Context;
 use crate::key::UpstreamKey;
 
+/// How long a process that exits may take to close its port after a connection.
+const EXIT_TIME: Duration = Duration::from_millis(10);
+
 /// Detects crashes of the local upstream.
 pub(super) struct Detector {
     target: SocketAddr,
@@ -103,6 +107,12 @@
         probe.await
     }
 
+    /// Returns true if the process of the upstream has ended, shortly after one of its connections
+    /// did. One that exits may close its port after its connections.
+    pub(super) async fn has_ended(&self) -> bool {
+        port::probe_for(self.target, EXIT_TIME).await == Finding::Refused
+    }
+
     /// Starts watching the port, or returns `None` if it is being watched.
     pub(super) fn begin_watch(&self) -> Option<Guard> {
         self.watch.try_acquire()
--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -5,6 +5,7 @@
 mod tests;
 
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -13,11 +14,12 @@
 use monoio::io::{AsyncWriteRentExt as _, OwnedWriteHalf};
 use monoio::net::TcpStream;
 use monoio::time::timeout;
-use sailtrack_net::transparent::{BodyRest, Framing, ResponseHead, response_framing};
+use sailtrack_net::transparent::{BodyError, BodyRest, Framing, ResponseHead, response_framing};
 
 use crate::body::{Body, Source, Stream, Truncated};
 use crate::dialect::FieldNames;
 use crate::events::{Events, Received};
+use crate::gate::crash::Detector;
 use crate::gate::history::History;
 use crate::gate::pool::{Connection, Pool};
 use crate::key::UpstreamKey;
@@ -50,6 +52,9 @@
 
 /// The remainder of a streamed body on the connection to the upstream.
 struct UpstreamSource {
+    detector: Rc<Detector>,
+    /// The end of the connection is the end of the body.
+    ends_with_connection: bool,
     connection: Connection,
     first_piece: Option<Bytes>,
     rest: BodyRest,
@@ -63,6 +68,10 @@
             }
             let piece = self.connection.reader.piece(&mut self.rest);
             match timeout(BODY_READ_TIMEOUT, piece).await {
+                Ok(Ok(None)) if self.ends_with_connection => {
+                    let is_complete = !self.detector.has_ended().await;
+                    is_complete.then_some(None).ok_or(Truncated)
+                }
                 Ok(Ok(piece)) => Ok(piece),
                 Ok(Err(_)) | Err(_) => Err(Truncated),
             }
@@ -74,6 +83,7 @@
 /// A request to be sent to an incarnation of the upstream.
 pub(super) struct Exchange<'a> {
     pub(super) pool: &'a Pool,
+    pub(super) detector: &'a Rc<Detector>,
     pub(super) fields: &'a FieldNames,
     pub(super) events: &'a Events,
     pub(super) metrics: &'a Metrics,
@@ -113,8 +123,13 @@
         }
         on_head(&head);
         let prefix = read_prefix(&mut connection, &mut rest).await?;
+        let ends_with_connection = framing == Framing::UntilClose;
         if rest.is_ended() {
-            if was_sent && framing != Framing::UntilClose && self.is_named(&head) {
+            // The connections of a process that is killed end as those of whole responses do.
+            if ends_with_connection && self.detector.has_ended().await {
+                return Err(ExchangeError::Body(BodyError::Cut));
+            }
+            if was_sent && !ends_with_connection && self.is_named(&head) {
                 self.pool.release(connection, &head);
             }
             let body = Body::Whole(prefix);
@@ -125,6 +140,8 @@
             Framing::None | Framing::Chunked | Framing::UntilClose => None,
         };
         let source = UpstreamSource {
+            detector: Rc::clone(self.detector),
+            ends_with_connection,
             connection,
             first_piece: Some(prefix),
             rest,
--- a/crates/mesh/src/gate/exchange/tests.rs
+++ b/crates/mesh/src/gate/exchange/tests.rs
@@ -2,6 +2,7 @@
 
 use std::io::Read as _;
 use std::net::TcpListener;
+use std::rc::Rc;
 use std::time::Duration;
 
 use monoio::time::timeout;
@@ -12,6 +13,7 @@
 use crate::contexts::tests::request;
 use crate::dialect::FieldNames;
 use crate::events::Events;
+use crate::gate::crash::Detector;
 use crate::gate::pool::Pool;
 use crate::key::UpstreamKey;
 use crate::memory::Buffer;
@@ -38,7 +40,8 @@
 #[test]
 fn nothing_sent_too_late() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let pool = Pool::new(listener.local_addr().expect("a local address"));
+    let address = listener.local_addr().expect("a local address");
+    let pool = Pool::new(address);
     let expired = Request {
         deadline: clock::now().before(Duration::from_millis(1)),
         ..request("a")
@@ -46,6 +49,7 @@
     let upstream = UpstreamKey::new("i-1", None).expect("a sound id");
     let exchange = Exchange {
         pool: &pool,
+        detector: &Rc::new(Detector::new(address)),
         fields: &FIELDS,
         events: &Events::default(),
         metrics: &Metrics::new(),
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -88,7 +88,7 @@
     kinds: Kinds,
     slots: Rc<Slots>,
     pool: Pool,
-    detector: Detector,
+    detector: Rc<Detector>,
     quarantine: Rc<Quarantine>,
     suspension: Rc<suspension::Detector>,
     /// Held by the one request on trial that may run at a time, since it might crash the upstream.
--- a/crates/mesh/src/gate/port.rs
+++ b/crates/mesh/src/gate/port.rs
@@ -55,6 +55,21 @@
     probe_until_closed(target, || false).await
 }
 
+/// Probes the port, and again if an accepted connection is closed within `time`.
+pub(super) async fn probe_for(target: SocketAddr, time: Duration) -> Finding {
+    let dialed = match dial(target, None, PROBE_TIMEOUT).await {
+        Ok(dialed) => dialed,
+        Err(error) => return Finding::of(&error),
+    };
+    // Nothing was sent, so the connection becomes readable only at its end or with an error.
+    let closed = timeout(time, dialed.stream.readable(false)).await;
+    if closed.is_err() {
+        return Finding::Accepted;
+    }
+    drop(dialed);
+    probe(target).await
+}
+
 /// Probes the port until it refuses a connection or the result is no longer wanted; returns the
 /// last result.
 ///
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -46,6 +46,7 @@
         };
         let exchange = Exchange {
             pool: &self.pool,
+            detector: &self.detector,
             fields: self.dialect.fields(),
             events: &self.events,
             metrics: &self.metrics,
