Entry: answers that clients have not taken are bounded, streamed ones too

Related path of the bodies that were not counted: a streamed answer counted nothing towards what waits in memory, and nothing was refused for it, so as many slow readers as a node has connections (1,500) could hold 160 KiB each.

A write of a short answer may take 10 s, as an answer that stays unread for some seconds has no reader. Gauges answers_bytes and answers_bytes_limit.

The exchange with the upstream in three files, and the gauges of both budgets from one table; no behaviour changed by that.

--- a/crates/mesh/src/entry/admission.rs
+++ b/crates/mesh/src/entry/admission.rs
@@ -60,6 +60,16 @@
         Err(Response::refused(reason).with_retry_after(after))
     }
 
+    /// Refuses a request while clients have not taken so many answers that its own might not fit into
+    /// memory.
+    pub(super) fn refuse_if_full(&self) -> Option<Response> {
+        let is_full = self.pending_response_bytes.get() >= self.max_response_bytes.get();
+        is_full.then(|| {
+            let response = Response::refused(Reason::Overload);
+            response.with_retry_after(retry_after::memory())
+        })
+    }
+
     /// Refuses a request that arrives too late to complete before the node stops.
     pub(super) fn refuse_if_closed(&self, incoming: &Incoming) -> Option<Response> {
         let is_refused = if incoming.parent.is_some() {
--- a/crates/mesh/src/entry/exchange.rs
+++ b/crates/mesh/src/entry/exchange.rs
@@ -24,6 +24,10 @@
 /// A timer that fires this late shows that the process was stalled.
 const STALL_THRESHOLD: Duration = Duration::from_millis(20);
 
+/// The most bytes of a streamed body that are in memory: what the gate reads before it passes the
+/// first part on, and the part that is being written.
+const STREAM_BYTES: usize = 160 * 1024;
+
 /// What is written to the client when the request's turn in the pipeline comes.
 pub(super) enum Reply {
     /// The response to a request.
@@ -110,7 +114,7 @@
     if response.outcome == Outcome::NotRun {
         reservation.refund();
     }
-    let body = response.body.whole().map_or(0, Bytes::len);
+    let body = response.body.whole().map_or(STREAM_BYTES, Bytes::len);
     Reply::Completed(Box::new(Completion {
         charge: permit.charge(response.head.len() + body),
         incoming,
@@ -145,7 +149,8 @@
     let fields = entry.dialect.fields();
     let mut request = incoming.forwarded(fields, &entry.service, service, payload);
     request.deadline = entry.shutdown.work_deadline(request.deadline);
-    if let Some(response) = entry.refuse_if_closed(incoming) {
+    let refusal = entry.refuse_if_closed(incoming);
+    if let Some(response) = refusal.or_else(|| entry.refuse_if_full()) {
         return response;
     }
     if request.time_left().is_zero() {
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -79,6 +79,8 @@
     /// No connection starts another pipelined request while `pending_response_bytes` is at this
     /// limit.
     pub(crate) max_pending_response_bytes: Cell<usize>,
+    /// New requests are refused while `pending_response_bytes` is at this limit.
+    pub(crate) max_response_bytes: Cell<usize>,
     pub(crate) shutdown: Rc<Shutdown>,
     /// Set during a planned stop, once the remaining time is needed for in-flight requests.
     pub(crate) is_closed: Cell<bool>,
--- a/crates/mesh/src/entry/sender.rs
+++ b/crates/mesh/src/entry/sender.rs
@@ -26,7 +26,7 @@
 use crate::request::Response;
 
 /// How long a write to the client may take.
-const WRITE_TIME: Duration = Duration::from_secs(30);
+const WRITE_TIME: Duration = Duration::from_secs(10);
 
 /// Writes the responses of a connection.
 pub(super) struct Sender<'a> {
--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -1,22 +1,17 @@
 //! One request to the local upstream and its response.
 
 mod error;
+mod send;
+mod source;
 #[cfg(test)]
 mod tests;
 
-use std::io;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures::FutureExt as _;
-use futures::future::{Either, LocalBoxFuture, select};
-use monoio::io::{AsyncWriteRentExt as _, OwnedWriteHalf};
-use monoio::net::TcpStream;
-use monoio::time::timeout;
 use sailtrack_net::transparent::{BodyError, BodyRest, Framing, ResponseHead, response_framing};
 
-use crate::body::{Body, Source, Stream, Truncated};
+use crate::body::{Body, Stream};
 use crate::dialect::FieldNames;
 use crate::events::{Events, Received};
 use crate::gate::crash::Detector;
@@ -27,6 +22,8 @@
 use crate::metrics::Metrics;
 use crate::request::Request;
 pub(super) use error::ExchangeError;
+use send::send;
+use source::UpstreamSource;
 
 /// The status of another upstream at the address of the expected one.
 pub(super) const MISDIRECTED: u16 = 421;
@@ -35,10 +32,6 @@
 /// Longer bodies are streamed. A response that breaks off within this limit can be retried or
 /// refused; beyond it, a hundred concurrent responses still fit into 13 MB.
 const MAX_BUFFERED_BYTES: usize = 128 * 1024;
-/// A request body of up to this many bytes is copied behind the head, to save a system call.
-const MAX_JOINED_BYTES: usize = 16 * 1024;
-/// The maximum pause of an upstream within a streamed body.
-const BODY_READ_TIMEOUT: Duration = Duration::from_secs(30);
 /// The maximum body size of a stale response, which is read and discarded.
 const MAX_STALE_BODY_BYTES: usize = 1024 * 1024;
 /// The maximum number of responses to other requests that are skipped before the expected one.
@@ -50,36 +43,6 @@
     pub(super) body: Body,
 }
 
-/// The remainder of a streamed body on the connection to the upstream.
-struct UpstreamSource {
-    detector: Rc<Detector>,
-    /// The end of the connection is the end of the body.
-    ends_with_connection: bool,
-    connection: Connection,
-    first_piece: Option<Bytes>,
-    rest: BodyRest,
-}
-
-impl Source for UpstreamSource {
-    fn next(&mut self) -> LocalBoxFuture<'_, Result<Option<Bytes>, Truncated>> {
-        async {
-            if let Some(first_piece) = self.first_piece.take() {
-                return Ok(Some(first_piece));
-            }
-            let piece = self.connection.reader.piece(&mut self.rest);
-            match timeout(BODY_READ_TIMEOUT, piece).await {
-                Ok(Ok(None)) if self.ends_with_connection => {
-                    let is_complete = !self.detector.has_ended().await;
-                    is_complete.then_some(None).ok_or(Truncated)
-                }
-                Ok(Ok(piece)) => Ok(piece),
-                Ok(Err(_)) | Err(_) => Err(Truncated),
-            }
-        }
-        .boxed_local()
-    }
-}
-
 /// A request to be sent to an incarnation of the upstream.
 pub(super) struct Exchange<'a> {
     pub(super) pool: &'a Pool,
@@ -230,52 +193,6 @@
     }
 }
 
-/// Sends a request and returns the first response head, and whether the request was completely
-/// written by then: an upstream may respond and close before it has read a whole request.
-async fn send(
-    connection: &mut Connection,
-    head: BytesMut,
-    body: Buffer,
-) -> Result<(Bytes, bool), ExchangeError> {
-    let Connection { reader, writer, .. } = connection;
-    let writing = std::pin::pin!(write(writer, head, body));
-    let reading = std::pin::pin!(reader.response_head(MAX_HEAD_BYTES));
-    let (head, was_sent) = match select(writing, reading).await {
-        Either::Left((written, reading)) => {
-            let head = reading.await;
-            if let (Err(error), Err(_)) = (written, &head) {
-                return Err(ExchangeError::Io(error));
-            }
-            (head, true)
-        }
-        Either::Right((head, _)) => (head, false),
-    };
-    Ok((head.map_err(ExchangeError::Message)?, was_sent))
-}
-
-/// Writes a request; a short body goes into one write with the head.
-async fn write(
-    writer: &mut OwnedWriteHalf<TcpStream>,
-    mut head: BytesMut,
-    body: Buffer,
-) -> io::Result<()> {
-    let is_short = body.len() <= MAX_JOINED_BYTES;
-    let (joined, separate) = if is_short {
-        (body, Buffer::default())
-    } else {
-        (Buffer::default(), body)
-    };
-    for segment in joined.segments() {
-        head.extend_from_slice(segment);
-    }
-    drop(joined);
-    writer.write_all(head).await.0?;
-    for segment in separate.segments() {
-        writer.write_all(segment.clone()).await.0?;
-    }
-    Ok(())
-}
-
 /// Reads a body to its end, or up to the limit for buffered bodies.
 async fn read_prefix(
     connection: &mut Connection,
--- a/crates/mesh/src/metrics/gauges.rs
+++ b/crates/mesh/src/metrics/gauges.rs
@@ -48,14 +48,20 @@
     pub(crate) rate_limit: Option<Rate>,
     /// The requests admitted to the own upstream in the last second.
     pub(crate) recent_rate: u32,
+    /// The bytes of answers that clients have not taken, and how many there may be.
+    pub(crate) response_bytes: usize,
+    pub(crate) max_response_bytes: usize,
     /// The memory used by request bodies of clients.
     pub(crate) client_bodies: Sample,
     /// The memory used by request bodies of peers.
     pub(crate) peer_bodies: Sample,
 }
 
-/// A gauge and the function that reads its value from a snapshot.
-type Sampled = (Gauge, fn(&Snapshot) -> u64);
+/// Reads the value of a gauge from a snapshot.
+type Value = Box<dyn Fn(&Snapshot) -> u64>;
+
+/// A gauge and the function that reads its value.
+type Sampled = (Gauge, Value);
 
 /// The gauges of a node.
 pub(super) struct Gauges(Vec<Sampled>);
@@ -64,8 +70,10 @@
     pub(super) fn new(registry: &mut Registry) -> Self {
         let mut gauges = register_traffic(registry);
         gauges.extend(register_state(registry));
-        gauges.extend(register_client_bodies(registry));
-        gauges.extend(register_peer_bodies(registry));
+        let clients = ("client", "clients");
+        gauges.extend(register_bodies(registry, clients, |now| &now.client_bodies));
+        let peers = ("peer", "peers");
+        gauges.extend(register_bodies(registry, peers, |now| &now.peer_bodies));
         Self(gauges)
     }
 
@@ -85,7 +93,7 @@
 ) -> Sampled {
     let gauge = Gauge::default();
     registry.register(name, help, gauge.clone());
-    (gauge, value)
+    (gauge, Box::new(value))
 }
 
 /// Returns the rate in requests per 1000 s.
@@ -194,73 +202,57 @@
             |now| now.quarantined as u64,
         ),
         gauge(
-            "foreign_rows",
-            "Rows among those of nodes that name no node",
-            |now| now.foreign_rows as u64,
+            "answers_bytes",
+            "Bytes of answers in memory that clients have not taken",
+            |now| now.response_bytes as u64,
         ),
-    ]
-}
-
-/// Registers the gauges of the request bodies of clients.
-fn register_client_bodies(registry: &mut Registry) -> Vec<Sampled> {
-    let mut gauge = |name, help, value| register(registry, name, help, value);
-    vec![
         gauge(
-            "client_bodies_bytes",
-            "Bytes of request bodies of clients in memory",
-            |now| now.client_bodies.held as u64,
+            "answers_bytes_limit",
+            "Bytes of answers from which on new requests are refused",
+            |now| now.max_response_bytes as u64,
         ),
         gauge(
-            "client_bodies_bytes_peak",
-            "Most bytes of request bodies of clients that were in memory at once",
-            |now| now.client_bodies.peak as u64,
-        ),
-        gauge(
-            "client_bodies_bytes_limit",
-            "Bytes of request bodies of clients that may be in memory",
-            |now| now.client_bodies.capacity as u64,
-        ),
-        gauge(
-            "client_bodies_waiting",
-            "Request bodies of clients that wait for memory",
-            |now| now.client_bodies.waiting as u64,
-        ),
-        gauge(
-            "client_bodies_refused",
-            "Request bodies of clients refused for lack of memory",
-            |now| now.client_bodies.refused,
+            "foreign_rows",
+            "Rows among those of nodes that name no node",
+            |now| now.foreign_rows as u64,
         ),
     ]
 }
 
-/// Registers the gauges of the request bodies of peers.
-fn register_peer_bodies(registry: &mut Registry) -> Vec<Sampled> {
-    let mut gauge = |name, help, value| register(registry, name, help, value);
-    vec![
-        gauge(
-            "peer_bodies_bytes",
-            "Bytes of request bodies of peers in memory",
-            |now| now.peer_bodies.held as u64,
-        ),
-        gauge(
-            "peer_bodies_bytes_peak",
-            "Most bytes of request bodies of peers that were in memory at once",
-            |now| now.peer_bodies.peak as u64,
-        ),
-        gauge(
-            "peer_bodies_bytes_limit",
-            "Bytes of request bodies of peers that may be in memory",
-            |now| now.peer_bodies.capacity as u64,
-        ),
-        gauge(
-            "peer_bodies_waiting",
-            "Request bodies of peers that wait for memory",
-            |now| now.peer_bodies.waiting as u64,
-        ),
-        gauge(
-            "peer_bodies_refused",
-            "Request bodies of peers refused for lack of memory",
-            |now| now.peer_bodies.refused,
-        ),
-    ]
+/// A gauge of a budget for request bodies: the end of its name, its help, and its value.
+type BodyGauge = (&'static str, &'static str, fn(&Sample) -> u64);
+
+const BODY_GAUGES: [BodyGauge; 5] = [
+    ("bytes", "in memory, in bytes", |sample| sample.held as u64),
+    (
+        "bytes_peak",
+        "in memory at once at most, in bytes",
+        |sample| sample.peak as u64,
+    ),
+    ("bytes_limit", "that may be in memory, in bytes", |sample| {
+        sample.capacity as u64
+    }),
+    ("waiting", "that wait for memory", |sample| {
+        sample.waiting as u64
+    }),
+    ("refused", "refused for lack of memory", |sample| {
+        sample.refused
+    }),
+];
+
+/// Registers the gauges of the budget that `budget` selects, for the request bodies of `origin`.
+fn register_bodies(
+    registry: &mut Registry,
+    (prefix, origin): (&str, &str),
+    budget: fn(&Snapshot) -> &Sample,
+) -> Vec<Sampled> {
+    let gauges = BODY_GAUGES.map(|(suffix, help, value)| {
+        let gauge = Gauge::default();
+        let name = format!("{prefix}_bodies_{suffix}");
+        let help = format!("Request bodies of {origin} {help}");
+        registry.register(name, help, gauge.clone());
+        let sampled = move |now: &Snapshot| value(budget(now));
+        (gauge, Box::new(sampled) as Value)
+    });
+    gauges.into()
 }
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -284,6 +284,7 @@
         shutdown: table.find()?,
         pending_response_bytes: Rc::default(),
         max_pending_response_bytes: Cell::new(settings.pending_response_memory()),
+        max_response_bytes: Cell::new(settings.response_memory()),
         is_closed: Cell::new(false),
         connections: Rc::default(),
     });
--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -162,6 +162,10 @@
             .entry
             .max_pending_response_bytes
             .set(next.pending_response_memory());
+        components
+            .entry
+            .max_response_bytes
+            .set(next.response_memory());
         components
             .freshness
             .set_bound(next.revoke_time.map(|time| time.0));
--- a/crates/mesh/src/scrape.rs
+++ b/crates/mesh/src/scrape.rs
@@ -72,6 +72,8 @@
             waiting: self.admission.waiting(),
             slots: self.upstream.slots() as usize,
             records: self.records.len(),
+            response_bytes: self.entry.pending_response_bytes.get(),
+            max_response_bytes: self.entry.max_response_bytes.get(),
             client_bodies: self.memory.clients.sample(),
             peer_bodies: self.memory.peers.sample(),
             members: self.directory.len(),
