--- a/crates/mesh/src/announcement/health.rs
+++ b/crates/mesh/src/announcement/health.rs
@@ -17,6 +17,8 @@
 use crate::gate::Demands;
 use crate::key::UpstreamKey;
 
+/// The maximum size of the body of a health check, which is not used.
+const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Timeout for the health check that identifies the upstream at the start.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -95,7 +97,7 @@
             .as_ref()
             .and_then(|known| known.service(&self.service));
         let rules = rules.ok_or(HealthError::NoConfiguration)?;
-        let pool = Pool::new(self.address, None, 1);
+        let pool = Pool::new(self.address, None, 1).limit_body(MAX_BODY_BYTES);
         let request = Request::new(Method::GET, rules.health_path.clone(), "");
         let response = pool.exchange(request, Instant::now() + timeout).await;
         let response = response.map_err(HealthError::Unanswered)?;
--- a/crates/net/src/http/client.rs
+++ b/crates/net/src/http/client.rs
@@ -147,6 +147,13 @@
         }
     }
 
+    /// Rejects responses whose bodies are longer than this many bytes.
+    #[must_use]
+    pub fn limit_body(mut self, bytes: usize) -> Self {
+        self.limits.body_bytes = bytes;
+        self
+    }
+
     /// Reuses connections only after responses for which `keeps` returns true.
     #[must_use]
     pub fn keep_after(mut self, keeps: fn(&Response) -> bool) -> Self {
