Memory budget: a long body that waits does not hold up small ones

Found when the order of grants was read again: while a body in chunks waits to grow, bodies up to 64 KiB waited behind it, for up to 250 ms. Now only longer ones do (budget::tests::small_ones_pass; it was not run without the change).

--- a/crates/mesh/src/memory/budget.rs
+++ b/crates/mesh/src/memory/budget.rs
@@ -239,17 +239,21 @@
         (true, self.held_by(&waiter.caller), waiter.ticket)
     }
 
-    /// Removes the next waiter whose request can be granted.
+    /// Removes the next waiter whose request can be granted. A long body that finds no room is
+    /// overtaken by small ones only, so that it is not passed over forever.
     fn next_granted(&mut self) -> Option<Waiter> {
         self.waiters.retain(|waiter| !waiter.sender.is_canceled());
         let mut order: Vec<usize> = (0..self.waiters.len()).collect();
         order.sort_by_key(|at| self.precedence(&self.waiters[*at]));
+        let mut is_blocked = false;
         for at in order {
-            match self.fit(&self.waiters[at]) {
-                Fit::Fits => return Some(self.waiters.remove(at)),
-                Fit::Reserved => {}
-                // A long body is not overtaken forever by shorter ones.
-                Fit::Full => return None,
+            let waiter = &self.waiters[at];
+            match self.fit(waiter) {
+                Fit::Fits if !is_blocked || waiter.bytes <= SMALL_BYTES => {
+                    return Some(self.waiters.remove(at));
+                }
+                Fit::Fits | Fit::Reserved => {}
+                Fit::Full => is_blocked = true,
             }
         }
         None
--- a/crates/mesh/src/memory/budget/tests.rs
+++ b/crates/mesh/src/memory/budget/tests.rs
@@ -127,3 +127,18 @@
         assert_eq!(budget.sample().held, 0);
     });
 }
+
+/// A long body that waits holds up longer ones, but no small ones.
+#[test]
+fn small_ones_pass() {
+    run(async {
+        let budget = Budget::new(8 * MIB, MIB);
+        let held = take(&budget, workspace("a"), 4 * MIB).await.expect("room");
+        let other = take(&budget, workspace("b"), 3 * MIB).await.expect("room");
+        let waiting = wait(&budget, workspace("c"), 2 * MIB);
+        assert!(take(&budget, workspace("d"), MIB).await.is_err());
+        assert!(take(&budget, workspace("d"), SMALL_BYTES).await.is_ok());
+        drop(waiting);
+        drop((held, other));
+    });
+}
