--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry port: accepts requests of local clients and of the node's own upstream.
 
 mod admission;
+mod by_kind;
 mod caller;
 mod connection;
 mod exchange;
--- a/crates/mesh/src/gate/exchange/send.rs
+++ b/crates/mesh/src/gate/exchange/send.rs
@@ -43,18 +43,14 @@
     mut head: BytesMut,
     body: Buffer,
 ) -> io::Result<()> {
-    let is_short = body.len() <= MAX_JOINED_BYTES;
-    let (joined, separate) = if is_short {
-        (body, Buffer::default())
-    } else {
-        (Buffer::default(), body)
-    };
-    for segment in joined.segments() {
-        head.extend_from_slice(segment);
+    if body.len() <= MAX_JOINED_BYTES {
+        for segment in body.segments() {
+            head.extend_from_slice(segment);
+        }
+        return writer.write_all(head).await.0.map(drop);
     }
-    drop(joined);
     writer.write_all(head).await.0?;
-    for segment in separate.segments() {
+    for segment in body.segments() {
         writer.write_all(segment.clone()).await.0?;
     }
     Ok(())
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -27,7 +27,7 @@
 use crate::key::{AttemptKey, UpstreamKey};
 use crate::memory::{Caller, Memory};
 use crate::peer::convert::request_from_wire;
-use crate::peer::intake::Announcement;
+use crate::peer::intake::Upload;
 use crate::peer::response::{Exchanges, spawn_response};
 use crate::quarantine::Quarantine;
 use crate::quota::Quotas;
@@ -186,7 +186,7 @@
             self.learn_limit(limit);
         }
         let exchange = message.exchange;
-        let body = Announcement {
+        let body = Upload {
             exchange,
             length: message.body_length,
             first: std::mem::take(&mut message.body),
@@ -208,7 +208,7 @@
     }
 
     /// Receives the body of a request and runs the request on the local upstream.
-    async fn run(&self, message: Forward, body: Announcement) -> Response {
+    async fn run(&self, message: Forward, body: Upload) -> Response {
         let mut request = match request_from_wire(message) {
             Ok(request) => request,
             Err(error) => {
--- a/crates/mesh/src/peer/intake.rs
+++ b/crates/mesh/src/peer/intake.rs
@@ -28,8 +28,8 @@
     complete: oneshot::Sender<Buffer>,
 }
 
-/// What a peer has said of a body, and the connection on which the rest of it arrives.
-pub(super) struct Announcement {
+/// A body that a peer has announced, and the connection on which the rest of it arrives.
+pub(super) struct Upload {
     pub(super) exchange: u64,
     pub(super) length: u64,
     pub(super) first: Bytes,
@@ -43,7 +43,7 @@
     pub(super) async fn receive_body(
         &self,
         request: &Request,
-        body: Announcement,
+        body: Upload,
     ) -> Result<Buffer, Response> {
         if body.length > MAX_BODY_BYTES || body.first.len() as u64 > body.length {
             reject(&"body exceeds the maximum length");
