Quarantine: a crash that is reported late does not undo a clearing

Cause: the moment of a report was taken for that of the crash; the node had just heard that the request was cleared, and knew of no success of it itself.

Change: a request that was cleared within the last 3 s counts as one that succeeded recently, which asks for two more crashes.

Evidence: verdicts::crash_reported_late (its second half shows the quarantine without the clearing; the first half was not run without the change). crashing_requests and crates/model/tests/crashes.rs pass.

--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -50,6 +50,8 @@
 /// How many cleared requests are remembered, so that a reconnecting node does not restore their
 /// quarantine.
 const MAX_CLEARED: usize = 256;
+/// How long after a crash it may still be reported.
+const REPORT_DELAY: Duration = Duration::from_secs(3);
 /// Maximum number of records sent to a node that connects. It receives further ones from other
 /// nodes.
 const MAX_SNAPSHOT: usize = 128;
@@ -130,8 +132,9 @@
                 had_suspects: suspects > usize::from(execution.known_crashes > 0),
             };
             self.make_room(execution.identity, now);
-            let succeeded_recently =
-                execution.succeeded_recently || self.succeeded_recently(&execution.identity, now);
+            let succeeded_recently = execution.succeeded_recently
+                || self.succeeded_recently(&execution.identity, now)
+                || self.was_just_cleared(&execution.identity, now);
             let entry = self.entries.entry(execution.identity).or_insert_with(|| {
                 *self
                     .caller_counts
@@ -153,6 +156,13 @@
         self.recent.contains(identity, now)
     }
 
+    /// Returns true if a request was cleared a moment ago. A crash that is reported now may have
+    /// happened before that.
+    fn was_just_cleared(&self, identity: &Identity, now: Moment) -> bool {
+        let mut cleared = self.cleared.iter();
+        cleared.any(|(known, at)| known == identity && now.since(*at) < REPORT_DELAY)
+    }
+
     /// Records that this node's upstream answered a request, without clearing the request.
     pub fn remember_success(&mut self, identity: &Identity, now: Moment) {
         self.recent.insert(identity, now);
--- a/crates/quarantine/tests/verdicts.rs
+++ b/crates/quarantine/tests/verdicts.rs
@@ -299,3 +299,22 @@
     }
     assert!(ledger.standing(&once, later).is_quarantined());
 }
+
+/// A node hears of a crash after it has heard that a request which ran there was cleared: the crash
+/// may have happened before that and does not suffice for quarantine.
+#[test]
+fn crash_reported_late() {
+    let mut ledger = Ledger::default();
+    assert!(!ledger.clear(&identity("popular"), START));
+    let late = START + Duration::from_millis(2);
+    assert!(crash(&mut ledger, "a", &[ran("popular", 2)], late).is_empty());
+    // Without the clearing it does, and so does one that comes much later.
+    let mut other = Ledger::default();
+    assert_eq!(
+        crash(&mut other, "a", &[ran("popular", 2)], late),
+        [identity("popular")]
+    );
+    let much_later = START + Duration::from_secs(30);
+    let quarantined = crash(&mut ledger, "b", &[ran("bad", 2)], much_later);
+    assert_eq!(quarantined, [identity("bad")]);
+}
