Gate: a reset under an upload is no end of an answer

Callers saw a part of an answer as a whole 200: an upstream answered a long upload at once, without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: the system reports a reset once. The writer of the upload met it first, and its error was dropped when a head had come; the reader then saw the end of the connection, which is the end of a body without a length.

Mend: whether the request was written whole, in part or failed is told apart. After a failed write an answer that ends with its connection counts as cut: tried elsewhere if it may run again, else 502.

Elsewhere: the store and health checks are asked with requests that are written whole before the answer is read, a failed write ends the call, and an answer without a length is refused; messages between nodes have a length.

--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -22,7 +22,7 @@
 use crate::metrics::Metrics;
 use crate::request::Request;
 pub(super) use error::ExchangeError;
-use send::send;
+use send::{Written, send};
 use source::UpstreamSource;
 
 /// The status of another upstream at the address of the expected one.
@@ -73,7 +73,7 @@
         }
         connection.history.record_request();
         let head = request_head(self.fields, self.upstream, self.request);
-        let (first_head, was_sent) = send(&mut connection, head, body).await?;
+        let (first_head, written) = send(&mut connection, head, body).await?;
         let matched = self.read_matching_head(&mut connection, first_head).await?;
         let MatchedHead {
             head,
@@ -85,14 +85,17 @@
             connection.history.record_rejection(&self.request.attempt);
         }
         on_head(&head);
-        let prefix = read_prefix(&mut connection, &mut rest).await?;
         let ends_with_connection = framing == Framing::UntilClose;
+        if ends_with_connection && written == Written::Failed {
+            return Err(ExchangeError::Body(BodyError::Cut));
+        }
+        let prefix = read_prefix(&mut connection, &mut rest).await?;
         if rest.is_ended() {
             // The connections of a process that is killed end as those of whole responses do.
             if ends_with_connection && self.detector.has_ended().await {
                 return Err(ExchangeError::Body(BodyError::Cut));
             }
-            if was_sent && !ends_with_connection && self.is_named(&head) {
+            if written == Written::Whole && !ends_with_connection && self.is_named(&head) {
                 self.pool.release(connection, &head);
             }
             let body = Body::Whole(prefix);
