Responses: a status is from 100 to 599, wherever one is read

Callers got statuses 600 and 999 of an upstream in trouble as answers, and an answer behind one of status 000, which was skipped as an interim one.

Cause: the parser takes any three digits, and what is below 200 counted as interim.

Mend: the range is checked where heads of upstreams are parsed, where the store and health checks are read, and in replies of other nodes, of which those of earlier releases pass such a status on. The caller gets another upstream's answer if the request may run again, else 502.

Evidence: malformed_answers::odd_statuses, ten heads on four routes, beside the node and over another one: red before (000 in front of an answer, 600, 999), green now. http/reader/tests.rs::odd_heads (store, health): red at 600 before. peer/convert/tests.rs::odd_status is new. What held: 000 with a length or without, 099, two and four digits, a sign, 101; names of fields with a blank, tab, control byte, none at all, a blank behind a name that frames the body, also at the store and health checks (malformed_answers::odd_names, odd_heads, parts).

--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -1,13 +1,17 @@
 //! Conversion of requests and responses to and from messages between nodes.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::Duration;
 
 use bytes::Bytes;
 use displaydoc::Display;
 use sailtrack_admission::Pressure;
+use sailtrack_net::transparent::is_status;
 use sailtrack_quarantine::Identity;
 use sailtrack_units::{Class, Pace, Rank};
-use sailtrack_wire::{Forward, Reply};
+use sailtrack_wire::{Forward, Outcome, Reason, Reply};
 
 use crate::body::Body;
 use crate::clock;
@@ -141,12 +145,17 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Parses a response from a message and its body.
+/// Parses a response from a message and its body. A status that is none shows that the upstream gave
+/// no answer, which nodes of earlier releases pass on.
 pub(super) fn response_from_wire(message: Reply, body: Body) -> Response {
+    let status = u16::try_from(message.status).unwrap_or_default();
+    if message.outcome() == Outcome::Done && !is_status(status) {
+        return Response::unknown(Reason::Connection);
+    }
     Response {
         outcome: message.outcome(),
         reason: message.reason(),
-        status: u16::try_from(message.status).unwrap_or_default(),
+        status,
         was_sent: message.offered,
         pressure: Pressure::from_percent(message.pressure_percent),
         path_pressure: Pressure::from_percent(message.path_pressure_percent),
--- a/crates/net/src/http/reader.rs
+++ b/crates/net/src/http/reader.rs
@@ -1,5 +1,8 @@
 //! Reads complete messages of limited size from a connection.
 
+#[cfg(test)]
+mod tests;
+
 use bytes::Bytes;
 use displaydoc::Display;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -17,6 +20,7 @@
 use crate::http::bounded::{Bounded, Budget};
 use crate::http::limits::Limits;
 use crate::http::message::{Request, Response};
+use crate::transparent::is_status;
 
 /// Bytes allowed in addition to a body, for chunk framing and for bytes read ahead.
 const FRAMING_SLACK: usize = 64 * 1024;
@@ -167,6 +171,9 @@
         self.budget.reset(self.limits.head_bytes);
         let decoded = self.decoder.next().await.ok_or(InputError::Cut)?;
         let (head, body) = decoded.map_err(|error| classify(&error))?.into_parts();
+        if !is_status(head.status.as_u16()) {
+            return Err(InputError::Malformed);
+        }
         let has_no_body = matches!(
             head.status,
             StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
--- a/crates/net/src/transparent/head.rs
+++ b/crates/net/src/transparent/head.rs
@@ -1,11 +1,16 @@
 //! Parses the start line and header fields of a message with `httparse`.
 
+use std::ops::RangeInclusive;
+
 use bytes::Bytes;
 use displaydoc::Display;
 use httparse::{EMPTY_HEADER, Header, Status};
 
 use crate::transparent::fields::{Field, Fields};
 
+/// The statuses that a response may have.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// The maximum number of header fields; a message with more is rejected.
 const MAX_FIELDS: usize = 100;
 
@@ -80,8 +85,9 @@
         let mut response = httparse::Response::new(&mut headers);
         require_complete(response.parse(bytes))?;
         let reason = response.reason.unwrap_or_default();
+        let status = response.code.filter(|code| is_status(*code));
         Ok(Self {
-            status: response.code.ok_or(HeadError::Malformed)?,
+            status: status.ok_or(HeadError::Malformed)?,
             reason: Bytes::copy_from_slice(reason.as_bytes()),
             is_1_1: response.version == Some(1),
             fields: fields(bytes, response.headers),
@@ -95,6 +101,12 @@
     }
 }
 
+/// Returns true if a response may have this status.
+#[must_use]
+pub fn is_status(code: u16) -> bool {
+    STATUSES.contains(&code)
+}
+
 fn require_complete(parsed: httparse::Result<usize>) -> Result<(), HeadError> {
     match parsed {
         Ok(Status::Complete(_)) => Ok(()),
--- a/crates/net/src/transparent/mod.rs
+++ b/crates/net/src/transparent/mod.rs
@@ -13,5 +13,5 @@
 
 pub use fields::{Field, Fields};
 pub use framing::{Framing, request_framing, response_framing};
-pub use head::{HeadError, RequestHead, ResponseHead};
+pub use head::{HeadError, RequestHead, ResponseHead, is_status};
 pub use reader::{BodyError, BodyRest, MessageError, Reader};
