Entry: connections of clients that do nothing do not lock out others

Callers on new connections got no answer while clients that did nothing, or sent a part of a head, held all 1,500 connections of an entry: whoever came next was closed, for as long as the limits of the configuration let the others stay.

Cause: a bound on connections with nobody who owns it. At the bound it fell on the newest connection.

Mend: each port has a registry of its connections (net/connections.rs). Each connection says since when the process waits for its peer; at the bound the quietest is closed, first among those that were never served. Connections at whose requests the node is at work stay. The closing is event 122, once a second at most, with a count, in place of a line for each connection.

The limit of 1,500 is the one there was. Connections of other nodes are limited to 1,200 (2,048 before), so that with the rest they stay below the 4,100 descriptors of an instance.

--- a/crates/log/src/catalogue.rs
+++ b/crates/log/src/catalogue.rs
@@ -57,6 +57,8 @@
     INPUT_REFUSED = 120 Warn "input refused" ["port", "reason"];
     /// An answer closed a connection, and the pipelined requests after it were cancelled.
     REQUESTS_NOT_READ = 121 Info "requests not read" ["count"];
+    /// Connections were closed since the port has no room for more of them, or for what they hold.
+    CONNECTIONS_CLOSED = 122 Warn "connections closed for lack of room" ["port", "reason", "count"];
     /// The node applied a configuration.
     CONFIG_IN_FORCE = 200 Info "configuration in force" ["version", "source"];
     /// A configuration that could not be parsed was ignored.
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -6,6 +6,7 @@
 use monoio::io::{AsyncWriteRent as _, OwnedWriteHalf, Splitable as _};
 use monoio::net::TcpStream;
 use monoio::time::timeout;
+use sailtrack_net::connections::Registration;
 use sailtrack_net::task::Guard;
 use sailtrack_net::transparent::Reader;
 
@@ -41,10 +42,11 @@
     entry: Rc<Entry>,
     reader: Reader,
     writer: OwnedWriteHalf<TcpStream>,
+    registration: Registration,
 }
 
 /// Serves a connection until it closes.
-pub(super) async fn serve(entry: Rc<Entry>, stream: TcpStream) {
+pub(super) async fn serve(entry: Rc<Entry>, stream: TcpStream, registration: Registration) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -53,6 +55,7 @@
         entry,
         reader: Reader::new(read),
         writer,
+        registration,
     };
     while connection.wait_for_bytes().await {
         // Boxed, so that an idle connection does not hold the memory needed to serve a request.
@@ -86,7 +89,7 @@
 
     /// Serves pipelined requests until none is pending.
     async fn serve_pipeline(&mut self) -> Disposition {
-        let pipeline = Pipeline::new(&self.entry);
+        let pipeline = Pipeline::new(&self.entry, &self.registration);
         let disposition = {
             let receiving = Receiver::new(&self.entry, &mut self.reader, &pipeline).run();
             let sending = Sender::new(&self.entry, &mut self.writer, &pipeline).run();
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -19,7 +19,8 @@
 
 use monoio::net::TcpListener;
 use sailtrack_kernel::{Phase, Service};
-use sailtrack_net::accept::{Bounds, accept};
+use sailtrack_net::accept::accept;
+use sailtrack_net::connections::{Limits, Registry};
 use sailtrack_units::ServiceName;
 
 use crate::configuration::{ClientLimits, Current, Splitter};
@@ -31,6 +32,7 @@
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::quota::Quotas;
+use crate::settings::Settings;
 use crate::shutdown::Shutdown;
 pub(crate) use caller::CredentialError;
 pub(crate) use lengths::Lengths;
@@ -85,8 +87,8 @@
     pub(crate) shutdown: Rc<Shutdown>,
     /// The number of connections that wait for their clients to close them.
     pub(crate) closing: Rc<Cell<usize>>,
-    /// The number of open client connections.
-    pub(crate) connections: Rc<Cell<usize>>,
+    /// The open client connections.
+    pub(crate) connections: Rc<Registry>,
 }
 
 impl Service for Entry {
@@ -94,16 +96,21 @@
 }
 
 impl Entry {
-    /// Accepts connections until the task is cancelled.
-    pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let bounds = Bounds {
-            port: "entry",
-            task: "client connection",
+    /// Returns the registry of client connections of a process with these settings.
+    pub(crate) fn registry(settings: &Settings) -> Rc<Registry> {
+        let limits = Limits {
             connections: MAX_CONNECTIONS,
+            bytes: settings.client_memory(),
         };
-        let serve = |stream| connection::serve(Rc::clone(&self), stream);
-        let open = Rc::clone(&self.connections);
-        accept(listener, bounds, open, serve).await;
+        Registry::new("entry", limits)
+    }
+
+    /// Accepts connections until the task is cancelled.
+    pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let registry = Rc::clone(&self.connections);
+        let serve =
+            |stream, registration| connection::serve(Rc::clone(&self), stream, registration);
+        accept(listener, "client connection", registry, serve).await;
     }
 
     fn limits(&self) -> ClientLimits {
@@ -118,7 +125,7 @@
 
     /// Returns true if a connection closes with this response to free its slot for others.
     fn is_crowded(&self, was_refused: bool) -> bool {
-        let open = self.connections.get();
+        let open = self.connections.len();
         open >= CLOSE_ALL_FROM || (was_refused && open >= CLOSE_REFUSED_FROM)
     }
 }
--- a/crates/mesh/src/entry/pipeline.rs
+++ b/crates/mesh/src/entry/pipeline.rs
@@ -15,6 +15,7 @@
 use std::task::{Context, Poll};
 
 use futures::future::LocalBoxFuture;
+use sailtrack_net::connections::Registration;
 use sailtrack_net::task::Guard;
 
 use crate::entry::Entry;
@@ -37,6 +38,7 @@
 /// The requests of a connection that have been started and not been answered.
 pub(super) struct Pipeline {
     entry: Rc<Entry>,
+    registration: Registration,
     /// The requests whose replies have not been taken yet. All of them are polled on every wake-up:
     /// they are few, and a waker for each costs more than it saves on a connection with one request
     /// at a time.
@@ -117,9 +119,10 @@
 }
 
 impl Pipeline {
-    pub(super) fn new(entry: &Rc<Entry>) -> Self {
+    pub(super) fn new(entry: &Rc<Entry>, registration: &Registration) -> Self {
         Self {
             entry: Rc::clone(entry),
+            registration: registration.clone(),
             slots: RefCell::default(),
             pending_response_bytes: Rc::default(),
             count: Cell::new(0),
@@ -183,6 +186,7 @@
     pub(super) fn push(&self, reply: impl Future<Output = Reply> + 'static, exclusive: bool) {
         let slot = Slot::Pending(Box::pin(reply));
         self.slots.borrow_mut().push_back(slot);
+        self.registration.work();
         self.count.set(self.len() + 1);
         self.is_exclusive.set(exclusive);
         self.has_changed.set(true);
@@ -208,6 +212,15 @@
     pub(super) fn record_answered(&self) {
         self.count.set(self.len() - 1);
         self.has_changed.set(true);
+        self.registration.record_served();
+        if self.len() > 0 {
+            self.registration.work();
+        }
+    }
+
+    /// Records that the client has to take what is being written.
+    pub(super) fn wait_for_client(&self) {
+        self.registration.wait_for_peer();
     }
 
     /// Marks the connection as closing: requests behind the current response count as not read.
--- a/crates/mesh/src/entry/sender.rs
+++ b/crates/mesh/src/entry/sender.rs
@@ -212,6 +212,7 @@
     }
 
     async fn write(&mut self, bytes: BytesMut) -> bool {
+        self.pipeline.wait_for_client();
         let written = timeout(WRITE_TIME, self.writer.write_all(bytes)).await;
         matches!(written, Ok((Ok(_), _)))
     }
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -284,9 +284,9 @@
         shutdown: table.find()?,
         pending_response_bytes: Rc::default(),
         max_pending_response_bytes: Cell::new(settings.pending_response_memory()),
-        max_response_bytes: Cell::new(settings.response_memory()),
+        max_response_bytes: Cell::new(settings.client_memory()),
         closing: Rc::default(),
-        connections: Rc::default(),
+        connections: Entry::registry(settings),
     });
     table.install(Acceptor {
         gate: table.find::<Gate>()?,
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -11,7 +11,8 @@
 use monoio::time::timeout;
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
-use sailtrack_net::accept::{Bounds, accept};
+use sailtrack_net::accept::accept;
+use sailtrack_net::connections::{Limits, Registration, Registry};
 use sailtrack_net::frames::{ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, write_frames};
 use sailtrack_net::task;
 use sailtrack_quota::Holder;
@@ -45,7 +46,7 @@
 /// Maximum number of requests in flight per connection.
 const MAX_REQUESTS: usize = 4096;
 /// Maximum number of connections.
-const MAX_CONNECTIONS: usize = 2048;
+const MAX_CONNECTIONS: usize = 1200;
 
 /// Serves incoming connections of peers.
 pub(crate) struct Acceptor {
@@ -69,16 +70,16 @@
 impl Acceptor {
     /// Accepts connections forever.
     pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let bounds = Bounds {
-            port: "peer",
-            task: "peer connection",
+        let limits = Limits {
             connections: MAX_CONNECTIONS,
+            bytes: usize::MAX,
         };
-        let serve = |stream| Rc::clone(&self).serve(stream);
-        accept(listener, bounds, Rc::default(), serve).await;
+        let registry = Registry::new("peer", limits);
+        let serve = |stream, registration| Rc::clone(&self).serve(stream, registration);
+        accept(listener, "peer connection", registry, serve).await;
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream) {
+    async fn serve(self: Rc<Self>, stream: TcpStream, registration: Registration) {
         if stream.set_nodelay(true).is_err() {
             return;
         }
@@ -94,6 +95,8 @@
             Ok(Err(error)) => return reject(&error),
             Err(_) => return reject(&"timeout waiting for hello"),
         };
+        // From now on it is a node, which is silent while it has nothing to send.
+        registration.work();
         self.add_peer(&peer_hello);
         let introduction = Body::Presence(self.status.initial_presence());
         let greeting = [hello(self.status.local_member()), introduction];
--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -164,8 +164,8 @@
             .set(next.pending_response_memory());
         components
             .entry
-            .max_response_bytes
-            .set(next.response_memory());
+            .connections
+            .set_max_bytes(next.client_memory());
         components
             .freshness
             .set_bound(next.revoke_time.map(|time| time.0));
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -25,10 +25,10 @@
 /// Answers that wait for earlier answers of their connection may use the memory limit divided by
 /// this.
 const PENDING_RESPONSE_MEMORY_DIVISOR: usize = 16;
-/// All answers that have not been written may use the memory limit divided by this, and at least
-/// the minimum.
-const RESPONSE_MEMORY_DIVISOR: usize = 8;
-const MIN_RESPONSE_MEMORY: usize = 8 * 1024 * 1024;
+/// Input of clients and answers that they have not taken may use the memory limit divided by this,
+/// and at least the minimum.
+const CLIENT_MEMORY_DIVISOR: usize = 8;
+const MIN_CLIENT_MEMORY: usize = 8 * 1024 * 1024;
 
 /// How long a node is unreachable before it is removed for good; longer than a reboot takes.
 const DEFAULT_FORGET_AFTER: Period = Period::from_millis(300_000);
@@ -120,10 +120,10 @@
         self.memory.as_usize() / PENDING_RESPONSE_MEMORY_DIVISOR
     }
 
-    /// Returns how much memory answers may use that clients have not taken. Beyond it, new requests
-    /// are refused.
-    pub(crate) fn response_memory(&self) -> usize {
-        MIN_RESPONSE_MEMORY.max(self.memory.as_usize() / RESPONSE_MEMORY_DIVISOR)
+    /// Returns how much memory may be used for what clients have sent ahead or not taken. Beyond it,
+    /// the connections that hold on to the most are closed.
+    pub(crate) fn client_memory(&self) -> usize {
+        MIN_CLIENT_MEMORY.max(self.memory.as_usize() / CLIENT_MEMORY_DIVISOR)
     }
 
     /// Returns these settings, except that those which only take effect at a start are taken from
--- a/crates/net/src/http/server.rs
+++ b/crates/net/src/http/server.rs
@@ -1,6 +1,5 @@
 //! Serves HTTP requests on a port, with one task for each connection.
 
-use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -18,10 +17,11 @@
 use monoio_http::h1::payload::{FixedPayload, Payload};
 use sailtrack_log::{catalogue, emit};
 
+use crate::accept::{accept, start};
+use crate::connections::{self, Registration, Registry};
 use crate::http::limits::Limits;
 use crate::http::message::{Request, Response};
 use crate::http::reader::{InputError, RequestReader};
-use crate::task::{self, Guard};
 use crate::turn::Turn;
 
 /// Handles the requests of a port.
@@ -69,36 +69,32 @@
 
 /// Serves the port until the task is dropped.
 pub async fn serve<H: Handler>(port: Port, handler: Rc<H>) {
-    let open = Rc::new(Cell::new(0));
+    let limits = port.limits;
+    let bounds = connections::Limits {
+        connections: limits.connections,
+        bytes: usize::MAX,
+    };
+    let registry = Registry::new(port.name, bounds);
+    let serve = |stream, registration| {
+        let handler = Rc::clone(&handler);
+        connection(stream, handler, registration, limits)
+    };
+    if limits.accept_time.is_zero() {
+        return accept(port.listener, "http connection", registry, serve).await;
+    }
     loop {
         let Ok((stream, _)) = port.listener.accept().await else {
             continue;
         };
-        if open.get() >= port.limits.connections {
-            let reason = "too many connections";
-            emit(
-                &catalogue::INPUT_REFUSED,
-                &[("port", &port.name), ("reason", &reason)],
-            );
-            continue;
-        }
-        if !port.limits.accept_time.is_zero() {
-            sleep(port.limits.accept_time).await;
-        }
-        let guard = Guard::new(&open);
-        let handler = Rc::clone(&handler);
-        let (name, limits) = (port.name, port.limits);
-        task::spawn("http connection", async move {
-            connection(stream, handler, name, limits).await;
-            drop(guard);
-        });
+        sleep(limits.accept_time).await;
+        start(stream, "http connection", &registry, serve);
     }
 }
 
 async fn connection<H: Handler>(
     stream: TcpStream,
     handler: Rc<H>,
-    port: &'static str,
+    registration: Registration,
     limits: Limits,
 ) {
     if stream.set_nodelay(true).is_err() {
@@ -116,6 +112,7 @@
             Ok(Some(request)) => request,
             Ok(None) => return,
             Err(error) => {
+                let port = registration.port();
                 emit(
                     &catalogue::INPUT_REFUSED,
                     &[("port", &port), ("reason", &error)],
@@ -127,14 +124,17 @@
         };
         let last = has_connection_close(&request.headers);
         next = reader.advance().boxed_local();
+        registration.work();
         let Some((response, following)) = handle(&*handler, request, next).await else {
             return;
         };
         next = following;
         let close = last || handler.is_closing();
+        registration.wait_for_peer();
         if !respond(&mut writer, response, close, limits).await || close {
             return;
         }
+        registration.record_served();
         turn.record_read(false).await;
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 //! would make it crash or use memory without bound.
 
 pub mod accept;
+pub mod connections;
 pub mod dial;
 pub mod frames;
 pub mod http;
--- a/crates/node/src/peer/accept.rs
+++ b/crates/node/src/peer/accept.rs
@@ -15,7 +15,8 @@
 use monoio::time::timeout;
 use sailtrack_kernel::Service;
 use sailtrack_log::{catalogue, emit};
-use sailtrack_net::accept::{Bounds, accept};
+use sailtrack_net::accept::accept;
+use sailtrack_net::connections::{Limits, Registration, Registry};
 use sailtrack_net::task;
 use sailtrack_wire::{Body, Call as CallMessage, Chunk, Config, Fetch, Handover, Reason};
 
@@ -55,16 +56,16 @@
 impl Acceptor {
     /// Accepts connections until the task ends.
     pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let bounds = Bounds {
-            port: "peer",
-            task: "peer connection",
+        let limits = Limits {
             connections: MAX_CONNECTIONS,
+            bytes: usize::MAX,
         };
-        let serve = |stream| Rc::clone(&self).serve(stream);
-        accept(listener, bounds, Rc::default(), serve).await;
+        let registry = Registry::new("peer", limits);
+        let serve = |stream, registration| Rc::clone(&self).serve(stream, registration);
+        accept(listener, "peer connection", registry, serve).await;
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream) {
+    async fn serve(self: Rc<Self>, stream: TcpStream, registration: Registration) {
         if stream.set_nodelay(true).is_err() {
             return;
         }
@@ -84,6 +85,8 @@
             );
             return;
         };
+        // From now on it is a node, which is silent while it has nothing to send.
+        registration.work();
         if outgoing
             .send(hello(self.membership.local_member()))
             .await
