Ports: strangers at the ports for readiness, announcements and metrics have a bound

What was seen: 1,400 connections at each of the three ports left the process with 4,223 descriptors, of 4,100 that an instance has; 128 announcements of 1 MiB that do not end held 141,612 KiB, of 65,536 that the settings allow.

Cause: each of these ports had the limits of a port for requests: 4,096 connections, bodies of 1 MiB, none of them bounded together.

Mend: 64 connections a port, bodies of 64 KiB. The own upstream and the platform call them, one or two connections each and messages of a few hundred bytes.

--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -86,17 +86,17 @@
 
 fn open(settings: &Settings) -> Result<Sockets, Error> {
     let ports = settings.ports;
-    let announcements = Port::open("announcements", ports.announcements, Limits::server());
+    let announcements = Port::open("announcements", ports.announcements, Limits::few_callers());
     Ok(Sockets {
         entry: listen("entry", ports.entry)?,
         peer: listen("peer", ports.peer)?,
-        ready: Port::open("ready", ports.ready, Limits::server())
+        ready: Port::open("ready", ports.ready, Limits::few_callers())
             .map_err(|error| port_error("ready", ports.ready, error))?,
         announcements: announcements
             .map_err(|error| port_error("announcements", ports.announcements, error))?,
         metrics: match ports.metrics {
             Some(address) => Some(
-                Port::open("metrics", address, Limits::server())
+                Port::open("metrics", address, Limits::few_callers())
                     .map_err(|error| port_error("metrics", address, error))?,
             ),
             None => None,
--- a/crates/net/src/http/limits.rs
+++ b/crates/net/src/http/limits.rs
@@ -23,6 +23,12 @@
 /// The maximum number of open connections of one port.
 const MAX_CONNECTIONS: usize = 4096;
 
+/// The maximum size of a body on a port with few callers, in bytes.
+const MAX_SMALL_BODY_BYTES: usize = 64 * 1024;
+
+/// The maximum number of open connections of a port with few callers.
+const MAX_FEW_CONNECTIONS: usize = 64;
+
 /// Limits on messages, times and connections.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -54,6 +60,17 @@
         }
     }
 
+    /// Returns the limits of a port that only the own instance and the platform call, with short
+    /// messages.
+    #[must_use]
+    pub const fn few_callers() -> Self {
+        Self {
+            body_bytes: MAX_SMALL_BODY_BYTES,
+            connections: MAX_FEW_CONNECTIONS,
+            ..Self::server()
+        }
+    }
+
     /// Returns the limits of a connection that receives responses.
     #[must_use]
     pub const fn client() -> Self {
