Links: a first frame is a hello and as short as one

What was seen: 128 strangers at the port for other nodes that send a frame of 1 MiB without its end held 141,156 KiB, of 65,536 that the settings allow.

Cause: the bound on a frame was that of a node that is known, for 2 s each.

Mend: until the hello has come a frame has 16 KiB at most.

A stranger that sends a sound hello counts as a node; that stays open.

--- a/crates/net/src/frames.rs
+++ b/crates/net/src/frames.rs
@@ -8,7 +8,9 @@
 use futures::{FutureExt as _, Stream, StreamExt as _};
 use monoio::io::{AsyncReadRent as _, AsyncWriteRentExt as _, OwnedReadHalf, OwnedWriteHalf};
 use monoio::net::TcpStream;
-use sailtrack_wire::{Body, Codec, Frame, FrameError, Hello, Member, VERSION};
+use sailtrack_wire::{
+    Body, Codec, Frame, FrameError, Hello, MAX_FRAME, MAX_HELLO, Member, VERSION,
+};
 
 /// The size of one read, in bytes.
 const READ_SIZE: usize = 16 * 1024;
@@ -47,9 +49,11 @@
     /// Returns a reader at the start of a connection.
     #[must_use]
     pub fn new(stream: OwnedReadHalf<TcpStream>) -> Self {
+        let mut codec = Codec::default();
+        codec.set_max_frame(MAX_HELLO);
         Self {
             stream,
-            codec: Codec::default(),
+            codec,
             buffer: BytesMut::new(),
             read_buffer: vec![0; READ_SIZE],
             turn: Turn::default(),
@@ -73,7 +77,10 @@
     /// Returns the hello, which must be the first frame and have the protocol version of this node.
     pub async fn hello(&mut self) -> Result<Hello, ConnectionError> {
         match self.next().await? {
-            Body::Hello(hello) if hello.version == VERSION => Ok(hello),
+            Body::Hello(hello) if hello.version == VERSION => {
+                self.codec.set_max_frame(MAX_FRAME);
+                Ok(hello)
+            }
             Body::Hello(hello) => Err(ConnectionError::Frame(FrameError::Version(hello.version))),
             _ => Err(ConnectionError::Frame(FrameError::NoHello)),
         }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -13,6 +13,10 @@
 /// The maximum size of a frame, in bytes: a request body of 1 MiB and its head.
 pub const MAX_FRAME: usize = 1024 * 1024 + 16 * 1024;
 
+/// The maximum size of the first frame of a connection, in bytes: a hello, before which nobody knows
+/// who the peer is.
+pub const MAX_HELLO: usize = 16 * 1024;
+
 /// The maximum size of a datagram, in bytes, so that it fits into one Ethernet frame.
 pub const MAX_DATAGRAM: usize = 1400;
 
@@ -49,6 +53,11 @@
 }
 
 impl Codec {
+    /// Accepts frames of up to this many bytes from now on.
+    pub fn set_max_frame(&mut self, bytes: usize) {
+        self.delimiter.set_max_frame_length(bytes);
+    }
+
     /// Removes and returns the next complete frame of `buffer`, or `None` if more bytes are needed.
     pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Frame>, FrameError> {
         let Some(bytes) = self.delimiter.decode(buffer).map_err(FrameError::Length)? else {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,7 +9,8 @@
 
 pub use convert::WireError;
 pub use frame::{
-    Codec, FrameError, MAX_DATAGRAM, MAX_FRAME, VERSION, decode_datagram, encode_datagram,
+    Codec, FrameError, MAX_DATAGRAM, MAX_FRAME, MAX_HELLO, VERSION, decode_datagram,
+    encode_datagram,
 };
 pub use generated::frame::Body;
 pub use generated::{
