Entry: what clients send ahead is bounded for all of them together

What was seen: 1,000 clients that each stayed within the limits for one, with 60 KiB of a head, or of a body, or of one in chunks of a byte, held 124,636, 103,416 and 84,404 KiB, of 65,536 that the settings allow.

Cause: input was bounded for each connection and not for all.

Mend: the reader of a connection counts its buffers for the connection's entry in the registry. A connection without input gives its read buffer back.

--- a/crates/mesh/src/dispatch/attempt.rs
+++ b/crates/mesh/src/dispatch/attempt.rs
@@ -49,9 +49,10 @@
         let in_flight = Rc::new(self.routing.start(&request, &target));
         let recorded = Rc::clone(&in_flight);
         let exchange = async move {
+            // Boxed, since each of the enclosing futures would otherwise reserve space for both.
             let response = match &target {
-                Target::Local => self.gate.run(request).await,
-                Target::Remote(link) => send_remote(&request, link).await,
+                Target::Local => self.gate.run(request).boxed_local().await,
+                Target::Remote(link) => send_remote(&request, link).boxed_local().await,
             };
             recorded.record(&response);
             response
--- a/crates/mesh/src/entry/connection.rs
+++ b/crates/mesh/src/entry/connection.rs
@@ -53,7 +53,7 @@
     let (read, writer) = stream.into_split();
     let mut connection = Connection {
         entry,
-        reader: Reader::new(read),
+        reader: Reader::new(read).count_for(registration.clone()),
         writer,
         registration,
     };
@@ -72,6 +72,7 @@
     /// The timeout is read again when it expires, since a reload may have raised it.
     async fn wait_for_bytes(&mut self) -> bool {
         let began = Instant::now();
+        self.reader.shrink();
         while self.reader.buffered() == 0 {
             let idle_time = self.entry.limits().idle_time;
             let left = idle_time.saturating_sub(began.elapsed());
--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -11,7 +11,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
+use std::future::poll_fn;
 use std::rc::Rc;
+use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
 
 use futures::future::AbortHandle;
@@ -43,6 +45,10 @@
     next_number: Cell<u64>,
     input: Cell<usize>,
     answers: Cell<usize>,
+    /// Bytes of closed connections whose tasks have not been dropped yet.
+    closing: Cell<usize>,
+    /// The tasks that wait until these bytes are released.
+    waiting: RefCell<Vec<Waker>>,
     /// How many connections were closed for lack of room, new ones included.
     closed: Cell<u64>,
     /// When that was logged last, and how many had been closed by then.
@@ -98,6 +104,8 @@
             next_number: Cell::default(),
             input: Cell::default(),
             answers: Cell::default(),
+            closing: Cell::default(),
+            waiting: RefCell::default(),
             closed: Cell::default(),
             logged: Cell::default(),
         })
@@ -197,6 +205,12 @@
         self.input.get() + self.answers.get() >= self.limits.get().bytes
     }
 
+    /// Returns true if closed connections have not released enough yet.
+    fn is_over_limit(&self) -> bool {
+        let closing = self.closing.get();
+        closing > 0 && self.input.get() + self.answers.get() + closing > self.limits.get().bytes
+    }
+
     /// Closes connections until what the others hold is within the limit.
     fn make_room(&self) {
         let now = Instant::now();
@@ -234,6 +248,7 @@
     /// Closes a connection: what it holds counts no more, and is dropped when its task is polled.
     fn close(&self, state: &State, reason: &dyn fmt::Display) -> bool {
         self.remove(state);
+        self.closing.set(self.closing.get() + state.bytes());
         state.abort.abort();
         self.log_closed(reason);
         true
@@ -287,6 +302,22 @@
         Held::new(self.clone(), bytes)
     }
 
+    /// Waits until closed connections have released so much that there is room.
+    ///
+    /// Their tasks are dropped in turn with those that read: without a pause, all that is ready to be
+    /// read would be in memory before the first of them.
+    pub async fn wait_for_room(&self) {
+        let registry = &self.0.registry;
+        poll_fn(|context| {
+            if !registry.is_over_limit() {
+                return Poll::Ready(());
+            }
+            registry.waiting.borrow_mut().push(context.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+
     /// Returns how many bytes of answers are held.
     #[must_use]
     pub fn answers(&self) -> usize {
@@ -334,6 +365,13 @@
 
 impl Drop for Inner {
     fn drop(&mut self) {
+        if self.state.abort.is_aborted() {
+            let closing = &self.registry.closing;
+            closing.set(closing.get() - self.state.bytes());
+            for waker in self.registry.waiting.take() {
+                waker.wake();
+            }
+        }
         self.registry.remove(&self.state);
     }
 }
--- a/crates/net/src/transparent/reader.rs
+++ b/crates/net/src/transparent/reader.rs
@@ -10,6 +10,7 @@
 use monoio::io::{AsyncReadRent as _, OwnedReadHalf};
 use monoio::net::TcpStream;
 
+use crate::connections::Registration;
 use crate::transparent::arrivals::Arrivals;
 use crate::transparent::chunked::Decoder;
 use crate::transparent::framing::Framing;
@@ -95,6 +96,8 @@
     turn: Turn,
     /// The buffer for the next read; empty after a read was dropped before it completed.
     read_buffer: Vec<u8>,
+    /// Is told how much memory the buffers take up.
+    registration: Option<Registration>,
 }
 
 impl Reader {
@@ -107,9 +110,17 @@
             arrivals: Arrivals::default(),
             turn: Turn::default(),
             read_buffer: Vec::new(),
+            registration: None,
         }
     }
 
+    /// Counts what is received for a connection of a port.
+    #[must_use]
+    pub fn count_for(mut self, registration: Registration) -> Self {
+        self.registration = Some(registration);
+        self
+    }
+
     /// Returns the number of bytes that were received but belong to no message read so far.
     #[must_use]
     pub fn buffered(&self) -> usize {
@@ -128,14 +139,54 @@
     /// Discards the buffered bytes.
     pub fn discard(&mut self) {
         self.buffer.clear();
+        self.record_size();
+    }
+
+    /// Releases what was needed to read the last message and not for those that wait.
+    pub fn shrink(&mut self) {
+        self.read_buffer.truncate(INITIAL_READ_SIZE);
+        self.read_buffer.shrink_to(INITIAL_READ_SIZE);
+        if self.buffer.is_empty() && self.buffer.capacity() > MAX_READ_SIZE {
+            self.buffer = BytesMut::new();
+        }
+        self.record_size();
+    }
+
+    /// Records how much memory the buffers take up, beyond that of a connection without input.
+    fn record_size(&self) {
+        if let Some(registration) = &self.registration {
+            let reading = self.read_buffer.len().saturating_sub(INITIAL_READ_SIZE);
+            registration.set_input(self.buffer.len() + reading);
+        }
     }
 
     /// Reads once; returns the number of bytes received, zero at the end of the stream.
     ///
     /// Cancel-safe: a read consumes bytes only when it completes.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        let into = (&mut self.buffer, &mut self.arrivals, &mut self.turn);
-        fill(&mut self.stream, into, &mut self.read_buffer).await
+        let mut read_buffer = std::mem::take(&mut self.read_buffer);
+        if read_buffer.is_empty() {
+            read_buffer.resize(INITIAL_READ_SIZE, 0);
+        }
+        let (result, mut read_buffer) = self.stream.read(read_buffer).await;
+        let count = result?;
+        self.arrivals
+            .record(count, self.buffer.len(), Instant::now());
+        self.buffer.extend_from_slice(&read_buffer[..count]);
+        let was_full = count == read_buffer.len();
+        if was_full && count < MAX_READ_SIZE {
+            // The read filled the buffer, so more bytes may be waiting.
+            read_buffer.resize(count * 4, 0);
+        }
+        self.read_buffer = read_buffer;
+        self.record_size();
+        if let Some(registration) = &self.registration {
+            registration.wait_for_room().await;
+        }
+        if count > 0 {
+            self.turn.record_read(was_full).await;
+        }
+        Ok(count)
     }
 
     /// Returns true if the peer has neither closed the connection nor sent unsolicited data.
@@ -160,8 +211,7 @@
     }
 
     async fn head(&mut self, limit: usize, start: &[u8]) -> Result<Bytes, MessageError> {
-        self.read_buffer.truncate(INITIAL_READ_SIZE);
-        self.read_buffer.shrink_to(INITIAL_READ_SIZE);
+        self.shrink();
         let mut searched = 0;
         loop {
             while start.is_empty() && self.buffer.starts_with(b"\r\n") {
@@ -178,7 +228,9 @@
                 if end > limit {
                     return Err(MessageError::Head(HeadError::TooLarge));
                 }
-                return Ok(self.buffer.split_to(end).freeze());
+                let head = self.buffer.split_to(end).freeze();
+                self.record_size();
+                return Ok(head);
             }
             if self.buffer.len() > limit {
                 return Err(MessageError::Head(HeadError::TooLarge));
@@ -248,6 +300,7 @@
                 let count = usize::try_from(*left).unwrap_or(usize::MAX);
                 let piece = self.buffer.split_to(count.min(self.buffer.len()));
                 *left -= piece.len() as u64;
+                self.record_size();
                 Ok(Some(piece.freeze()))
             }
             Rest::Chunked(decoder) => {
@@ -255,18 +308,14 @@
                 loop {
                     let advanced = decoder.advance(&mut self.buffer, &mut body);
                     let ended = advanced.map_err(|_| BodyError::Malformed)?;
+                    self.record_size();
                     if ended || !body.is_empty() {
                         if ended {
                             rest.0 = Rest::Ended;
                         }
                         return Ok((!body.is_empty()).then(|| body.freeze()));
                     }
-                    // Borrows single fields of the reader beside the state of the body.
-                    let into = (&mut self.buffer, &mut self.arrivals, &mut self.turn);
-                    let filled = fill(&mut self.stream, into, &mut self.read_buffer).await;
-                    if filled.map_err(BodyError::Io)? == 0 {
-                        return Err(BodyError::Cut);
-                    }
+                    self.fill_body().await?;
                 }
             }
             Rest::UntilClose => {
@@ -286,28 +335,3 @@
         }
     }
 }
-
-async fn fill(
-    stream: &mut OwnedReadHalf<TcpStream>,
-    (buffer, arrivals, turn): (&mut BytesMut, &mut Arrivals, &mut Turn),
-    kept: &mut Vec<u8>,
-) -> io::Result<usize> {
-    let mut read_buffer = std::mem::take(kept);
-    if read_buffer.is_empty() {
-        read_buffer.resize(INITIAL_READ_SIZE, 0);
-    }
-    let (result, mut read_buffer) = stream.read(read_buffer).await;
-    let count = result?;
-    arrivals.record(count, buffer.len(), Instant::now());
-    buffer.extend_from_slice(&read_buffer[..count]);
-    let was_full = count == read_buffer.len();
-    if was_full && count < MAX_READ_SIZE {
-        // The read filled the buffer, so more bytes may be waiting.
-        read_buffer.resize(count * 4, 0);
-    }
-    *kept = read_buffer;
-    if count > 0 {
-        turn.record_read(was_full).await;
-    }
-    Ok(count)
-}
