Answers: what clients do not take is bounded for all of them, here and beside the upstream

Cause: an answer counted once it was complete, and the count only kept further requests from being started. What had been started came on top: 16 answers of 128 KiB on each connection. Beside the upstream nothing counted the answers that waited to be written to other nodes.

Mend: an answer counts for its client's connection before it is taken in: a reply of another node with its first message. Beside the upstream bodies of answers have a budget of a sixteenth, 4 MiB at least; without room for a quarter of a second a body is not kept but passed on as its caller takes it. Bodies of more than 4 KiB go over a link behind other messages, so that few of them wait in its queue. A request that is started behind others counts 8 KiB and its head. Answers are written in pieces and no longer copied, and a client that takes a piece is known to go on.

At the bound no more requests are refused but those whose answers are long, if no client has been stalled for 2 s.

A client inside the limits that reads is served as before: pipelining (23), long_answers, stop_slow_readers and body_memory are green.

--- a/crates/mesh/src/contexts/tests.rs
+++ b/crates/mesh/src/contexts/tests.rs
@@ -12,7 +12,7 @@
 use crate::clock;
 use crate::contexts::{Context, Contexts};
 use crate::key::{AttemptKey, UpstreamKey};
-use crate::memory::Buffer;
+use crate::memory::{self, Buffer};
 use crate::overdue;
 use crate::request::{OverLimit, Request, Response};
 
@@ -33,6 +33,8 @@
         is_retry: true,
         over_limit: OverLimit::default(),
         overdue: overdue::Signal::default(),
+        caller: memory::Caller::Anonymous,
+        client: None,
         deadline: clock::now(),
         head: Bytes::new(),
         body: Buffer::default(),
--- a/crates/mesh/src/entry/admission.rs
+++ b/crates/mesh/src/entry/admission.rs
@@ -16,6 +16,9 @@
 /// Retry-After for clients of a node that is about to stop; a retry reaches another node at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// While the memory for clients is used up, those are closed that have taken nothing for this long.
+const STALL_TIME: Duration = Duration::from_secs(2);
+
 /// Why a request is not admitted.
 pub(super) enum Denial {
     /// The request cannot be attributed to a workspace.
@@ -60,11 +63,12 @@
         Err(Response::refused(reason).with_retry_after(after))
     }
 
-    /// Refuses a request while clients have not taken so many answers that its own might not fit into
-    /// memory.
-    pub(super) fn refuse_if_full(&self) -> Option<Response> {
-        let is_full = self.pending_response_bytes.get() >= self.max_response_bytes.get();
-        is_full.then(|| {
+    /// Refuses a request whose answer may be long while the memory for clients is used up, though
+    /// those that have taken nothing for a while are closed. Others need little of it.
+    pub(super) fn refuse_if_full(&self, incoming: &Incoming) -> Option<Response> {
+        let is_refused = self.long_answers.are_expected(&incoming.route)
+            && !self.connections.close_stalled(STALL_TIME);
+        is_refused.then(|| {
             let response = Response::refused(Reason::Overload);
             response.with_retry_after(retry_after::memory())
         })
--- a/crates/mesh/src/entry/exchange.rs
+++ b/crates/mesh/src/entry/exchange.rs
@@ -84,7 +84,7 @@
                 body: Buffer::default(),
                 identity: incoming.hasher(&entry.service).finish(),
             };
-            let response = run(&entry, &incoming, payload, &trail).await;
+            let response = run(&entry, &incoming, payload, (&trail, &permit)).await;
             (response, reservation)
         }
         Err(response) => (response, permit.reserve(None)),
@@ -100,13 +100,13 @@
     permit: Permit,
 ) -> Reply {
     let trail = Trail::default();
-    let response = run(&entry, &incoming, admission.payload, &trail).await;
+    let response = run(&entry, &incoming, admission.payload, (&trail, &permit)).await;
     complete(incoming, response, trail, admission.reservation, permit)
 }
 
 fn complete(
     incoming: Incoming,
-    response: Response,
+    mut response: Response,
     trail: Trail,
     mut reservation: Reservation,
     permit: Permit,
@@ -115,6 +115,8 @@
         reservation.refund();
     }
     let body = response.body.whole().map_or(STREAM_BYTES, Bytes::len);
+    // From now on the response counts for its client.
+    drop(response.memory.take());
     Reply::Completed(Box::new(Completion {
         charge: permit.charge(response.head.len() + body),
         incoming,
@@ -148,7 +150,12 @@
 }
 
 /// Dispatches a request to an upstream; dropping the future cancels it.
-async fn run(entry: &Entry, incoming: &Incoming, payload: Payload, trail: &Trail) -> Response {
+async fn run(
+    entry: &Entry,
+    incoming: &Incoming,
+    payload: Payload,
+    (trail, permit): (&Trail, &Permit),
+) -> Response {
     trail.set_identity(payload.identity);
     let Some(service) = entry.splitter.next(&incoming.route) else {
         return Response::refused(Reason::NoUpstream);
@@ -156,8 +163,9 @@
     let fields = entry.dialect.fields();
     let mut request = incoming.forwarded(fields, &entry.service, service, payload);
     request.deadline = entry.shutdown.work_deadline(request.deadline);
+    request.client = Some(permit.registration().clone());
     let refusal = entry.refuse_if_stopping(incoming);
-    if let Some(response) = refusal.or_else(|| entry.refuse_if_full()) {
+    if let Some(response) = refusal.or_else(|| entry.refuse_if_full(incoming)) {
         return response;
     }
     if request.time_left().is_zero() {
--- a/crates/mesh/src/entry/mod.rs
+++ b/crates/mesh/src/entry/mod.rs
@@ -76,14 +76,8 @@
     pub(crate) lengths: Lengths,
     /// The kinds behind whose requests none is started.
     pub(crate) long_answers: LongAnswers,
-    /// Bytes of completed responses held in memory, most of which wait for earlier responses on
-    /// their connection.
-    pub(crate) pending_response_bytes: Rc<Cell<usize>>,
-    /// No connection starts another pipelined request while `pending_response_bytes` is at this
-    /// limit.
+    /// No connection starts another pipelined request while this many bytes of answers are held.
     pub(crate) max_pending_response_bytes: Cell<usize>,
-    /// New requests are refused while `pending_response_bytes` is at this limit.
-    pub(crate) max_response_bytes: Cell<usize>,
     pub(crate) shutdown: Rc<Shutdown>,
     /// The number of connections that wait for their clients to close them.
     pub(crate) closing: Rc<Cell<usize>>,
--- a/crates/mesh/src/entry/pipeline.rs
+++ b/crates/mesh/src/entry/pipeline.rs
@@ -15,7 +15,7 @@
 use std::task::{Context, Poll};
 
 use futures::future::LocalBoxFuture;
-use sailtrack_net::connections::Registration;
+use sailtrack_net::connections::{Held, Registration};
 use sailtrack_net::task::Guard;
 
 use crate::entry::Entry;
@@ -29,6 +29,10 @@
 /// The responses to requests already started come on top, each at most 128 KiB.
 const MAX_PENDING_RESPONSE_BYTES: usize = 256 * 1024;
 
+/// What counts for a request that is started behind others, beside its head: about as much as is
+/// needed to run it.
+const AHEAD_BYTES: usize = 8 * 1024;
+
 /// A pipelined request, or its reply once it has completed.
 enum Slot {
     Pending(LocalBoxFuture<'static, Reply>),
@@ -43,8 +47,6 @@
     /// they are few, and a waker for each costs more than it saves on a connection with one request
     /// at a time.
     slots: RefCell<VecDeque<Slot>>,
-    /// Bytes of completed responses on this connection.
-    pending_response_bytes: Rc<Cell<usize>>,
     /// The length of `slots`, plus one while a response is being written.
     count: Cell<usize>,
     /// None may start behind the newest request.
@@ -100,16 +102,16 @@
 
 /// Held by a request from its start until it has been answered.
 pub(super) struct Permit {
-    held: Guard,
+    in_flight: Guard,
     closed: Rc<Cell<bool>>,
-    pending_response_bytes: [Rc<Cell<usize>>; 2],
+    _request: Held,
+    registration: Registration,
 }
 
 /// Counts the bytes of a completed response until it has been written.
 pub(super) struct Charge {
-    counts: [Rc<Cell<usize>>; 2],
-    bytes: usize,
-    _held: Guard,
+    _response: Held,
+    _in_flight: Guard,
 }
 
 /// The quota token of a request; refunded if the connection closed before the request was answered.
@@ -124,7 +126,6 @@
             entry: Rc::clone(entry),
             registration: registration.clone(),
             slots: RefCell::default(),
-            pending_response_bytes: Rc::default(),
             count: Cell::new(0),
             is_exclusive: Cell::new(false),
             has_more: Cell::new(false),
@@ -163,22 +164,21 @@
             count: self.len(),
             is_exclusive: self.is_exclusive.get(),
             lifecycle,
-            pending_response_bytes: self.pending_response_bytes.get(),
-            is_node_full: entry.pending_response_bytes.get()
-                >= entry.max_pending_response_bytes.get(),
+            pending_response_bytes: self.registration.answers(),
+            is_node_full: entry.connections.answers() >= entry.max_pending_response_bytes.get(),
         };
         state.can_start(is_idempotent)
     }
 
-    /// Returns the permit for a request that starts now.
-    pub(super) fn permit(&self, held: Guard) -> Permit {
+    /// Returns the permit for a request that starts now, whose head has this many bytes.
+    pub(super) fn permit(&self, in_flight: Guard, head_bytes: usize) -> Permit {
+        let work = if self.len() > 0 { AHEAD_BYTES } else { 0 };
         Permit {
-            held,
+            in_flight,
             closed: Rc::clone(&self.closed),
-            pending_response_bytes: [
-                Rc::clone(&self.pending_response_bytes),
-                Rc::clone(&self.entry.pending_response_bytes),
-            ],
+            // The head, and what is forwarded of it.
+            _request: self.registration.hold(2 * head_bytes + work),
+            registration: self.registration.clone(),
         }
     }
 
@@ -218,9 +218,10 @@
         }
     }
 
-    /// Records that the client has to take what is being written.
+    /// Records that the client has taken what was written so far, and has to take more.
     pub(super) fn wait_for_client(&self) {
         self.registration.wait_for_peer();
+        self.registration.record_progress();
     }
 
     /// Marks the connection as closing: requests behind the current response count as not read.
@@ -288,23 +289,16 @@
         }
     }
 
-    /// Starts counting the bytes of the response.
-    pub(super) fn charge(self, bytes: usize) -> Charge {
-        for count in &self.pending_response_bytes {
-            count.set(count.get() + bytes);
-        }
-        Charge {
-            counts: self.pending_response_bytes,
-            bytes,
-            _held: self.held,
-        }
+    /// Returns the connection of the request.
+    pub(super) fn registration(&self) -> &Registration {
+        &self.registration
     }
-}
 
-impl Drop for Charge {
-    fn drop(&mut self) {
-        for count in &self.counts {
-            count.set(count.get() - self.bytes);
+    /// Starts counting the bytes of the response, in place of those of the request.
+    pub(super) fn charge(self, bytes: usize) -> Charge {
+        Charge {
+            _response: self.registration.hold(bytes),
+            _in_flight: self.in_flight,
         }
     }
 }
--- a/crates/mesh/src/entry/receiver.rs
+++ b/crates/mesh/src/entry/receiver.rs
@@ -134,7 +134,7 @@
             // The client's key may have been revoked in the meantime.
             incoming = self.parse(&bytes, received_at)?;
         }
-        let permit = self.pipeline.permit(held);
+        let permit = self.pipeline.permit(held, bytes.len());
         let has_body = incoming.framing != Framing::None;
         let keeps_alive = incoming.head.keeps_alive();
         let is_exclusive = !is_idempotent || self.entry.long_answers.are_expected(&incoming.route);
@@ -147,7 +147,7 @@
             Err(Denial::Retry(response)) => self.reject_for_now(incoming, *response, permit)?,
             Ok(()) if has_body => {
                 let (incoming, admission, permit) =
-                    self.admit_with_body(incoming, permit, limits).await?;
+                    Box::pin(self.admit_with_body(incoming, permit, limits)).await?;
                 self.start(
                     run_admitted(entry, incoming, admission, permit),
                     is_exclusive,
--- a/crates/mesh/src/entry/request.rs
+++ b/crates/mesh/src/entry/request.rs
@@ -179,6 +179,8 @@
             over_limit: OverLimit::default(),
             overdue: overdue::Signal::default(),
             deadline: self.deadline,
+            caller: self.owner(),
+            client: None,
             head: self.forwarded_head(fields, caller, body.len()),
             body,
         }
--- a/crates/mesh/src/entry/response.rs
+++ b/crates/mesh/src/entry/response.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::{BufMut as _, BytesMut};
+use bytes::{BufMut as _, Bytes, BytesMut};
 use displaydoc::Display;
 use sailtrack_wire::{Outcome, Reason};
 
@@ -12,6 +12,9 @@
 /// Retry-After is at most the remaining time divided by this.
 const RETRY_AFTER_DIVISOR: u32 = 3;
 
+/// A body of up to this many bytes is copied behind its head, to save a system call.
+pub(super) const MAX_JOINED_BYTES: usize = 16 * 1024;
+
 /// Why a request gets no response from an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(super) enum Refusal {
@@ -106,9 +109,11 @@
     bytes
 }
 
-/// A rendered response: all bytes, or a head followed by a streamed body.
+/// A rendered response: its head, with a short body, or followed by a longer or a streamed one.
 pub(super) struct Output {
     pub(super) bytes: BytesMut,
+    /// What follows, which is not copied behind the head.
+    pub(super) body: Bytes,
     pub(super) stream: Option<Stream>,
     /// The body uses chunked transfer coding, since its length is unknown.
     pub(super) is_chunked: bool,
@@ -117,9 +122,10 @@
 }
 
 impl Output {
-    fn buffered(bytes: BytesMut, close: bool) -> Self {
+    fn buffered(bytes: BytesMut, body: Bytes, close: bool) -> Self {
         Self {
             bytes,
+            body,
             stream: None,
             is_chunked: false,
             close,
@@ -150,7 +156,8 @@
         .min(options.time_left / RETRY_AFTER_DIVISOR);
     let may_retry = matches!(refusal, Refusal::NotRun | Refusal::OverQuota);
     let after = may_retry.then_some(after);
-    Output::buffered(render_refusal(refusal, after, options.close), options.close)
+    let bytes = render_refusal(refusal, after, options.close);
+    Output::buffered(bytes, Bytes::new(), options.close)
 }
 
 fn render_upstream(response: Response, options: Options) -> Output {
@@ -158,11 +165,13 @@
     bytes.put_slice(&response.head);
     let omits_length = options.is_head || matches!(response.status, 204 | 304);
     match response.body {
-        Body::Whole(body) => {
+        Body::Whole(mut body) => {
             let length = (!omits_length).then_some(body.len() as u64);
             finish_head(&mut bytes, length, options.close);
-            bytes.put_slice(&body);
-            Output::buffered(bytes, options.close)
+            if body.len() <= MAX_JOINED_BYTES {
+                bytes.put_slice(&std::mem::take(&mut body));
+            }
+            Output::buffered(bytes, body, options.close)
         }
         Body::Stream(stream) => {
             let is_chunked = stream.length.is_none() && options.is_1_1;
@@ -174,6 +183,7 @@
             finish_head(&mut bytes, stream.length, close);
             Output {
                 bytes,
+                body: Bytes::new(),
                 stream: Some(stream),
                 is_chunked,
                 close,
--- a/crates/mesh/src/entry/sender.rs
+++ b/crates/mesh/src/entry/sender.rs
@@ -2,10 +2,11 @@
 
 mod stream;
 
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use monoio::io::{AsyncWriteRentExt as _, OwnedWriteHalf};
 use monoio::net::TcpStream;
 use monoio::time::timeout;
@@ -28,6 +29,9 @@
 /// How long a write to the client may take.
 const WRITE_TIME: Duration = Duration::from_secs(10);
 
+/// The most bytes that are written at a time.
+const PIECE_BYTES: usize = 16 * 1024;
+
 /// Writes the responses of a connection.
 pub(super) struct Sender<'a> {
     entry: &'a Rc<Entry>,
@@ -118,7 +122,7 @@
         if output.close {
             self.pipeline.close();
         }
-        if !self.write(output.bytes).await {
+        if !self.write_with_body(output.bytes, output.body).await {
             return Disposition::Abort;
         }
         if let Some(stream) = output.stream
@@ -212,8 +216,24 @@
     }
 
     async fn write(&mut self, bytes: BytesMut) -> bool {
-        self.pipeline.wait_for_client();
-        let written = timeout(WRITE_TIME, self.writer.write_all(bytes)).await;
-        matches!(written, Ok((Ok(_), _)))
+        self.write_with_body(bytes, Bytes::new()).await
+    }
+
+    /// Writes bytes and what follows them, unless the client takes too long for that.
+    async fn write_with_body(&mut self, bytes: BytesMut, body: Bytes) -> bool {
+        let written = timeout(WRITE_TIME, self.write_pieces_of(bytes.freeze(), body)).await;
+        matches!(written, Ok(Ok(())))
+    }
+
+    /// Writes in pieces, so that it is seen whether the client takes anything.
+    async fn write_pieces_of(&mut self, bytes: Bytes, body: Bytes) -> io::Result<()> {
+        for mut rest in [bytes, body] {
+            while !rest.is_empty() {
+                let piece = rest.split_to(rest.len().min(PIECE_BYTES));
+                self.pipeline.wait_for_client();
+                self.writer.write_all(piece).await.0?;
+            }
+        }
+        Ok(())
     }
 }
--- a/crates/mesh/src/entry/sender/stream.rs
+++ b/crates/mesh/src/entry/sender/stream.rs
@@ -6,6 +6,7 @@
 use crate::body::Stream;
 use crate::clock;
 use crate::entry::request::Incoming;
+use crate::entry::response::MAX_JOINED_BYTES;
 use crate::entry::sender::Sender;
 use crate::events::Truncation;
 
@@ -62,8 +63,7 @@
             let piece = stream.next().await.map_err(|_| Failure::Upstream)?;
             let is_last = piece.is_none();
             let length = piece.as_ref().map_or(0, Bytes::len);
-            let bytes = encode(piece, is_chunked);
-            if !bytes.is_empty() && !self.write(bytes).await {
+            if !self.write_piece(piece, is_chunked).await {
                 return Err(Failure::Client);
             }
             *written += length as u64;
@@ -72,20 +72,24 @@
             }
         }
     }
-}
 
-/// Returns the encoded bytes of a piece of a streamed body, or of its end.
-fn encode(piece: Option<Bytes>, is_chunked: bool) -> BytesMut {
-    match (piece, is_chunked) {
-        (Some(piece), false) => BytesMut::from(piece),
-        (Some(piece), true) => {
-            let mut bytes = BytesMut::with_capacity(piece.len() + 16);
-            bytes.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+    /// Writes a piece of a body, or its end.
+    async fn write_piece(&mut self, piece: Option<Bytes>, is_chunked: bool) -> bool {
+        match (piece, is_chunked) {
+            (Some(piece), false) => self.write_with_body(BytesMut::new(), piece).await,
+            (Some(piece), true) => self.write_chunk(piece).await,
+            (None, true) => self.write(BytesMut::from(&b"0\r\n\r\n"[..])).await,
+            (None, false) => true,
+        }
+    }
+
+    async fn write_chunk(&mut self, piece: Bytes) -> bool {
+        let mut bytes = BytesMut::from(format!("{:x}\r\n", piece.len()).as_bytes());
+        if piece.len() <= MAX_JOINED_BYTES {
             bytes.extend_from_slice(&piece);
             bytes.extend_from_slice(b"\r\n");
-            bytes
+            return self.write(bytes).await;
         }
-        (None, true) => BytesMut::from(&b"0\r\n\r\n"[..]),
-        (None, false) => BytesMut::new(),
+        self.write_with_body(bytes, piece).await && self.write(BytesMut::from(&b"\r\n"[..])).await
     }
 }
--- a/crates/mesh/src/gate/builder.rs
+++ b/crates/mesh/src/gate/builder.rs
@@ -18,6 +18,7 @@
 use crate::contexts::Contexts;
 use crate::dialect::Dialect;
 use crate::events::Events;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::quarantine::Quarantine;
 use crate::suspension;
@@ -35,6 +36,7 @@
         dialect: Rc<dyn Dialect>,
         upstream: Rc<Upstream>,
         (quarantine, suspension): (Rc<Quarantine>, Rc<suspension::Detector>),
+        memory: Rc<Memory>,
     ) -> Self {
         let rules = crate::node::ADMISSION_CONFIG;
         let (slots, retentions) = Slots::new();
@@ -53,6 +55,7 @@
             kinds: Kinds::default(),
             slots,
             pool: Pool::new(target),
+            memory,
             detector: Rc::new(Detector::new(target)),
             quarantine,
             suspension,
--- a/crates/mesh/src/gate/exchange.rs
+++ b/crates/mesh/src/gate/exchange.rs
@@ -1,6 +1,7 @@
 //! One request to the local upstream and its response.
 
 mod error;
+mod prefix;
 mod send;
 mod source;
 #[cfg(test)]
@@ -18,9 +19,9 @@
 use crate::gate::history::History;
 use crate::gate::pool::{Connection, Pool};
 use crate::key::UpstreamKey;
-use crate::memory::Buffer;
+use crate::memory::{Budget, Buffer};
 use crate::metrics::Metrics;
-use crate::request::Request;
+use crate::request::{Memory, Request};
 pub(super) use error::ExchangeError;
 use send::{Written, send};
 use source::UpstreamSource;
@@ -29,9 +30,6 @@
 pub(super) const MISDIRECTED: u16 = 421;
 /// The maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// Longer bodies are streamed. A response that breaks off within this limit can be retried or
-/// refused; beyond it, a hundred concurrent responses still fit into 13 MB.
-const MAX_BUFFERED_BYTES: usize = 128 * 1024;
 /// The maximum body size of a stale response, which is read and discarded.
 const MAX_STALE_BODY_BYTES: usize = 1024 * 1024;
 /// The maximum number of responses to other requests that are skipped before the expected one.
@@ -41,12 +39,15 @@
 pub(super) struct UpstreamResponse {
     pub(super) head: ResponseHead,
     pub(super) body: Body,
+    /// Counts the memory of a body that is not streamed.
+    pub(super) memory: Option<Memory>,
 }
 
 /// A request to be sent to an incarnation of the upstream.
 pub(super) struct Exchange<'a> {
     pub(super) pool: &'a Pool,
     pub(super) detector: &'a Rc<Detector>,
+    pub(super) answers: &'a Budget,
     pub(super) fields: &'a FieldNames,
     pub(super) events: &'a Events,
     pub(super) metrics: &'a Metrics,
@@ -89,7 +90,9 @@
         if ends_with_connection && written == Written::Failed {
             return Err(ExchangeError::Body(BodyError::Cut));
         }
-        let prefix = read_prefix(&mut connection, &mut rest).await?;
+        let prefix = self
+            .read_prefix(&mut connection, &mut rest, framing)
+            .await?;
         if rest.is_ended() {
             // The connections of a process that is killed end as those of whole responses do.
             if ends_with_connection && self.detector.has_ended().await {
@@ -98,8 +101,11 @@
             if written == Written::Whole && !ends_with_connection && self.is_named(&head) {
                 self.pool.release(connection, &head);
             }
-            let body = Body::Whole(prefix);
-            return Ok(UpstreamResponse { head, body });
+            return Ok(UpstreamResponse {
+                head,
+                body: Body::Whole(prefix.bytes),
+                memory: prefix.charge.map(Memory::new),
+            });
         }
         let length = match framing {
             Framing::Length(length) => Some(length),
@@ -109,11 +115,15 @@
             detector: Rc::clone(self.detector),
             ends_with_connection,
             connection,
-            first_piece: Some(prefix),
+            first_piece: (!prefix.bytes.is_empty()).then_some(prefix),
             rest,
         };
         let body = Body::Stream(Stream::new(length, Box::new(source)));
-        Ok(UpstreamResponse { head, body })
+        Ok(UpstreamResponse {
+            head,
+            body,
+            memory: None,
+        })
     }
 
     /// Skips stale responses until the one to this request.
@@ -196,23 +206,6 @@
     }
 }
 
-/// Reads a body to its end, or up to the limit for buffered bodies.
-async fn read_prefix(
-    connection: &mut Connection,
-    rest: &mut BodyRest,
-) -> Result<Bytes, ExchangeError> {
-    let mut body = BytesMut::new();
-    while body.len() < MAX_BUFFERED_BYTES {
-        let piece = connection.reader.piece(rest).await;
-        match piece.map_err(ExchangeError::Body)? {
-            Some(piece) if body.is_empty() && rest.is_ended() => return Ok(piece),
-            Some(piece) => body.extend_from_slice(&piece),
-            None => break,
-        }
-    }
-    Ok(body.freeze())
-}
-
 fn request_head(fields: &FieldNames, upstream: &UpstreamKey, request: &Request) -> BytesMut {
     let time_left = request.time_left();
     let added = format!(
--- a/crates/mesh/src/gate/exchange/source.rs
+++ b/crates/mesh/src/gate/exchange/source.rs
@@ -11,6 +11,7 @@
 
 use crate::body::{Source, Truncated};
 use crate::gate::crash::Detector;
+use crate::gate::exchange::prefix::Prefix;
 use crate::gate::pool::Connection;
 
 /// The maximum pause of an upstream within a streamed body.
@@ -22,7 +23,7 @@
     /// The end of the connection is the end of the body.
     pub(super) ends_with_connection: bool,
     pub(super) connection: Connection,
-    pub(super) first_piece: Option<Bytes>,
+    pub(super) first_piece: Option<Prefix>,
     pub(super) rest: BodyRest,
 }
 
@@ -30,7 +31,7 @@
     fn next(&mut self) -> LocalBoxFuture<'_, Result<Option<Bytes>, Truncated>> {
         async {
             if let Some(first_piece) = self.first_piece.take() {
-                return Ok(Some(first_piece));
+                return Ok(Some(first_piece.bytes));
             }
             let piece = self.connection.reader.piece(&mut self.rest);
             match timeout(BODY_READ_TIMEOUT, piece).await {
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -46,7 +46,7 @@
 use crate::dialect::Dialect;
 use crate::events::Events;
 use crate::key::{AttemptKey, UpstreamKey};
-use crate::memory::Buffer;
+use crate::memory::{Buffer, Memory};
 use crate::metrics::{Metrics, Stage};
 use crate::quarantine::Quarantine;
 use crate::request::{OverLimit, Request, Response};
@@ -87,6 +87,7 @@
     kinds: Kinds,
     slots: Rc<Slots>,
     pool: Pool,
+    memory: Rc<Memory>,
     detector: Rc<Detector>,
     quarantine: Rc<Quarantine>,
     suspension: Rc<suspension::Detector>,
--- a/crates/mesh/src/gate/send.rs
+++ b/crates/mesh/src/gate/send.rs
@@ -47,6 +47,7 @@
         let exchange = Exchange {
             pool: &self.pool,
             detector: &self.detector,
+            answers: &self.memory.answers,
             fields: self.dialect.fields(),
             events: &self.events,
             metrics: &self.metrics,
@@ -112,7 +113,7 @@
         response: UpstreamResponse,
     ) -> Response {
         let upstream = &admitted.upstream;
-        let UpstreamResponse { head, body } = response;
+        let UpstreamResponse { head, body, memory } = response;
         let fields = self.dialect.fields();
         if let Some(value) = head.fields.all(fields.load).next()
             && head.status != MISDIRECTED
@@ -145,7 +146,7 @@
             self.events.log_lost_answer(&request.attempt, &reason);
             return Response::unknown(Reason::Connection);
         }
-        Response::answered(head.status, forwarded_head(&head), body)
+        Response::answered(head.status, forwarded_head(&head), body).with_memory(memory)
     }
 
     async fn handle_error(
--- a/crates/mesh/src/memory.rs
+++ b/crates/mesh/src/memory.rs
@@ -1,8 +1,8 @@
-//! Limits on the memory used for request bodies.
+//! Limits on the memory used for bodies.
 //!
 //! A body is charged to a budget from its first byte until its last copy is dropped. Bodies of
 //! clients and bodies of peers have separate budgets: a body of a client is held until another node
-//! accepts it, so with one budget two full nodes could wait for each other.
+//! accepts it, so with one budget two full nodes could wait for each other. Answers have a third one.
 
 mod budget;
 mod buffer;
@@ -19,6 +19,10 @@
 const CLIENT_SHARE: (usize, usize) = (3, 8);
 /// The bodies sent by peers may use this share; they are dropped once the upstream has them.
 const PEER_SHARE: (usize, usize) = (1, 4);
+/// Answers of the own upstream that are read before they are passed on may use this share, and at
+/// least the minimum.
+const ANSWER_SHARE: (usize, usize) = (1, 16);
+const MIN_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 /// A single body may use this share of the memory limit while its budget is otherwise unused.
 const SINGLE_BODY_SHARE: (usize, usize) = (1, 2);
 
@@ -45,12 +49,14 @@
     Peer(NodeName),
 }
 
-/// The budgets of a node for request bodies.
+/// The budgets of a node for bodies.
 pub(crate) struct Memory {
     /// Bodies that arrive from clients and from the own upstream.
     pub(crate) clients: Budget,
     /// Bodies that arrive from peers.
     pub(crate) peers: Budget,
+    /// Bodies of answers that arrive from the own upstream.
+    pub(crate) answers: Budget,
 }
 
 impl Service for Memory {
@@ -60,22 +66,31 @@
 impl Memory {
     /// Returns the budgets of a process with this memory limit.
     pub(crate) fn new(limit: ByteSize) -> Self {
-        let [clients, peers, single] = sizes(limit);
+        let [clients, peers, single, answers] = sizes(limit);
         Self {
             clients: Budget::new(clients, single),
             peers: Budget::new(peers, single),
+            answers: Budget::new(answers, answers),
         }
     }
 
     /// Changes the memory limit; bodies that are held stay.
     pub(crate) fn resize(&self, limit: ByteSize) {
-        let [clients, peers, single] = sizes(limit);
+        let [clients, peers, single, answers] = sizes(limit);
         self.clients.resize(clients, single);
         self.peers.resize(peers, single);
+        self.answers.resize(answers, answers);
     }
 }
 
-fn sizes(limit: ByteSize) -> [usize; 3] {
-    [CLIENT_SHARE, PEER_SHARE, SINGLE_BODY_SHARE]
-        .map(|(numerator, denominator)| limit.as_usize() / denominator * numerator)
+/// Returns the sizes of the budgets for bodies of clients and of peers, of a single body, and of the
+/// budget for answers.
+fn sizes(limit: ByteSize) -> [usize; 4] {
+    let share = |(numerator, denominator)| limit.as_usize() / denominator * numerator;
+    [
+        share(CLIENT_SHARE),
+        share(PEER_SHARE),
+        share(SINGLE_BODY_SHARE),
+        share(ANSWER_SHARE).max(MIN_ANSWER_BYTES),
+    ]
 }
--- a/crates/mesh/src/memory/budget.rs
+++ b/crates/mesh/src/memory/budget.rs
@@ -131,6 +131,22 @@
         Err(Exhausted)
     }
 
+    /// Charges bytes that are needed at once; returns `None` if they do not fit or others wait.
+    pub(crate) fn try_acquire(&self, caller: &Caller, bytes: usize) -> Option<Charge> {
+        let mut state = self.0.borrow_mut();
+        state.waiters.retain(|waiter| !waiter.sender.is_canceled());
+        let fits = state.waiters.is_empty() && state.fit(caller, bytes, 0) == Fit::Fits;
+        fits.then(|| {
+            state.charge(caller, bytes);
+            Charge {
+                state: Rc::clone(&self.0),
+                caller: caller.clone(),
+                ticket: state.take_ticket(),
+                bytes,
+            }
+        })
+    }
+
     /// Returns the use of the budget.
     pub(crate) fn sample(&self) -> Sample {
         let state = self.0.borrow();
@@ -161,8 +177,8 @@
         let mut wait = patience;
         loop {
             match timeout(wait, &mut receiver).await {
-                Ok(Ok(mut granted)) => {
-                    self.bytes += std::mem::take(&mut granted.bytes);
+                Ok(Ok(granted)) => {
+                    self.join(granted);
                     return Ok(());
                 }
                 Err(_) if !self.is_last_to_grow() => wait = RECHECK_INTERVAL,
@@ -174,6 +190,11 @@
         }
     }
 
+    /// Adds what another charge has of the same budget.
+    pub(crate) fn join(&mut self, mut other: Self) {
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+
     /// Releases what exceeds this many bytes.
     pub(crate) fn shrink_to(&mut self, bytes: usize) {
         let released = self.bytes.saturating_sub(bytes);
@@ -211,17 +232,18 @@
         self.by_caller.get(caller).copied().unwrap_or_default()
     }
 
-    fn fit(&self, waiter: &Waiter) -> Fit {
-        let total = self.held.saturating_add(waiter.bytes);
-        let is_single = self.held == waiter.held && total <= self.single;
-        if waiter.bytes == 0 || is_single {
+    /// Returns whether a caller can have this many bytes for something that has `held` already.
+    fn fit(&self, caller: &Caller, bytes: usize, held: usize) -> Fit {
+        let total = self.held.saturating_add(bytes);
+        let is_single = self.held == held && total <= self.single;
+        if bytes == 0 || is_single {
             return Fit::Fits;
         }
         if total > self.capacity {
             return Fit::Full;
         }
-        let own = self.held_by(&waiter.caller) + waiter.bytes;
-        let may_use_reserve = own <= self.capacity / 2 || waiter.bytes <= SMALL_BYTES;
+        let own = self.held_by(caller) + bytes;
+        let may_use_reserve = own <= self.capacity / 2 || bytes <= SMALL_BYTES;
         if may_use_reserve || total <= self.capacity - self.capacity / RESERVE_DIVISOR {
             Fit::Fits
         } else {
@@ -248,7 +270,7 @@
         let mut is_blocked = false;
         for at in order {
             let waiter = &self.waiters[at];
-            match self.fit(waiter) {
+            match self.fit(&waiter.caller, waiter.bytes, waiter.held) {
                 Fit::Fits if !is_blocked || waiter.bytes <= SMALL_BYTES => {
                     return Some(self.waiters.remove(at));
                 }
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -223,6 +223,7 @@
         Rc::clone(dialect),
         table.find()?,
         (table.find()?, table.find()?),
+        table.find()?,
     );
     let gate = gate
         .in_flight(Rc::clone(in_flight))
@@ -282,9 +283,7 @@
         lengths: Lengths::default(),
         long_answers: LongAnswers::default(),
         shutdown: table.find()?,
-        pending_response_bytes: Rc::default(),
         max_pending_response_bytes: Cell::new(settings.pending_response_memory()),
-        max_response_bytes: Cell::new(settings.client_memory()),
         closing: Rc::default(),
         connections: Entry::registry(settings),
     });
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -13,7 +13,9 @@
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::accept::accept;
 use sailtrack_net::connections::{Limits, Registration, Registry};
-use sailtrack_net::frames::{ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, write_frames};
+use sailtrack_net::frames::{
+    BULK_CAPACITY, ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, prioritize, write_frames,
+};
 use sailtrack_net::task;
 use sailtrack_quota::Holder;
 use sailtrack_units::Incarnation;
@@ -85,9 +87,10 @@
         }
         let (read, write) = stream.into_split();
         let (mut outgoing, frames) = mpsc::channel(OUTGOING_CAPACITY);
+        let (mut bulk, bulk_frames) = mpsc::channel(BULK_CAPACITY);
         task::spawn("peer writer", async move {
             // The reading side closes the connection if writing fails.
-            let _ = write_frames(write, frames).await;
+            let _ = write_frames(write, prioritize(frames, bulk_frames)).await;
         });
         let mut reader = FrameReader::new(read);
         let peer_hello = match timeout(HELLO_TIMEOUT, reader.hello()).await {
@@ -107,10 +110,7 @@
             }
         }
         self.status.subscribers.borrow_mut().push(outgoing.clone());
-        let exchanges = Rc::new(Exchanges {
-            hears_overdue: peer_hello.hears_overdue,
-            ..Exchanges::default()
-        });
+        let exchanges = Rc::new(Exchanges::new(peer_hello.hears_overdue, bulk.clone()));
         let holder = holder(&peer_hello);
         let ended = self.read(&mut reader, &outgoing, &exchanges, holder.as_ref());
         let ended = ended.await;
@@ -119,6 +119,7 @@
             running.abort();
         }
         outgoing.close_channel();
+        bulk.close_channel();
         if let Err(ConnectionError::Frame(error)) = ended {
             reject(&error);
         }
@@ -225,6 +226,7 @@
             }
         };
         request.deadline = self.shutdown.work_deadline(request.deadline);
+        request.caller = body.peer.clone();
         let (exchange, mut outgoing) = (body.exchange, body.outgoing.clone());
         let hears_overdue = body.exchanges.hears_overdue;
         let is_idempotent = request.idempotent;
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -16,7 +16,7 @@
 use crate::body::Body;
 use crate::clock;
 use crate::key::AttemptKey;
-use crate::memory::Buffer;
+use crate::memory::{Buffer, Caller};
 use crate::overdue;
 use crate::rate_limit::RateLimit;
 use crate::request::{OverLimit, Request, Response};
@@ -94,6 +94,8 @@
         },
         overdue: overdue::Signal::default(),
         deadline: clock::now() + Duration::from_micros(message.time_left_us),
+        caller: Caller::Anonymous,
+        client: None,
         head: message.head,
         body: Buffer::default(),
     })
@@ -168,6 +170,7 @@
         turn: message.turn_ms.map(Duration::from_millis),
         // A peer only passes on keys that it could parse.
         leaving: message.leaving.parse().ok(),
+        memory: None,
         head: message.head,
         body,
     }
--- a/crates/mesh/src/peer/link/connection.rs
+++ b/crates/mesh/src/peer/link/connection.rs
@@ -11,7 +11,7 @@
 use sailtrack_log::{catalogue, emit};
 use sailtrack_net::dial::{DialError, dial, set_user_timeout};
 use sailtrack_net::frames::{
-    ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, prioritize, write_frames,
+    BULK_CAPACITY, ConnectionError, FrameReader, OUTGOING_CAPACITY, hello, prioritize, write_frames,
 };
 use sailtrack_units::Incarnation;
 use sailtrack_wire::{Body, Hello};
@@ -24,8 +24,6 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 /// Maximum backoff. Nodes must reconnect within about a second after a partition ends.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
-/// The capacity of the queue of body parts to be written, beside one for each request.
-const BULK_CAPACITY: usize = 4;
 /// Time after which a connection with unacknowledged data is closed (TCP user timeout).
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Number of heartbeat intervals without any message after which a connection is closed.
--- a/crates/mesh/src/peer/link/forward.rs
+++ b/crates/mesh/src/peer/link/forward.rs
@@ -32,7 +32,11 @@
             known_crashes: request.known_crashes,
             succeeded_recently: false,
         };
-        let (exchange, receiver) = self.begin_reply(Some(execution), request.overdue.clone());
+        let (exchange, receiver) = self.begin_reply(
+            Some(execution),
+            request.overdue.clone(),
+            request.client.clone(),
+        );
         let guard = CancelGuard::new(self, exchange);
         if !self.send_head(exchange, request) {
             guard.disarm();
--- a/crates/mesh/src/peer/link/mod.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -17,6 +17,7 @@
 use std::time::{Duration, Instant};
 
 use futures::channel::{mpsc, oneshot};
+use sailtrack_net::connections::Registration;
 use sailtrack_quarantine::Execution;
 use sailtrack_units::{Incarnation, Moment, Pace};
 use sailtrack_wire::{Body, Cancel, Chunk, Config, Grant, Presence, Reply, State, TokenAnswer};
@@ -29,7 +30,7 @@
 use crate::peer::link::lost::Lost;
 use crate::peer::link::upstream::Upstream;
 use crate::peer::reassembly::Reassembly;
-use crate::request::Response;
+use crate::request::{Memory, Response};
 use crate::routing::PeerLoad;
 use crate::watch::Priority;
 pub(crate) use forward::Delivery;
@@ -48,6 +49,8 @@
     overdue: overdue::Signal,
     /// The request itself, unless it is only recalled.
     execution: Option<Execution>,
+    /// The connection of the client that gets the reply, if that is one of this node.
+    client: Option<Registration>,
 }
 
 /// The outgoing connection to one other node, with what the node reports about itself.
@@ -62,7 +65,7 @@
     /// Uploads that wait until the other node has memory for them, by exchange.
     uploads: RefCell<HashMap<u64, oneshot::Sender<()>>>,
     pending: RefCell<HashMap<u64, Pending>>,
-    replies: RefCell<HashMap<u64, Reassembly<Reply>>>,
+    replies: RefCell<HashMap<u64, Reassembly<(Reply, Option<Memory>)>>>,
     /// Channels for the chunks of streamed bodies, by exchange.
     streams: RefCell<HashMap<u64, mpsc::UnboundedSender<Chunk>>>,
     config_requests: RefCell<Vec<oneshot::Sender<Config>>>,
@@ -225,6 +228,7 @@
         &self,
         execution: Option<Execution>,
         overdue: overdue::Signal,
+        client: Option<Registration>,
     ) -> (u64, oneshot::Receiver<Response>) {
         let exchange = self.next_id();
         let (sender, receiver) = oneshot::channel();
@@ -232,6 +236,7 @@
             sender,
             overdue,
             execution,
+            client,
         });
         self.pending.borrow_mut().insert(exchange, pending);
         (exchange, receiver)
--- a/crates/mesh/src/peer/link/questions.rs
+++ b/crates/mesh/src/peer/link/questions.rs
@@ -57,7 +57,7 @@
 
     /// Queries the outcome on the present connection; returns `None` if that is lost.
     async fn try_recall(&self, attempt: &AttemptKey, incarnation: Incarnation) -> Option<Response> {
-        let (exchange, receiver) = self.begin_reply(None, overdue::Signal::default());
+        let (exchange, receiver) = self.begin_reply(None, overdue::Signal::default(), None);
         let guard = CancelGuard::new(self, exchange);
         let recall = Recall {
             exchange,
--- a/crates/mesh/src/peer/link/replies.rs
+++ b/crates/mesh/src/peer/link/replies.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use futures::channel::mpsc;
+use sailtrack_net::connections::Registration;
 use sailtrack_wire::{Chunk, Outcome, Reason, Reply, State};
 
 use crate::body::{Body as AnswerBody, Stream};
@@ -11,14 +12,14 @@
 use crate::peer::link::{Link, Pending};
 use crate::peer::reassembly::Reassembly;
 use crate::peer::source::LinkSource;
-use crate::request::Response;
+use crate::request::{Memory, Response};
 
 impl Link {
     /// Handles the first message of a reply. A reply that nobody waits for is dropped.
     pub(super) fn handle_reply(&self, mut reply: Reply) {
         let exchange = reply.exchange;
-        let overdue = match self.pending.borrow().get(&exchange) {
-            Some(Pending::Reply(waiting)) => waiting.overdue.clone(),
+        let (overdue, client) = match self.pending.borrow().get(&exchange) {
+            Some(Pending::Reply(waiting)) => (waiting.overdue.clone(), waiting.client.clone()),
             Some(Pending::Retired(_)) | None => return,
         };
         if reply.overdue {
@@ -29,16 +30,17 @@
             self.start_stream(reply);
             return;
         }
+        let Some(memory) = count(&reply, client) else {
+            return;
+        };
         let first = std::mem::take(&mut reply.body);
         let length = reply.body_length;
         if first.len() as u64 == length {
-            self.deliver(
-                exchange,
-                response_from_wire(reply, AnswerBody::Whole(first)),
-            );
-            return;
+            let body = AnswerBody::Whole(first);
+            let response = response_from_wire(reply, body).with_memory(memory);
+            return self.deliver(exchange, response);
         }
-        match Reassembly::new(reply, &first, length) {
+        match Reassembly::new((reply, memory), &first, length) {
             Some(reassembly) => {
                 self.replies.borrow_mut().insert(exchange, reassembly);
             }
@@ -69,8 +71,9 @@
         if !reassembly.add(&chunk.data) {
             self.deliver(exchange, Response::unknown(Reason::AnswerTooLarge));
         } else if reassembly.is_complete() {
-            let (reply, body) = reassembly.finish();
-            self.deliver(exchange, response_from_wire(reply, AnswerBody::Whole(body)));
+            let ((reply, memory), body) = reassembly.finish();
+            let response = response_from_wire(reply, AnswerBody::Whole(body));
+            self.deliver(exchange, response.with_memory(memory));
         } else {
             self.replies.borrow_mut().insert(exchange, reassembly);
         }
@@ -92,3 +95,14 @@
         }
     }
 }
+
+/// Counts the memory of a whole reply for its client before it has arrived; returns `None` if the
+/// connection of the client was closed to make room, after which nobody waits for the reply.
+fn count(reply: &Reply, client: Option<Registration>) -> Option<Option<Memory>> {
+    let Some(client) = client else {
+        return Some(None);
+    };
+    let length = usize::try_from(reply.body_length).unwrap_or(usize::MAX);
+    let held = client.hold(reply.head.len().saturating_add(length));
+    (!client.is_closed()).then(|| Some(Memory::new(held)))
+}
--- a/crates/mesh/src/peer/link/tests.rs
+++ b/crates/mesh/src/peer/link/tests.rs
@@ -20,7 +20,7 @@
 use crate::clock::tests::SUSPENSIONS;
 use crate::directory::Member;
 use crate::key::{AttemptKey, UpstreamKey};
-use crate::memory::Buffer;
+use crate::memory::{self, Buffer};
 use crate::overdue;
 use crate::peer::Delegate;
 use crate::peer::link::{Delivery, Link};
@@ -87,6 +87,8 @@
         is_retry: false,
         over_limit: OverLimit::default(),
         overdue: overdue::Signal::default(),
+        caller: memory::Caller::Anonymous,
+        client: None,
         deadline: clock::now() + Duration::from_secs(10),
         head: Bytes::from_static(b"GET / HTTP/1.1\r\n"),
         body: Buffer::default(),
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -1,9 +1,12 @@
 //! A request to an upstream and its result.
 
+use std::any::Any;
+use std::fmt;
 use std::time::Duration;
 
 use bytes::Bytes;
 use sailtrack_admission::Pressure;
+use sailtrack_net::connections::Registration;
 use sailtrack_quarantine::Identity;
 use sailtrack_units::{Class, KindName, Moment, Pace, Rank, ServiceName, WorkspaceName};
 use sailtrack_wire::{Outcome, Reason};
@@ -11,7 +14,7 @@
 use crate::body::Body;
 use crate::clock;
 use crate::key::{AttemptKey, UpstreamKey};
-use crate::memory::{self, Buffer};
+use crate::memory::{self, Buffer, Caller};
 use crate::overdue;
 use crate::rate_limit::RateLimit;
 
@@ -53,6 +56,10 @@
     /// Raised when its answer takes longer than usual.
     pub(crate) overdue: overdue::Signal,
     pub(crate) deadline: Moment,
+    /// On whose behalf memory is used for its response beside the upstream.
+    pub(crate) caller: Caller,
+    /// The connection of its client, if that is one of this node.
+    pub(crate) client: Option<Registration>,
     /// The request line and the header fields to be forwarded.
     pub(crate) head: Bytes,
     pub(crate) body: Buffer,
@@ -70,6 +77,23 @@
     }
 }
 
+/// What counts the memory of a response.
+pub(crate) struct Memory(
+    #[allow(dead_code, reason = "it counts until it is dropped")] Box<dyn Any>,
+);
+
+impl Memory {
+    pub(crate) fn new(guard: impl Any) -> Self {
+        Self(Box::new(guard))
+    }
+}
+
+impl fmt::Debug for Memory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("counted")
+    }
+}
+
 /// The result of a request.
 #[derive(Debug)]
 pub(crate) struct Response {
@@ -102,6 +126,8 @@
     pub(crate) turn: Option<Duration>,
     /// The incarnation of the upstream, if its response says that it is leaving.
     pub(crate) leaving: Option<UpstreamKey>,
+    /// Counts the memory of the response until this is dropped.
+    pub(crate) memory: Option<Memory>,
 }
 
 impl Response {
@@ -122,6 +148,7 @@
             rate_limit: RateLimit::Unknown,
             turn: None,
             leaving: None,
+            memory: None,
         }
     }
 
@@ -130,6 +157,12 @@
         Self::without_answer(Outcome::NotRun, reason, false)
     }
 
+    /// Sets what counts its memory.
+    pub(crate) fn with_memory(mut self, memory: Option<Memory>) -> Self {
+        self.memory = memory;
+        self
+    }
+
     /// Sets the time after which the caller should retry.
     pub(crate) fn with_retry_after(mut self, after: Duration) -> Self {
         self.retry_after = after;
@@ -163,6 +196,7 @@
             head: self.head.clone(),
             body,
             leaving: self.leaving.clone(),
+            memory: None,
             ..*self
         })
     }
--- a/crates/mesh/src/retry/tests.rs
+++ b/crates/mesh/src/retry/tests.rs
@@ -8,7 +8,7 @@
 
 use crate::clock;
 use crate::key::AttemptKey;
-use crate::memory::Buffer;
+use crate::memory::{self, Buffer};
 use crate::overdue;
 use crate::request::{OverLimit, Request};
 use crate::retry::Budget;
@@ -36,6 +36,8 @@
         is_retry,
         over_limit: OverLimit::default(),
         overdue: overdue::Signal::default(),
+        caller: memory::Caller::Anonymous,
+        client: None,
         deadline: clock::now(),
         head: Bytes::new(),
         body: Buffer::default(),
--- a/crates/mesh/src/scrape.rs
+++ b/crates/mesh/src/scrape.rs
@@ -72,7 +72,7 @@
             waiting: self.admission.waiting(),
             slots: self.upstream.slots() as usize,
             records: self.records.len(),
-            response_bytes: self.entry.pending_response_bytes.get(),
+            response_bytes: self.entry.connections.answers(),
             max_response_bytes: self.entry.connections.max_bytes(),
             client_bodies: self.memory.clients.sample(),
             peer_bodies: self.memory.peers.sample(),
--- a/crates/net/src/frames.rs
+++ b/crates/net/src/frames.rs
@@ -18,6 +18,8 @@
 const WRITE_BATCH_SIZE: usize = 64 * 1024;
 /// The capacity of the queue of messages to be written.
 pub const OUTGOING_CAPACITY: usize = 1024;
+/// The capacity of the queue of body parts to be written, beside one for each request.
+pub const BULK_CAPACITY: usize = 4;
 
 /// Why a connection between two nodes ended.
 #[derive(Debug, Display)]
