Entry: each request in flight counts about what it takes to run it

1,500 connections with a request each take some 30 MB beside what is counted: with bodies and answers at their bounds that is more than the smallest instance has, by arithmetic. Each request in flight now counts 8 KiB and its head twice, not only those that are started behind others: 12 of the 20 MiB that an instance of 160 MiB has for its clients, if all connections have one.

--- a/crates/mesh/src/dispatch/attempt.rs
+++ b/crates/mesh/src/dispatch/attempt.rs
@@ -75,13 +75,13 @@
 async fn send_remote(request: &Request, link: &Link) -> Response {
     if !request.idempotent {
         return match link.forward(request).await {
-            Delivery::Answered(response) => response,
+            Delivery::Answered(response) => *response,
             Delivery::Unsent => Response::refused(Reason::Connection),
             Delivery::Lost(incarnation) => link.recall(&request.attempt, incarnation).await,
         };
     }
     match forward_watched(request, link).await {
-        Delivery::Answered(response) => response,
+        Delivery::Answered(response) => *response,
         Delivery::Unsent => Response::refused(Reason::Connection),
         Delivery::Lost(_) => Response::unknown(Reason::Connection),
     }
--- a/crates/mesh/src/entry/pipeline.rs
+++ b/crates/mesh/src/entry/pipeline.rs
@@ -29,9 +29,8 @@
 /// The responses to requests already started come on top, each at most 128 KiB.
 const MAX_PENDING_RESPONSE_BYTES: usize = 256 * 1024;
 
-/// What counts for a request that is started behind others, beside its head: about as much as is
-/// needed to run it.
-const AHEAD_BYTES: usize = 8 * 1024;
+/// What counts for a request in flight beside its head: about as much as is needed to run it.
+const REQUEST_BYTES: usize = 8 * 1024;
 
 /// A pipelined request, or its reply once it has completed.
 enum Slot {
@@ -172,12 +171,11 @@
 
     /// Returns the permit for a request that starts now, whose head has this many bytes.
     pub(super) fn permit(&self, in_flight: Guard, head_bytes: usize) -> Permit {
-        let work = if self.len() > 0 { AHEAD_BYTES } else { 0 };
         Permit {
             in_flight,
             closed: Rc::clone(&self.closed),
             // The head, and what is forwarded of it.
-            _request: self.registration.hold(2 * head_bytes + work),
+            _request: self.registration.hold(2 * head_bytes + REQUEST_BYTES),
             registration: self.registration.clone(),
         }
     }
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -317,7 +317,7 @@
     /// Returns the result of a request whose caller lost the response.
     pub(crate) async fn recall(&self, attempt: &AttemptKey) -> Response {
         match self.records.recall(attempt, Instant::now()) {
-            Recalled::Ended(response) => response,
+            Recalled::Ended(response) => *response,
             Recalled::Running(receiver) => {
                 let response = receiver.await;
                 response.unwrap_or_else(|_| Response::unknown(Reason::Connection))
--- a/crates/mesh/src/gate/records.rs
+++ b/crates/mesh/src/gate/records.rs
@@ -42,11 +42,17 @@
 /// The result of a recall.
 pub(crate) enum Recalled {
     /// The request has ended.
-    Ended(Response),
+    Ended(Box<Response>),
     /// The request is running; the receiver yields its result.
     Running(oneshot::Receiver<Response>),
 }
 
+impl Recalled {
+    fn ended(response: Response) -> Self {
+        Self::Ended(Box::new(response))
+    }
+}
+
 /// Execution records of non-idempotent requests.
 #[derive(Default)]
 pub(crate) struct Records {
@@ -83,7 +89,7 @@
         let Some(record) = records.get_mut(attempt) else {
             records.insert(attempt.clone(), Record::Refused);
             self.by_age.borrow_mut().push_back((now, attempt.clone()));
-            return Recalled::Ended(Response::refused(Reason::Connection));
+            return Recalled::ended(Response::refused(Reason::Connection));
         };
         match record {
             Record::Running(waiting) => {
@@ -93,12 +99,12 @@
             }
             Record::Ended(Some(response)) => {
                 let unknown = || Response::unknown(Reason::Connection);
-                Recalled::Ended(response.try_clone().unwrap_or_else(unknown))
+                Recalled::ended(response.try_clone().unwrap_or_else(unknown))
             }
-            Record::Ended(None) => Recalled::Ended(Response::unknown(Reason::Connection)),
+            Record::Ended(None) => Recalled::ended(Response::unknown(Reason::Connection)),
             Record::Waiting | Record::Refused => {
                 *record = Record::Refused;
-                Recalled::Ended(Response::refused(Reason::Connection))
+                Recalled::ended(Response::refused(Reason::Connection))
             }
         }
     }
--- a/crates/mesh/src/gate/records/tests.rs
+++ b/crates/mesh/src/gate/records/tests.rs
@@ -17,7 +17,7 @@
 
 fn recall(records: &Records, key: &AttemptKey, now: Instant) -> Response {
     match records.recall(key, now) {
-        Recalled::Ended(response) => response,
+        Recalled::Ended(response) => *response,
         Recalled::Running(_) => panic!("the request is still running"),
     }
 }
--- a/crates/mesh/src/peer/link/forward.rs
+++ b/crates/mesh/src/peer/link/forward.rs
@@ -15,7 +15,7 @@
 /// The result of sending a request over a link.
 pub(crate) enum Delivery {
     /// The other node responded.
-    Answered(Response),
+    Answered(Box<Response>),
     /// Nothing was sent.
     Unsent,
     /// The connection was lost before the response arrived; contains the incarnation of the node
@@ -50,7 +50,7 @@
             Either::Right(((), reply)) => reply.await,
         };
         let delivery = match reply {
-            Ok(response) => Delivery::Answered(response),
+            Ok(response) => Delivery::Answered(Box::new(response)),
             Err(_) => Delivery::Lost(incarnation),
         };
         guard.disarm();
--- a/crates/mesh/src/peer/link/mod.rs
+++ b/crates/mesh/src/peer/link/mod.rs
@@ -20,7 +20,7 @@
 use sailtrack_net::connections::Registration;
 use sailtrack_quarantine::Execution;
 use sailtrack_units::{Incarnation, Moment, Pace};
-use sailtrack_wire::{Body, Cancel, Chunk, Config, Grant, Presence, Reply, State, TokenAnswer};
+use sailtrack_wire::{Body, Cancel, Chunk, Config, Grant, Presence, State, TokenAnswer};
 
 use crate::clock;
 use crate::directory::Member;
@@ -30,7 +30,7 @@
 use crate::peer::link::lost::Lost;
 use crate::peer::link::upstream::Upstream;
 use crate::peer::reassembly::Reassembly;
-use crate::request::{Memory, Response};
+use crate::request::Response;
 use crate::routing::PeerLoad;
 use crate::watch::Priority;
 pub(crate) use forward::Delivery;
@@ -65,7 +65,7 @@
     /// Uploads that wait until the other node has memory for them, by exchange.
     uploads: RefCell<HashMap<u64, oneshot::Sender<()>>>,
     pending: RefCell<HashMap<u64, Pending>>,
-    replies: RefCell<HashMap<u64, Reassembly<(Reply, Option<Memory>)>>>,
+    replies: RefCell<HashMap<u64, Reassembly<replies::Partial>>>,
     /// Channels for the chunks of streamed bodies, by exchange.
     streams: RefCell<HashMap<u64, mpsc::UnboundedSender<Chunk>>>,
     config_requests: RefCell<Vec<oneshot::Sender<Config>>>,
--- a/crates/mesh/src/peer/link/replies.rs
+++ b/crates/mesh/src/peer/link/replies.rs
@@ -14,6 +14,12 @@
 use crate::peer::source::LinkSource;
 use crate::request::{Memory, Response};
 
+/// A reply of which a part has arrived.
+pub(super) struct Partial {
+    reply: Reply,
+    memory: Option<Memory>,
+}
+
 impl Link {
     /// Handles the first message of a reply. A reply that nobody waits for is dropped.
     pub(super) fn handle_reply(&self, mut reply: Reply) {
@@ -30,9 +36,11 @@
             self.start_stream(reply);
             return;
         }
-        let Some(memory) = count(&reply, client) else {
+        let memory = client.as_ref().map(|client| count(&reply, client));
+        if client.is_some_and(|client| client.is_closed()) {
+            // To make room; nobody waits for the reply any more.
             return;
-        };
+        }
         let first = std::mem::take(&mut reply.body);
         let length = reply.body_length;
         if first.len() as u64 == length {
@@ -40,7 +48,7 @@
             let response = response_from_wire(reply, body).with_memory(memory);
             return self.deliver(exchange, response);
         }
-        match Reassembly::new((reply, memory), &first, length) {
+        match Reassembly::new(Partial { reply, memory }, &first, length) {
             Some(reassembly) => {
                 self.replies.borrow_mut().insert(exchange, reassembly);
             }
@@ -71,7 +79,7 @@
         if !reassembly.add(&chunk.data) {
             self.deliver(exchange, Response::unknown(Reason::AnswerTooLarge));
         } else if reassembly.is_complete() {
-            let ((reply, memory), body) = reassembly.finish();
+            let (Partial { reply, memory }, body) = reassembly.finish();
             let response = response_from_wire(reply, AnswerBody::Whole(body));
             self.deliver(exchange, response.with_memory(memory));
         } else {
@@ -96,13 +104,8 @@
     }
 }
 
-/// Counts the memory of a whole reply for its client before it has arrived; returns `None` if the
-/// connection of the client was closed to make room, after which nobody waits for the reply.
-fn count(reply: &Reply, client: Option<Registration>) -> Option<Option<Memory>> {
-    let Some(client) = client else {
-        return Some(None);
-    };
+/// Counts the memory of a whole reply for the connection of its client before it has arrived.
+fn count(reply: &Reply, client: &Registration) -> Memory {
     let length = usize::try_from(reply.body_length).unwrap_or(usize::MAX);
-    let held = client.hold(reply.head.len().saturating_add(length));
-    (!client.is_closed()).then(|| Some(Memory::new(held)))
+    Memory::new(client.hold(reply.head.len().saturating_add(length)))
 }
--- a/crates/net/src/connections/tests.rs
+++ b/crates/net/src/connections/tests.rs
@@ -12,7 +12,7 @@
     bytes: 1000,
 };
 const NO_TIME: Duration = Duration::ZERO;
-const LONG: Duration = Duration::from_secs(60);
+const LONG: Duration = Duration::from_mins(1);
 
 fn add(registry: &Rc<Registry>) -> Option<Registration> {
     let (abort, _) = AbortHandle::new_pair();
