Gate: what is remembered of requests that must not run twice is bounded

What was seen: 2,000 such requests with ids of 50 KiB, of 20 clients one after the other, left 108,836 KiB in the node beside the upstream, of 65,536 that the settings allow; it was another node than the one that the clients asked.

Cause: the record of a request keeps its id for a minute, whatever its length and whether it ran, and nothing counted the records.

Records may take 16 MiB, some 80,000 requests a minute that ran at one upstream; beyond that such requests are refused as not run. None is dropped before its time, since a recall would then call "not run" what ran. Of what never ran nothing stays.

--- a/crates/mesh/src/entry/request.rs
+++ b/crates/mesh/src/entry/request.rs
@@ -53,6 +53,9 @@
         let host = host(&head).ok_or(Refusal::Malformed)?;
         let route = configuration.route(host, path).ok_or(Refusal::NoRoute)?;
         let attempt = head.fields.get(fields.attempt).ok_or(Refusal::Malformed)?;
+        if attempt.len() > AttemptKey::MAX_BYTES {
+            return Err(Refusal::HeadTooLarge);
+        }
         let requested = head.fields.get(fields.time_left_ms);
         let requested = requested.and_then(|millis| millis.parse().ok());
         let timeout = match requested.map(Duration::from_millis) {
--- a/crates/mesh/src/gate/mod.rs
+++ b/crates/mesh/src/gate/mod.rs
@@ -154,6 +154,8 @@
         };
         let entry = if request.idempotent {
             None
+        } else if !self.records.has_room_for(&request.attempt, now) {
+            return self.refuse_without_memory(&request);
         } else {
             match self.records.begin(&request.attempt, now) {
                 Some(entry) => Some(entry),
--- a/crates/mesh/src/gate/records.rs
+++ b/crates/mesh/src/gate/records.rs
@@ -27,6 +27,14 @@
 /// The maximum total size of the responses that are kept.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// What is counted for a record beside the id of its request.
+const RECORD_BYTES: usize = 192;
+/// The maximum total size of the records: of 80,000 requests in the retention time.
+const MAX_RECORD_BYTES: usize = 16 * 1024 * 1024;
+
+/// So many ids whose records were removed wait for their time before they are looked for.
+const MIN_FORGOTTEN: usize = 256;
+
 /// The execution state of a request.
 enum Record {
     /// It waits for admission and has not been sent.
@@ -58,6 +66,8 @@
 pub(crate) struct Records {
     by_attempt: RefCell<HashMap<AttemptKey, Record>>,
     by_age: RefCell<VecDeque<(Instant, AttemptKey)>>,
+    /// The total size of the records in `by_age`.
+    bytes: Cell<usize>,
     responses: RefCell<VecDeque<(Instant, AttemptKey, usize)>>,
     response_bytes: Cell<usize>,
 }
@@ -75,7 +85,7 @@
             return None;
         }
         records.insert(attempt.clone(), Record::Waiting);
-        self.by_age.borrow_mut().push_back((now, attempt.clone()));
+        self.add_to_age(attempt, now);
         Some(Entry {
             records: Rc::clone(self),
             attempt: attempt.clone(),
@@ -88,7 +98,7 @@
         let mut records = self.by_attempt.borrow_mut();
         let Some(record) = records.get_mut(attempt) else {
             records.insert(attempt.clone(), Record::Refused);
-            self.by_age.borrow_mut().push_back((now, attempt.clone()));
+            self.add_to_age(attempt, now);
             return Recalled::ended(Response::refused(Reason::Connection));
         };
         match record {
@@ -114,9 +124,29 @@
         self.by_attempt.borrow().len()
     }
 
+    /// Returns true if the request has a record or there is room for one. None is dropped before its
+    /// time: without it, a request that ran would be taken for one that never did.
+    pub(crate) fn has_room_for(&self, attempt: &AttemptKey, now: Instant) -> bool {
+        self.evict_expired(now);
+        self.bytes.get() < MAX_RECORD_BYTES || self.by_attempt.borrow().contains_key(attempt)
+    }
+
+    fn add_to_age(&self, attempt: &AttemptKey, now: Instant) {
+        self.by_age.borrow_mut().push_back((now, attempt.clone()));
+        self.bytes.set(self.bytes.get() + size(attempt));
+    }
+
     /// Removes the record of a request that has not run.
     fn remove(&self, attempt: &AttemptKey) -> Option<Record> {
-        self.by_attempt.borrow_mut().remove(attempt)
+        let mut by_attempt = self.by_attempt.borrow_mut();
+        let removed = by_attempt.remove(attempt);
+        let mut by_age = self.by_age.borrow_mut();
+        if by_age.len() > MIN_FORGOTTEN + 2 * by_attempt.len() {
+            by_age.retain(|(_, attempt)| by_attempt.contains_key(attempt));
+            self.bytes
+                .set(by_age.iter().map(|(_, attempt)| size(attempt)).sum());
+        }
+        removed
     }
 
     /// Records the end of a request that ran or may have run; returns the previous record.
@@ -149,6 +179,7 @@
             |entry: &(Instant, AttemptKey)| now.saturating_duration_since(entry.0) >= RETENTION;
         while by_age.front().is_some_and(is_expired) {
             if let Some((_, attempt)) = by_age.pop_front() {
+                self.bytes.set(self.bytes.get() - size(&attempt));
                 self.by_attempt.borrow_mut().remove(&attempt);
             }
         }
@@ -170,6 +201,11 @@
     }
 }
 
+/// Returns what is counted for the record of a request.
+fn size(attempt: &AttemptKey) -> usize {
+    RECORD_BYTES + attempt.as_str().len()
+}
+
 /// Handle of the record of a request that is being executed.
 ///
 /// Dropping it before the request was sent removes the record.
@@ -214,13 +250,20 @@
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        let mut records = self.records.by_attempt.borrow_mut();
-        match records.get_mut(&self.attempt) {
-            Some(Record::Waiting) => {
-                records.remove(&self.attempt);
+        let is_waiting = {
+            let mut records = self.records.by_attempt.borrow_mut();
+            let record = records.get_mut(&self.attempt);
+            match record {
+                Some(record @ Record::Running(_)) => {
+                    *record = Record::Ended(None);
+                    false
+                }
+                Some(Record::Waiting) => true,
+                Some(Record::Ended(_) | Record::Refused) | None => false,
             }
-            Some(record @ Record::Running(_)) => *record = Record::Ended(None),
-            Some(Record::Ended(_) | Record::Refused) | None => {}
+        };
+        if is_waiting {
+            self.records.remove(&self.attempt);
         }
     }
 }
--- a/crates/mesh/src/gate/records/tests.rs
+++ b/crates/mesh/src/gate/records/tests.rs
@@ -144,3 +144,35 @@
         "a late copy must not run"
     );
 }
+
+/// A record is not dropped before its time, so at the bound there is no room for another request.
+#[test]
+fn full_until_expired() {
+    let (records, now) = (Rc::new(Records::default()), Instant::now());
+    let long = "i".repeat(AttemptKey::MAX_BYTES - 8);
+    let key = |number: usize| AttemptKey::from(format!("{number:08}{long}").as_str());
+    let mut count = 0;
+    while records.has_room_for(&key(count), now) {
+        let entry = records.begin(&key(count), now).expect("a new request");
+        assert!(entry.start());
+        count += 1;
+    }
+    assert!((10_000..100_000).contains(&count), "{count} records");
+    assert!(records.has_room_for(&key(0), now), "it has a record");
+    let later = now + Duration::from_mins(1);
+    assert!(records.has_room_for(&key(count), later));
+    assert_eq!(records.len(), 0);
+}
+
+/// What never ran leaves nothing behind.
+#[test]
+fn removed_are_forgotten() {
+    let (records, now) = (Rc::new(Records::default()), Instant::now());
+    let long = "i".repeat(AttemptKey::MAX_BYTES - 8);
+    for number in 0..100_000 {
+        let key = AttemptKey::from(format!("{number:08}{long}").as_str());
+        assert!(records.has_room_for(&key, now), "after {number}");
+        drop(records.begin(&key, now).expect("a new request"));
+    }
+    assert_eq!(records.len(), 0);
+}
--- a/crates/mesh/src/key/attempt.rs
+++ b/crates/mesh/src/key/attempt.rs
@@ -8,6 +8,9 @@
 pub struct AttemptKey(Rc<str>);
 
 impl AttemptKey {
+    /// The longest key in bytes; keys are remembered for a minute.
+    pub const MAX_BYTES: usize = 1024;
+
     /// Returns the key as text.
     #[must_use]
     pub fn as_str(&self) -> &str {
--- a/crates/mesh/src/peer/convert.rs
+++ b/crates/mesh/src/peer/convert.rs
@@ -71,6 +71,9 @@
     let class = usize::try_from(message.class)
         .ok()
         .and_then(Class::from_index);
+    if message.id.len() > AttemptKey::MAX_BYTES {
+        return Err(error(&"the id is too long"));
+    }
     let workspace = (!message.workspace.is_empty()).then(|| message.workspace.parse());
     let workspace = workspace.transpose().map_err(|e| error(&e))?;
     Ok(Request {
