--- a/crates/mesh/src/metrics/gauges.rs
+++ b/crates/mesh/src/metrics/gauges.rs
@@ -48,9 +48,14 @@
     pub(crate) rate_limit: Option<Rate>,
     /// The requests admitted to the own upstream in the last second.
     pub(crate) recent_rate: u32,
-    /// The bytes of answers that clients have not taken, and how many there may be.
+    /// The bytes of answers that clients have not taken, and of requests in flight.
     pub(crate) response_bytes: usize,
-    pub(crate) max_response_bytes: usize,
+    /// The bytes that clients have sent and that have not been handled.
+    pub(crate) input_bytes: usize,
+    /// How many bytes of both there may be.
+    pub(crate) max_client_bytes: usize,
+    /// Connections of clients closed for lack of room.
+    pub(crate) closed_connections: u64,
     /// The memory used by request bodies of clients.
     pub(crate) client_bodies: Sample,
     /// The memory used by request bodies of peers.
@@ -208,8 +213,18 @@
         ),
         gauge(
             "answers_bytes_limit",
-            "Bytes of answers from which on new requests are refused",
-            |now| now.max_response_bytes as u64,
+            "Bytes of answers and input of clients beyond which their connections are closed",
+            |now| now.max_client_bytes as u64,
+        ),
+        gauge(
+            "input_bytes",
+            "Bytes that clients have sent and that wait to be handled",
+            |now| now.input_bytes as u64,
+        ),
+        gauge(
+            "connections_closed",
+            "Connections of clients closed for lack of room since the start",
+            |now| now.closed_connections,
         ),
         gauge(
             "foreign_rows",
