Connections: one ends with its task, not with the last that knows it

Found by reading the change: a request that must not run twice goes on after its client has gone, and knows the client's connection. A connection that was closed to make room would have counted as being closed until that request ended, and readers would have waited for it, up to its deadline. One that ended in order would have counted as open as long.

Mend: the task that serves a connection holds what ends it; clones that outlive it count nothing. connections/tests.rs::room_after_close plays it; room_again demanded that what is held keeps the connection, which was this fault, and now demands that nothing counts after the end.

The registry, one connection in it and its state have a file each.

--- a/crates/net/src/accept.rs
+++ b/crates/net/src/accept.rs
@@ -55,6 +55,7 @@
         return;
     };
     // Combinators, since an async block would store the future of the connection twice.
+    let served = registration.served();
     let serving = Abortable::new(serve(stream, registration), aborted);
-    task::spawn(task, serving.map(drop));
+    task::spawn(task, serving.map(move |_| drop(served)));
 }
--- a/crates/net/src/connections.rs
+++ b/crates/net/src/connections.rs
@@ -5,25 +5,25 @@
 //! peers that neither read nor send do not lock out others.
 
 mod held;
+mod registration;
+mod state;
 #[cfg(test)]
 mod tests;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
-use std::future::poll_fn;
 use std::rc::Rc;
-use std::task::{Poll, Waker};
+use std::task::Waker;
 use std::time::{Duration, Instant};
 
 use futures::future::AbortHandle;
 use sailtrack_log::{catalogue, emit};
 
 pub use held::Held;
+pub use registration::Registration;
+use state::State;
 
-/// Is added to the age of what a connection holds, so that of several that began at the same moment
-/// the one that holds the most is closed.
-const MIN_AGE: Duration = Duration::from_millis(50);
 /// How often closed connections are logged.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -55,44 +55,6 @@
     logged: Cell<Option<(Instant, u64)>>,
 }
 
-/// The state of one connection.
-struct State {
-    number: u64,
-    abort: AbortHandle,
-    /// Bytes that were received and not handled yet.
-    input: Cell<usize>,
-    /// Bytes of answers, and of what is needed to get them.
-    answers: Cell<usize>,
-    /// Since when bytes have been held, or since when the peer has taken none of them.
-    held_since: Cell<Instant>,
-    /// Since when the process has waited for the peer; `None` while the peer waits for the process.
-    quiet_since: Cell<Option<Instant>>,
-    was_served: Cell<bool>,
-}
-
-impl State {
-    fn bytes(&self) -> usize {
-        self.input.get() + self.answers.get()
-    }
-
-    /// Returns how much a connection holds on to: bytes, and for how long.
-    fn weight(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.held_since.get()) + MIN_AGE;
-        #[allow(clippy::cast_precision_loss)]
-        let bytes = self.bytes() as f64;
-        bytes * age.as_secs_f64()
-    }
-}
-
-/// One connection in the registry; it leaves when the last clone is dropped.
-#[derive(Clone)]
-pub struct Registration(Rc<Inner>);
-
-struct Inner {
-    registry: Rc<Registry>,
-    state: Rc<State>,
-}
-
 impl Registry {
     /// Returns a registry without connections.
     #[must_use]
@@ -180,10 +142,11 @@
             held_since: Cell::new(now),
             quiet_since: Cell::new(Some(now)),
             was_served: Cell::default(),
+            is_open: Cell::new(true),
         });
         self.open.borrow_mut().insert(number, Rc::clone(&state));
         let registry = Rc::clone(self);
-        Some(Registration(Rc::new(Inner { registry, state })))
+        Some(Registration::new(registry, state))
     }
 
     /// While the bytes are used up, closes connections whose peers have taken nothing of what is held
@@ -254,12 +217,24 @@
         true
     }
 
-    /// Removes a connection with what it holds; does nothing if it has been removed before.
-    fn remove(&self, state: &State) {
-        if self.open.borrow_mut().remove(&state.number).is_some() {
-            self.input.set(self.input.get() - state.input.get());
-            self.answers.set(self.answers.get() - state.answers.get());
+    /// Removes a connection whose task has ended.
+    fn end(&self, state: &State) {
+        if state.is_open.get() {
+            self.remove(state);
+            return;
         }
+        self.closing.set(self.closing.get() - state.bytes());
+        for waker in self.waiting.take() {
+            waker.wake();
+        }
+    }
+
+    /// Removes an open connection; what it holds counts no more.
+    fn remove(&self, state: &State) {
+        state.is_open.set(false);
+        self.open.borrow_mut().remove(&state.number);
+        self.input.set(self.input.get() - state.input.get());
+        self.answers.set(self.answers.get() - state.answers.get());
     }
 
     /// Counts a connection that was closed; logs at most once an interval.
@@ -279,105 +254,3 @@
         }
     }
 }
-
-impl Registration {
-    /// Records how many received bytes wait to be handled.
-    pub fn set_input(&self, bytes: usize) {
-        let Inner { registry, state } = &*self.0;
-        if self.is_closed() {
-            return;
-        }
-        let before = state.input.get();
-        self.start_holding(bytes.saturating_sub(before));
-        registry.input.set(registry.input.get() - before + bytes);
-        state.input.set(bytes);
-        if bytes > before {
-            registry.make_room();
-        }
-    }
-
-    /// Counts bytes of an answer, or of what is needed to get it, until the result is dropped.
-    #[must_use]
-    pub fn hold(&self, bytes: usize) -> Held {
-        Held::new(self.clone(), bytes)
-    }
-
-    /// Waits until closed connections have released so much that there is room.
-    ///
-    /// Their tasks are dropped in turn with those that read: without a pause, all that is ready to be
-    /// read would be in memory before the first of them.
-    pub async fn wait_for_room(&self) {
-        let registry = &self.0.registry;
-        poll_fn(|context| {
-            if !registry.is_over_limit() {
-                return Poll::Ready(());
-            }
-            registry.waiting.borrow_mut().push(context.waker().clone());
-            Poll::Pending
-        })
-        .await;
-    }
-
-    /// Returns how many bytes of answers are held.
-    #[must_use]
-    pub fn answers(&self) -> usize {
-        self.0.state.answers.get()
-    }
-
-    /// Returns the name of the port.
-    #[must_use]
-    pub fn port(&self) -> &'static str {
-        self.0.registry.port
-    }
-
-    /// Returns true if the connection was closed to make room; its task ends when it is polled.
-    #[must_use]
-    pub fn is_closed(&self) -> bool {
-        self.0.state.abort.is_aborted()
-    }
-
-    /// Records that the process waits for the peer from now on.
-    pub fn wait_for_peer(&self) {
-        self.0.state.quiet_since.set(Some(Instant::now()));
-    }
-
-    /// Records that the peer waits for the process.
-    pub fn work(&self) {
-        self.0.state.quiet_since.set(None);
-    }
-
-    /// Records that the peer has taken a part of what is held for it.
-    pub fn record_progress(&self) {
-        self.0.state.held_since.set(Instant::now());
-    }
-
-    /// Records that a request of the connection was answered.
-    pub fn record_served(&self) {
-        self.0.state.was_served.set(true);
-    }
-
-    fn start_holding(&self, bytes: usize) {
-        if bytes > 0 && self.0.state.bytes() == 0 {
-            self.record_progress();
-        }
-    }
-}
-
-impl Drop for Inner {
-    fn drop(&mut self) {
-        if self.state.abort.is_aborted() {
-            let closing = &self.registry.closing;
-            closing.set(closing.get() - self.state.bytes());
-            for waker in self.registry.waiting.take() {
-                waker.wake();
-            }
-        }
-        self.registry.remove(&self.state);
-    }
-}
-
-impl fmt::Debug for Registration {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "connection {}", self.0.state.number)
-    }
-}
