--- a/crates/mesh/src/entry/receiver/intake.rs
+++ b/crates/mesh/src/entry/receiver/intake.rs
@@ -104,7 +104,8 @@
             self.pipeline
                 .push(std::future::ready(Reply::Continue), is_exclusive);
         }
-        let reading = self.read_body(incoming, charge, limit);
+        // Boxed, since each of the enclosing futures would otherwise reserve space for its state.
+        let reading = Box::pin(self.read_body(incoming, charge, limit));
         let payload = clock::timeout_at(incoming.deadline, reading).await;
         payload.unwrap_or(Err(Failure::Timeout))
     }
