Mesh: records of requests take a share of the memory, however long their ids are

What callers saw: nothing yet; a node of 160 MiB of which clients fill all that is bounded at the same moment came to 154,000 to 167,000 KiB of 163,840, so it would be ended where that is the limit.

Cause: records (16 MiB) and answers kept for callers whose connection broke (8 MiB) had bounds that did not know the memory of the instance; an answer counted its bytes without the 400 of its entry, and a record the whole id, so that 13,800 requests with long ids filled the records for a minute and others were refused.

Change: records keep a digest of the id and take 1/16 of 'memory', 4 MiB at least (54,600 requests a minute at 160 MiB, as many as before of the usual ids at 192 MiB); kept answers 1/32, 2 MiB at least. Both follow a reload.

--- a/crates/mesh/src/gate/records.rs
+++ b/crates/mesh/src/gate/records.rs
@@ -3,6 +3,7 @@
 //! Only this node can reach its upstream, so its word about a request is final:
 //! a request that was recalled before it ran is refused from then on.
 
+mod digest;
 #[cfg(test)]
 mod tests;
 
@@ -14,23 +15,30 @@
 use bytes::Bytes;
 use futures::channel::oneshot;
 use sailtrack_kernel::Service;
+use sailtrack_units::ByteSize;
 use sailtrack_wire::{Outcome, Reason};
 
 use crate::key::AttemptKey;
 use crate::request::Response;
+use crate::settings::DEFAULT_MEMORY;
+use digest::Digest;
 
 /// How long a record is kept: no client waits longer than this.
 const RETENTION: Duration = Duration::from_mins(1);
 /// How long a response is kept for a caller whose connection broke; callers ask for it within two
 /// seconds.
 const RESPONSE_RETENTION: Duration = Duration::from_secs(5);
-/// The maximum total size of the responses that are kept.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
-
-/// What is counted for a record beside the id of its request.
+/// What is counted for a record, and for a response beside its bytes.
 const RECORD_BYTES: usize = 192;
-/// The maximum total size of the records: of 80,000 requests in the retention time.
-const MAX_RECORD_BYTES: usize = 16 * 1024 * 1024;
+const RESPONSE_BYTES: usize = 512;
+
+/// The records may use the memory limit divided by this, and at least the minimum: of 20,000
+/// requests in the retention time.
+const RECORD_MEMORY_DIVISOR: usize = 16;
+const MIN_RECORD_MEMORY: usize = 4 * 1024 * 1024;
+/// The responses that are kept may use the memory limit divided by this, and at least the minimum.
+const RESPONSE_MEMORY_DIVISOR: usize = 32;
+const MIN_RESPONSE_MEMORY: usize = 2 * 1024 * 1024;
 
 /// So many ids whose records were removed wait for their time before they are looked for.
 const MIN_FORGOTTEN: usize = 256;
@@ -62,14 +70,20 @@
 }
 
 /// Execution records of non-idempotent requests.
-#[derive(Default)]
 pub(crate) struct Records {
-    by_attempt: RefCell<HashMap<AttemptKey, Record>>,
-    by_age: RefCell<VecDeque<(Instant, AttemptKey)>>,
-    /// The total size of the records in `by_age`.
-    bytes: Cell<usize>,
-    responses: RefCell<VecDeque<(Instant, AttemptKey, usize)>>,
+    by_attempt: RefCell<HashMap<Digest, Record>>,
+    by_age: RefCell<VecDeque<(Instant, Digest)>>,
+    /// The maximum length of `by_age`.
+    max_len: Cell<usize>,
+    responses: RefCell<VecDeque<(Instant, Digest, usize)>>,
     response_bytes: Cell<usize>,
+    max_response_bytes: Cell<usize>,
+}
+
+impl Default for Records {
+    fn default() -> Self {
+        Self::new(DEFAULT_MEMORY)
+    }
 }
 
 impl Service for Records {
@@ -77,28 +91,53 @@
 }
 
 impl Records {
+    /// Returns empty records of a process with this memory limit.
+    pub(crate) fn new(limit: ByteSize) -> Self {
+        let records = Self {
+            by_attempt: RefCell::default(),
+            by_age: RefCell::default(),
+            max_len: Cell::default(),
+            responses: RefCell::default(),
+            response_bytes: Cell::default(),
+            max_response_bytes: Cell::default(),
+        };
+        records.resize(limit);
+        records
+    }
+
+    /// Changes the memory limit; records stay for their time.
+    pub(crate) fn resize(&self, limit: ByteSize) {
+        let limit = limit.as_usize();
+        let records = MIN_RECORD_MEMORY.max(limit / RECORD_MEMORY_DIVISOR);
+        self.max_len.set(records / RECORD_BYTES);
+        self.max_response_bytes
+            .set(MIN_RESPONSE_MEMORY.max(limit / RESPONSE_MEMORY_DIVISOR));
+    }
+
     /// Creates the record of a request, or returns `None` if there is one already.
     pub(crate) fn begin(self: &Rc<Self>, attempt: &AttemptKey, now: Instant) -> Option<Entry> {
         self.evict_expired(now);
+        let attempt = Digest::from(attempt);
         let mut records = self.by_attempt.borrow_mut();
-        if records.contains_key(attempt) {
+        if records.contains_key(&attempt) {
             return None;
         }
-        records.insert(attempt.clone(), Record::Waiting);
-        self.add_to_age(attempt, now);
+        records.insert(attempt, Record::Waiting);
+        self.by_age.borrow_mut().push_back((now, attempt));
         Some(Entry {
             records: Rc::clone(self),
-            attempt: attempt.clone(),
+            attempt,
         })
     }
 
     /// Returns the result of a request. One that has not run is refused for good.
     pub(crate) fn recall(&self, attempt: &AttemptKey, now: Instant) -> Recalled {
         self.evict_expired(now);
+        let attempt = Digest::from(attempt);
         let mut records = self.by_attempt.borrow_mut();
-        let Some(record) = records.get_mut(attempt) else {
-            records.insert(attempt.clone(), Record::Refused);
-            self.add_to_age(attempt, now);
+        let Some(record) = records.get_mut(&attempt) else {
+            records.insert(attempt, Record::Refused);
+            self.by_age.borrow_mut().push_back((now, attempt));
             return Recalled::ended(Response::refused(Reason::Connection));
         };
         match record {
@@ -128,47 +167,36 @@
     /// time: without it, a request that ran would be taken for one that never did.
     pub(crate) fn has_room_for(&self, attempt: &AttemptKey, now: Instant) -> bool {
         self.evict_expired(now);
-        self.bytes.get() < MAX_RECORD_BYTES || self.by_attempt.borrow().contains_key(attempt)
-    }
-
-    fn add_to_age(&self, attempt: &AttemptKey, now: Instant) {
-        self.by_age.borrow_mut().push_back((now, attempt.clone()));
-        self.bytes.set(self.bytes.get() + size(attempt));
+        let has_room = self.by_age.borrow().len() < self.max_len.get();
+        let attempt = Digest::from(attempt);
+        has_room || self.by_attempt.borrow().contains_key(&attempt)
     }
 
     /// Removes the record of a request that has not run.
-    fn remove(&self, attempt: &AttemptKey) -> Option<Record> {
+    fn remove(&self, attempt: Digest) -> Option<Record> {
         let mut by_attempt = self.by_attempt.borrow_mut();
-        let removed = by_attempt.remove(attempt);
+        let removed = by_attempt.remove(&attempt);
         let mut by_age = self.by_age.borrow_mut();
         if by_age.len() > MIN_FORGOTTEN + 2 * by_attempt.len() {
             by_age.retain(|(_, attempt)| by_attempt.contains_key(attempt));
-            self.bytes
-                .set(by_age.iter().map(|(_, attempt)| size(attempt)).sum());
         }
         removed
     }
 
     /// Records the end of a request that ran or may have run; returns the previous record.
-    fn record_end(
-        &self,
-        attempt: &AttemptKey,
-        response: &Response,
-        now: Instant,
-    ) -> Option<Record> {
+    fn record_end(&self, attempt: Digest, response: &Response, now: Instant) -> Option<Record> {
         let copy = response.try_clone();
         if copy.is_some() {
             self.retain_response(attempt, response, now);
         }
         let ended = Record::Ended(copy.map(Box::new));
-        self.by_attempt.borrow_mut().insert(attempt.clone(), ended)
+        self.by_attempt.borrow_mut().insert(attempt, ended)
     }
 
-    fn retain_response(&self, attempt: &AttemptKey, response: &Response, now: Instant) {
-        let size = response.head.len() + response.body.whole().map_or(0, Bytes::len);
-        self.responses
-            .borrow_mut()
-            .push_back((now, attempt.clone(), size));
+    fn retain_response(&self, attempt: Digest, response: &Response, now: Instant) {
+        let body = response.body.whole().map_or(0, Bytes::len);
+        let size = RESPONSE_BYTES + response.head.len() + body;
+        self.responses.borrow_mut().push_back((now, attempt, size));
         self.response_bytes.set(self.response_bytes.get() + size);
     }
 
@@ -176,10 +204,9 @@
         self.evict_responses(now);
         let mut by_age = self.by_age.borrow_mut();
         let is_expired =
-            |entry: &(Instant, AttemptKey)| now.saturating_duration_since(entry.0) >= RETENTION;
+            |entry: &(Instant, Digest)| now.saturating_duration_since(entry.0) >= RETENTION;
         while by_age.front().is_some_and(is_expired) {
             if let Some((_, attempt)) = by_age.pop_front() {
-                self.bytes.set(self.bytes.get() - size(&attempt));
                 self.by_attempt.borrow_mut().remove(&attempt);
             }
         }
@@ -189,7 +216,7 @@
         let mut responses = self.responses.borrow_mut();
         while let Some((added, attempt, size)) = responses.front() {
             let is_expired = now.saturating_duration_since(*added) >= RESPONSE_RETENTION;
-            if !is_expired && self.response_bytes.get() <= MAX_RESPONSE_BYTES {
+            if !is_expired && self.response_bytes.get() <= self.max_response_bytes.get() {
                 return;
             }
             if let Some(record) = self.by_attempt.borrow_mut().get_mut(attempt) {
@@ -201,17 +228,12 @@
     }
 }
 
-/// Returns what is counted for the record of a request.
-fn size(attempt: &AttemptKey) -> usize {
-    RECORD_BYTES + attempt.as_str().len()
-}
-
 /// Handle of the record of a request that is being executed.
 ///
 /// Dropping it before the request was sent removes the record.
 pub(crate) struct Entry {
     records: Rc<Records>,
-    attempt: AttemptKey,
+    attempt: Digest,
 }
 
 impl Entry {
@@ -233,9 +255,9 @@
     /// also on this node. If the caller recalls the request instead, it is refused for good.
     pub(crate) fn finish(self, response: &Response, now: Instant) {
         let ended = if response.outcome == Outcome::NotRun {
-            self.records.remove(&self.attempt)
+            self.records.remove(self.attempt)
         } else {
-            self.records.record_end(&self.attempt, response, now)
+            self.records.record_end(self.attempt, response, now)
         };
         let Some(Record::Running(waiting)) = ended else {
             return;
@@ -263,7 +285,7 @@
             }
         };
         if is_waiting {
-            self.records.remove(&self.attempt);
+            self.records.remove(self.attempt);
         }
     }
 }
--- a/crates/mesh/src/gate/records/tests.rs
+++ b/crates/mesh/src/gate/records/tests.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use sailtrack_units::ByteSize;
 use sailtrack_wire::{Outcome, Reason};
 
 use crate::body::Body;
@@ -145,22 +146,49 @@
     );
 }
 
-/// A record is not dropped before its time, so at the bound there is no room for another request.
-#[test]
-fn full_until_expired() {
-    let (records, now) = (Rc::new(Records::default()), Instant::now());
+/// Returns a key as long as it may be.
+fn long_key(number: usize) -> AttemptKey {
     let long = "i".repeat(AttemptKey::MAX_BYTES - 8);
-    let key = |number: usize| AttemptKey::from(format!("{number:08}{long}").as_str());
+    AttemptKey::from(format!("{number:08}{long}").as_str())
+}
+
+/// Starts requests until there is no room for another one, and returns how many there are.
+fn fill(records: &Rc<Records>, now: Instant) -> usize {
     let mut count = 0;
-    while records.has_room_for(&key(count), now) {
-        let entry = records.begin(&key(count), now).expect("a new request");
+    while records.has_room_for(&long_key(count), now) {
+        let entry = records.begin(&long_key(count), now).expect("a new request");
         assert!(entry.start());
         count += 1;
     }
+    count
+}
+
+/// The room is a share of the memory of the process, also when that changes, and however long ids are.
+#[test]
+fn share_of_memory() {
+    let now = Instant::now();
+    let records = Rc::new(Records::new(ByteSize(160 << 20)));
+    let count = fill(&records, now);
+    // A record of two tables takes at least this.
+    let at_least_bytes = 128;
+    assert!(
+        count * at_least_bytes <= (160 << 20) / 16,
+        "{count} records"
+    );
+    assert!(count >= 50_000, "{count} records");
+    records.resize(ByteSize(256 << 20));
+    assert!(records.has_room_for(&long_key(count), now));
+}
+
+/// A record is not dropped before its time, so at the bound there is no room for another request.
+#[test]
+fn full_until_expired() {
+    let (records, now) = (Rc::new(Records::default()), Instant::now());
+    let count = fill(&records, now);
     assert!((10_000..100_000).contains(&count), "{count} records");
-    assert!(records.has_room_for(&key(0), now), "it has a record");
+    assert!(records.has_room_for(&long_key(0), now), "it has a record");
     let later = now + Duration::from_mins(1);
-    assert!(records.has_room_for(&key(count), later));
+    assert!(records.has_room_for(&long_key(count), later));
     assert_eq!(records.len(), 0);
 }
 
@@ -168,9 +196,8 @@
 #[test]
 fn removed_are_forgotten() {
     let (records, now) = (Rc::new(Records::default()), Instant::now());
-    let long = "i".repeat(AttemptKey::MAX_BYTES - 8);
     for number in 0..100_000 {
-        let key = AttemptKey::from(format!("{number:08}{long}").as_str());
+        let key = long_key(number);
         assert!(records.has_room_for(&key, now), "after {number}");
         drop(records.begin(&key, now).expect("a new request"));
     }
--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -130,7 +130,7 @@
     table.install(Reachability::default());
     table.install(Retired::default());
     table.install(Contexts::default());
-    table.install(Records::default());
+    table.install(Records::new(settings.memory));
     table.install(Memory::new(settings.memory));
     table.install(Shutdown::default());
     table.install(Windows::default());
--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -90,6 +90,7 @@
         entry: table.find()?,
         freshness: table.find()?,
         quotas: table.find()?,
+        records: table.find()?,
     });
     task::spawn("settings", reload.run());
     Ok(())
--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -21,6 +21,7 @@
 
 use crate::entry::Entry;
 use crate::freshness::Freshness;
+use crate::gate::Records;
 use crate::quota::Quotas;
 use crate::retry::Budget;
 use crate::settings::Settings;
@@ -37,6 +38,7 @@
     pub(crate) entry: Rc<Entry>,
     pub(crate) freshness: Rc<Freshness>,
     pub(crate) quotas: Rc<Quotas>,
+    pub(crate) records: Rc<Records>,
 }
 
 /// The settings in force, and the state of reloading them from their file.
@@ -158,6 +160,7 @@
         };
         components.budget.set_bounds(next.retry);
         components.entry.memory.resize(next.memory);
+        components.records.resize(next.memory);
         components
             .entry
             .max_pending_response_bytes
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -20,7 +20,7 @@
 const LEVEL: &str = "error, warn, info or debug";
 
 /// The memory limit if none is set.
-const DEFAULT_MEMORY: ByteSize = ByteSize(256 << 20);
+pub(crate) const DEFAULT_MEMORY: ByteSize = ByteSize(256 << 20);
 
 /// Answers that wait for earlier answers of their connection may use the memory limit divided by
 /// this.
