Mesh: bodies of clients and of other nodes have a bound together

What callers saw: nothing yet; two clients, each within maxBodyBytes, one at the node beside the upstream and one at another, took a node over its memory.

Cause: two budgets, 3/8 and 1/4 of the memory, and in each of them a body that is the only one may have 1/2: two such bodies are all of the memory, and the process comes on top.

Change: a Bound of 1/2 over both budgets. Each budget keeps its size; what is released in one is offered to those who wait in the other.

The unit tests of Budget state the bound in place of the room of a single body; in three of them that was less than the budget, and is the size of the budget now.

--- a/crates/mesh/src/gate/exchange/tests.rs
+++ b/crates/mesh/src/gate/exchange/tests.rs
@@ -16,7 +16,7 @@
 use crate::gate::crash::Detector;
 use crate::gate::pool::Pool;
 use crate::key::UpstreamKey;
-use crate::memory::{Budget, Buffer};
+use crate::memory::{Bound, Budget, Buffer};
 use crate::metrics::Metrics;
 use crate::request::Request;
 
@@ -50,7 +50,7 @@
     let exchange = Exchange {
         pool: &pool,
         detector: &Rc::new(Detector::new(address)),
-        answers: &Budget::new(0, 0),
+        answers: &Budget::new(0, &Bound::new(0)),
         fields: &FIELDS,
         events: &Events::default(),
         metrics: &Metrics::new(),
--- a/crates/mesh/src/memory.rs
+++ b/crates/mesh/src/memory.rs
@@ -2,17 +2,19 @@
 //!
 //! A body is charged to a budget from its first byte until its last copy is dropped. Bodies of
 //! clients and bodies of peers have separate budgets: a body of a client is held until another node
-//! accepts it, so with one budget two full nodes could wait for each other. Answers have a third one.
+//! accepts it, so with one budget two full nodes could wait for each other. Together they have a
+//! bound that leaves a part to each of them. Answers have a third budget.
 
 mod budget;
 mod buffer;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use sailtrack_kernel::Service;
 use sailtrack_units::{ByteSize, NodeName, WorkspaceName};
 
-pub(crate) use budget::{Budget, Charge, Exhausted, Sample};
+pub(crate) use budget::{Bound, Budget, Charge, Exhausted, Sample};
 pub(crate) use buffer::{Assembly, Buffer};
 
 /// The bodies of clients may use this share of the memory limit, as numerator and denominator.
@@ -23,8 +25,8 @@
 /// least the minimum.
 const ANSWER_SHARE: (usize, usize) = (1, 16);
 const MIN_ANSWER_BYTES: usize = 4 * 1024 * 1024;
-/// A single body may use this share of the memory limit while its budget is otherwise unused.
-const SINGLE_BODY_SHARE: (usize, usize) = (1, 2);
+/// The bodies of both may use this share together, and so may a single one.
+const BODY_SHARE: (usize, usize) = (1, 2);
 
 /// The longest wait of a body for memory, and the part of the time left of its request.
 const MAX_PATIENCE: Duration = Duration::from_millis(250);
@@ -57,6 +59,9 @@
     pub(crate) peers: Budget,
     /// Bodies of answers that arrive from the own upstream.
     pub(crate) answers: Budget,
+    /// Bodies of clients and of peers together.
+    bodies: Rc<Bound>,
+    answer_bound: Rc<Bound>,
 }
 
 impl Service for Memory {
@@ -66,31 +71,46 @@
 impl Memory {
     /// Returns the budgets of a process with this memory limit.
     pub(crate) fn new(limit: ByteSize) -> Self {
-        let [clients, peers, single, answers] = sizes(limit);
+        let sizes = Sizes::from(limit);
+        let bodies = Bound::new(sizes.bodies);
+        let answer_bound = Bound::new(sizes.answers);
         Self {
-            clients: Budget::new(clients, single),
-            peers: Budget::new(peers, single),
-            answers: Budget::new(answers, answers),
+            clients: Budget::new(sizes.clients, &bodies),
+            peers: Budget::new(sizes.peers, &bodies),
+            answers: Budget::new(sizes.answers, &answer_bound),
+            bodies,
+            answer_bound,
         }
     }
 
     /// Changes the memory limit; bodies that are held stay.
     pub(crate) fn resize(&self, limit: ByteSize) {
-        let [clients, peers, single, answers] = sizes(limit);
-        self.clients.resize(clients, single);
-        self.peers.resize(peers, single);
-        self.answers.resize(answers, answers);
+        let sizes = Sizes::from(limit);
+        self.clients.resize(sizes.clients);
+        self.peers.resize(sizes.peers);
+        self.answers.resize(sizes.answers);
+        self.bodies.resize(sizes.bodies);
+        self.answer_bound.resize(sizes.answers);
     }
 }
 
-/// Returns the sizes of the budgets for bodies of clients and of peers, of a single body, and of the
-/// budget for answers.
-fn sizes(limit: ByteSize) -> [usize; 4] {
-    let share = |(numerator, denominator)| limit.as_usize() / denominator * numerator;
-    [
-        share(CLIENT_SHARE),
-        share(PEER_SHARE),
-        share(SINGLE_BODY_SHARE),
-        share(ANSWER_SHARE).max(MIN_ANSWER_BYTES),
-    ]
+/// The sizes of the budgets and of their bounds, in bytes.
+struct Sizes {
+    clients: usize,
+    peers: usize,
+    answers: usize,
+    bodies: usize,
+}
+
+impl From<ByteSize> for Sizes {
+    /// Returns the sizes for a process with this memory limit.
+    fn from(limit: ByteSize) -> Self {
+        let share = |(numerator, denominator)| limit.as_usize() / denominator * numerator;
+        Self {
+            clients: share(CLIENT_SHARE),
+            peers: share(PEER_SHARE),
+            answers: share(ANSWER_SHARE).max(MIN_ANSWER_BYTES),
+            bodies: share(BODY_SHARE),
+        }
+    }
 }
--- a/crates/mesh/src/memory/budget.rs
+++ b/crates/mesh/src/memory/budget.rs
@@ -1,5 +1,6 @@
 //! A memory budget that is shared fairly among callers.
 
+mod bound;
 #[cfg(test)]
 mod tests;
 
@@ -13,6 +14,7 @@
 use monoio::time::timeout;
 
 use crate::memory::Caller;
+pub(crate) use bound::Bound;
 
 /// One part in this many of the budget is kept for callers that use less than half of it, and for
 /// small bodies.
@@ -59,8 +61,8 @@
 
 struct State {
     capacity: usize,
-    /// The most bytes of a body that is the only one.
-    single: usize,
+    /// What this and other budgets may have in use together.
+    bound: Rc<Bound>,
     held: usize,
     peak: usize,
     refused: u64,
@@ -89,27 +91,26 @@
 }
 
 impl Budget {
-    /// Returns a budget of `capacity` bytes; a body that is the only one may have up to `single`.
-    pub(crate) fn new(capacity: usize, single: usize) -> Self {
-        Self(Rc::new(RefCell::new(State {
+    /// Returns a budget of `capacity` bytes within `bound`; a body that is the only one may have all
+    /// that the bound leaves.
+    pub(crate) fn new(capacity: usize, bound: &Rc<Bound>) -> Self {
+        let state = Rc::new(RefCell::new(State {
             capacity,
-            single,
+            bound: Rc::clone(bound),
             held: 0,
             peak: 0,
             refused: 0,
             by_caller: HashMap::new(),
             waiters: Vec::new(),
             next_ticket: 0,
-        })))
+        }));
+        bound.add(&state);
+        Self(state)
     }
 
-    /// Changes the sizes; memory in use stays in use.
-    pub(crate) fn resize(&self, capacity: usize, single: usize) {
-        {
-            let mut state = self.0.borrow_mut();
-            state.capacity = capacity;
-            state.single = single;
-        }
+    /// Changes the size; memory in use stays in use.
+    pub(crate) fn resize(&self, capacity: usize) {
+        self.0.borrow_mut().capacity = capacity;
         grant_waiting(&self.0);
     }
 
@@ -235,8 +236,14 @@
     /// Returns whether a caller can have this many bytes for something that has `held` already.
     fn fit(&self, caller: &Caller, bytes: usize, held: usize) -> Fit {
         let total = self.held.saturating_add(bytes);
-        let is_single = self.held == held && total <= self.single;
-        if bytes == 0 || is_single {
+        if bytes == 0 {
+            return Fit::Fits;
+        }
+        if !self.bound.fits(bytes) {
+            return Fit::Full;
+        }
+        let is_single = self.held == held;
+        if is_single {
             return Fit::Fits;
         }
         if total > self.capacity {
@@ -283,6 +290,7 @@
 
     fn charge(&mut self, caller: &Caller, bytes: usize) {
         self.held += bytes;
+        self.bound.charge(bytes);
         self.peak = self.peak.max(self.held);
         *self.by_caller.entry(caller.clone()).or_default() += bytes;
     }
@@ -331,15 +339,17 @@
     if bytes == 0 {
         return;
     }
-    {
+    let bound = {
         let mut state = state.borrow_mut();
         state.held -= bytes;
+        state.bound.release(bytes);
         if let Some(held) = state.by_caller.get_mut(caller) {
             *held -= bytes;
             if *held == 0 {
                 state.by_caller.remove(caller);
             }
         }
-    }
-    grant_waiting(state);
+        Rc::clone(&state.bound)
+    };
+    bound.grant_waiting();
 }
--- a/crates/mesh/src/memory/budget/tests.rs
+++ b/crates/mesh/src/memory/budget/tests.rs
@@ -33,7 +33,7 @@
 #[test]
 fn refused_beyond_capacity() {
     run(async {
-        let budget = Budget::new(8 * MIB, 8 * MIB);
+        let budget = Budget::new(8 * MIB, &Bound::new(8 * MIB));
         let held = take(&budget, workspace("a"), 4 * MIB).await.expect("room");
         let other = take(&budget, workspace("b"), 4 * MIB).await.expect("room");
         assert!(take(&budget, workspace("c"), 1).await.is_err());
@@ -48,7 +48,7 @@
 #[test]
 fn waits_for_room() {
     run(async {
-        let budget = Budget::new(8 * MIB, 8 * MIB);
+        let budget = Budget::new(8 * MIB, &Bound::new(8 * MIB));
         let held = take(&budget, workspace("a"), 4 * MIB).await.expect("room");
         let other = take(&budget, workspace("b"), 4 * MIB).await.expect("room");
         let waiting = wait(&budget, workspace("c"), 3 * MIB);
@@ -63,7 +63,7 @@
 #[test]
 fn shared_fairly() {
     run(async {
-        let budget = Budget::new(8 * MIB, MIB);
+        let budget = Budget::new(8 * MIB, &Bound::new(8 * MIB));
         let mut held = Vec::new();
         while let Ok(charge) = take(&budget, workspace("a"), MIB).await {
             held.push(charge);
@@ -85,7 +85,7 @@
 #[test]
 fn single_body() {
     run(async {
-        let budget = Budget::new(2 * MIB, 5 * MIB);
+        let budget = Budget::new(2 * MIB, &Bound::new(5 * MIB));
         let single = take(&budget, workspace("a"), 5 * MIB).await.expect("room");
         assert!(take(&budget, workspace("a"), 1).await.is_err());
         drop(single);
@@ -93,11 +93,51 @@
     });
 }
 
+/// Two budgets have less together than each of them by itself; each keeps what the other cannot take.
+#[test]
+fn bound_of_both() {
+    run(async {
+        let bound = Bound::new(8 * MIB);
+        let (clients, peers) = (Budget::new(6 * MIB, &bound), Budget::new(4 * MIB, &bound));
+        let mut held = Vec::new();
+        for name in ["a", "b", "c"] {
+            held.push(
+                take(&clients, workspace(name), 2 * MIB)
+                    .await
+                    .expect("room"),
+            );
+        }
+        let peer = take(&peers, workspace("a"), 2 * MIB).await.expect("room");
+        assert!(take(&peers, workspace("b"), 1).await.is_err());
+        let waiting = wait(&peers, workspace("b"), 2 * MIB);
+        held.pop();
+        let granted = waiting
+            .now_or_never()
+            .expect("what others release is theirs");
+        assert_eq!(granted.expect("room").bytes(), 2 * MIB);
+        drop((held, peer));
+        assert!(take(&peers, workspace("b"), 8 * MIB).await.is_ok());
+    });
+}
+
+/// A body that is the only one of its budget has no more than the other budget leaves.
+#[test]
+fn single_beside_others() {
+    run(async {
+        let bound = Bound::new(8 * MIB);
+        let (clients, peers) = (Budget::new(6 * MIB, &bound), Budget::new(4 * MIB, &bound));
+        let single = take(&clients, workspace("a"), 7 * MIB).await.expect("room");
+        assert!(take(&peers, workspace("a"), 5 * MIB).await.is_err());
+        drop(single);
+        assert!(take(&peers, workspace("a"), 5 * MIB).await.is_ok());
+    });
+}
+
 /// Bodies that wait for each other's memory are refused one by one, the last one first.
 #[test]
 fn growth_ends() {
     run(async {
-        let budget = Budget::new(8 * MIB, MIB);
+        let budget = Budget::new(8 * MIB, &Bound::new(8 * MIB));
         let mut charges = Vec::new();
         for name in ["a", "b", "c", "d"] {
             charges.push(take(&budget, workspace(name), 2 * MIB).await.expect("room"));
@@ -119,7 +159,7 @@
 #[test]
 fn wait_is_cancelled() {
     run(async {
-        let budget = Budget::new(MIB, MIB);
+        let budget = Budget::new(MIB, &Bound::new(MIB));
         let held = take(&budget, workspace("a"), MIB).await.expect("room");
         drop(wait(&budget, workspace("b"), MIB));
         assert_eq!(budget.sample().waiting, 0);
@@ -132,7 +172,7 @@
 #[test]
 fn small_ones_pass() {
     run(async {
-        let budget = Budget::new(8 * MIB, MIB);
+        let budget = Budget::new(8 * MIB, &Bound::new(8 * MIB));
         let held = take(&budget, workspace("a"), 4 * MIB).await.expect("room");
         let other = take(&budget, workspace("b"), 3 * MIB).await.expect("room");
         let waiting = wait(&budget, workspace("c"), 2 * MIB);
--- a/crates/mesh/src/memory/buffer/tests.rs
+++ b/crates/mesh/src/memory/buffer/tests.rs
@@ -3,7 +3,7 @@
 use sailtrack_net::runtime;
 
 use super::*;
-use crate::memory::{Budget, Caller};
+use crate::memory::{Bound, Budget, Caller};
 
 fn charge(budget: &Budget, bytes: usize) -> Charge {
     let acquired = budget.acquire(Caller::Anonymous, bytes, Duration::ZERO);
@@ -18,7 +18,7 @@
 /// A body keeps its bytes in order, whatever pieces it arrives in and is sent in.
 #[test]
 fn pieces_in_order() {
-    let budget = Budget::new(1 << 20, 1 << 20);
+    let budget = Budget::new(1 << 20, &Bound::new(1 << 20));
     let bytes: Vec<u8> = (0..200_000_u32)
         .map(|number| number.to_le_bytes()[0])
         .collect();
@@ -37,7 +37,7 @@
 /// A short body is one piece even if it grew beyond what was charged first.
 #[test]
 fn short_body_in_one_piece() {
-    let budget = Budget::new(1 << 20, 1 << 20);
+    let budget = Budget::new(1 << 20, &Bound::new(1 << 20));
     let mut assembly = Assembly::new(charge(&budget, 300));
     assembly.push(&[1; 200]);
     let grown = assembly.charge().grow(1000, Duration::ZERO);
@@ -54,7 +54,7 @@
 /// What was charged for a body is released with its last copy, and what it did not need at its end.
 #[test]
 fn released_with_last_copy() {
-    let budget = Budget::new(1 << 20, 1 << 20);
+    let budget = Budget::new(1 << 20, &Bound::new(1 << 20));
     let mut assembly = Assembly::new(charge(&budget, 300_000));
     assembly.push(&[1; 1000]);
     assert_eq!(budget.sample().held, 300_000);
