--- a/crates/mesh/src/memory/budget/bound.rs
+++ b/crates/mesh/src/memory/budget/bound.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 
-use super::{State, grant_waiting};
+use super::state::{State, grant_waiting};
 
 /// How many bytes the budgets that share it may have in use together.
 pub(crate) struct Bound {
--- a/crates/mesh/src/memory/budget/tests.rs
+++ b/crates/mesh/src/memory/budget/tests.rs
@@ -2,6 +2,7 @@
 use futures::future::LocalBoxFuture;
 use sailtrack_net::runtime;
 
+use super::state::SMALL_BYTES;
 use super::*;
 
 const MIB: usize = 1024 * 1024;
