Mesh: messages that other nodes begin are counted, and closed at a bound

What callers saw: nothing yet; 128 strangers at the port for other nodes that say hello as a node does (8 bytes) and begin a message of 1 MiB each took a node over its memory. Before a hello frames were bounded already, after it they were not.

Cause: the connections of that port had no bound in bytes: 1,200 times 1 MiB.

Change: incomplete messages count for their connection, 1/32 of 'memory' in all, 2 MiB at least: 160 parts of bodies at the same moment at 160 MiB, beside what is complete. At the bound the one is closed that has held the most for the longest since its last whole message, so a node that sends on is not chosen before one that does not. Closing ends what belongs to the connection: its requests are aborted and its writer ends also when its task is dropped, not only when it ends by itself.

--- a/crates/mesh/src/node/start.rs
+++ b/crates/mesh/src/node/start.rs
@@ -299,6 +299,7 @@
         quotas: table.find()?,
         clock: table.find()?,
         shutdown: table.find()?,
+        connections: Acceptor::registry(settings),
     });
     table.install(Announcements {
         dialect: Rc::clone(dialect),
--- a/crates/mesh/src/node/tasks.rs
+++ b/crates/mesh/src/node/tasks.rs
@@ -89,6 +89,7 @@
         budget: table.find()?,
         entry: table.find()?,
         freshness: table.find()?,
+        peer_port: table.find()?,
         quotas: table.find()?,
         records: table.find()?,
     });
--- a/crates/mesh/src/peer/accept.rs
+++ b/crates/mesh/src/peer/accept.rs
@@ -39,6 +39,7 @@
 use crate::rate_limit::RateLimit;
 use crate::request::Response;
 use crate::retired::{Reason as Retirement, Retired};
+use crate::settings::Settings;
 use crate::shutdown::Shutdown;
 use crate::status::Status;
 use crate::store::{Clock, StoreTime};
@@ -63,6 +64,26 @@
     pub(crate) quotas: Rc<Quotas>,
     pub(crate) clock: Rc<Clock>,
     pub(crate) shutdown: Rc<Shutdown>,
+    /// The open connections.
+    pub(crate) connections: Rc<Registry>,
+}
+
+/// Ends what belongs to a connection when the task that serves it ends or is dropped.
+struct Cleanup {
+    exchanges: Rc<Exchanges>,
+    outgoing: mpsc::Sender<Body>,
+    bulk: mpsc::Sender<Body>,
+}
+
+impl Drop for Cleanup {
+    fn drop(&mut self) {
+        // The peer treats every request without a response as lost.
+        for running in self.exchanges.running.borrow().values() {
+            running.abort();
+        }
+        self.outgoing.close_channel();
+        self.bulk.close_channel();
+    }
 }
 
 impl Service for Acceptor {
@@ -70,13 +91,18 @@
 }
 
 impl Acceptor {
-    /// Accepts connections forever.
-    pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
+    /// Returns the registry of connections of peers of a process with these settings.
+    pub(crate) fn registry(settings: &Settings) -> Rc<Registry> {
         let limits = Limits {
             connections: MAX_CONNECTIONS,
-            bytes: usize::MAX,
+            bytes: settings.peer_input_memory(),
         };
-        let registry = Registry::new("peer", limits);
+        Registry::new("peer", limits)
+    }
+
+    /// Accepts connections forever.
+    pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let registry = Rc::clone(&self.connections);
         let serve = |stream, registration| Rc::clone(&self).serve(stream, registration);
         accept(listener, "peer connection", registry, serve).await;
     }
@@ -87,12 +113,12 @@
         }
         let (read, write) = stream.into_split();
         let (mut outgoing, frames) = mpsc::channel(OUTGOING_CAPACITY);
-        let (mut bulk, bulk_frames) = mpsc::channel(BULK_CAPACITY);
+        let (bulk, bulk_frames) = mpsc::channel(BULK_CAPACITY);
         task::spawn("peer writer", async move {
             // The reading side closes the connection if writing fails.
             let _ = write_frames(write, prioritize(frames, bulk_frames)).await;
         });
-        let mut reader = FrameReader::new(read);
+        let mut reader = FrameReader::new(read).count_for(registration.clone());
         let peer_hello = match timeout(HELLO_TIMEOUT, reader.hello()).await {
             Ok(Ok(peer_hello)) => peer_hello,
             Ok(Err(error)) => return reject(&error),
@@ -111,15 +137,14 @@
         }
         self.status.subscribers.borrow_mut().push(outgoing.clone());
         let exchanges = Rc::new(Exchanges::new(peer_hello.hears_overdue, bulk.clone()));
+        let _cleanup = Cleanup {
+            exchanges: Rc::clone(&exchanges),
+            outgoing: outgoing.clone(),
+            bulk,
+        };
         let holder = holder(&peer_hello);
         let ended = self.read(&mut reader, &outgoing, &exchanges, holder.as_ref());
         let ended = ended.await;
-        // The peer treats every request without a response as lost.
-        for running in exchanges.running.borrow().values() {
-            running.abort();
-        }
-        outgoing.close_channel();
-        bulk.close_channel();
         if let Err(ConnectionError::Frame(error)) = ended {
             reject(&error);
         }
--- a/crates/mesh/src/reload.rs
+++ b/crates/mesh/src/reload.rs
@@ -22,6 +22,7 @@
 use crate::entry::Entry;
 use crate::freshness::Freshness;
 use crate::gate::Records;
+use crate::peer::Acceptor;
 use crate::quota::Quotas;
 use crate::retry::Budget;
 use crate::settings::Settings;
@@ -37,6 +38,7 @@
     pub(crate) budget: Rc<Budget>,
     pub(crate) entry: Rc<Entry>,
     pub(crate) freshness: Rc<Freshness>,
+    pub(crate) peer_port: Rc<Acceptor>,
     pub(crate) quotas: Rc<Quotas>,
     pub(crate) records: Rc<Records>,
 }
@@ -169,6 +171,10 @@
             .entry
             .connections
             .set_max_bytes(next.client_memory());
+        components
+            .peer_port
+            .connections
+            .set_max_bytes(next.peer_input_memory());
         components
             .freshness
             .set_bound(next.revoke_time.map(|time| time.0));
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -29,6 +29,10 @@
 /// and at least the minimum.
 const CLIENT_MEMORY_DIVISOR: usize = 8;
 const MIN_CLIENT_MEMORY: usize = 8 * 1024 * 1024;
+/// Incomplete messages of other nodes may use the memory limit divided by this, and at least the
+/// minimum.
+const PEER_INPUT_DIVISOR: usize = 32;
+const MIN_PEER_INPUT: usize = 2 * 1024 * 1024;
 
 /// How long a node is unreachable before it is removed for good; longer than a reboot takes.
 const DEFAULT_FORGET_AFTER: Period = Period::from_millis(300_000);
@@ -126,6 +130,12 @@
         MIN_CLIENT_MEMORY.max(self.memory.as_usize() / CLIENT_MEMORY_DIVISOR)
     }
 
+    /// Returns how much memory incomplete messages of other nodes may use. Beyond it, the connections
+    /// that hold on to the most are closed.
+    pub(crate) fn peer_input_memory(&self) -> usize {
+        MIN_PEER_INPUT.max(self.memory.as_usize() / PEER_INPUT_DIVISOR)
+    }
+
     /// Returns these settings, except that those which only take effect at a start are taken from
     /// `other`.
     pub(crate) fn with_fixed_from(self, other: Self) -> Self {
--- a/crates/net/src/frames.rs
+++ b/crates/net/src/frames.rs
@@ -1,6 +1,5 @@
 //! Reads and writes length-delimited frames on a connection between two nodes.
 
-use crate::turn::Turn;
 use bytes::BytesMut;
 use displaydoc::Display;
 use futures::channel::mpsc;
@@ -12,6 +11,9 @@
     Body, Codec, Frame, FrameError, Hello, MAX_FRAME, MAX_HELLO, Member, VERSION,
 };
 
+use crate::connections::Registration;
+use crate::turn::Turn;
+
 /// The size of one read, in bytes.
 const READ_SIZE: usize = 16 * 1024;
 /// Frames are batched into one write until it holds this many bytes.
@@ -45,6 +47,8 @@
     buffer: BytesMut,
     read_buffer: Vec<u8>,
     turn: Turn,
+    /// What the bytes of incomplete frames count for.
+    registration: Option<Registration>,
 }
 
 impl FrameReader {
@@ -59,9 +63,17 @@
             buffer: BytesMut::new(),
             read_buffer: vec![0; READ_SIZE],
             turn: Turn::default(),
+            registration: None,
         }
     }
 
+    /// Counts what is received for a connection of a port.
+    #[must_use]
+    pub fn count_for(mut self, registration: Registration) -> Self {
+        self.registration = Some(registration);
+        self
+    }
+
     /// Returns the message of the next frame.
     pub async fn next(&mut self) -> Result<Body, ConnectionError> {
         loop {
@@ -70,6 +82,7 @@
                 .decode(&mut self.buffer)
                 .map_err(ConnectionError::Frame)?;
             if let Some(body) = frame.and_then(|frame| frame.body) {
+                self.record_progress();
                 return Ok(body);
             }
             self.fill().await?;
@@ -96,11 +109,23 @@
             return Err(ConnectionError::Closed);
         }
         self.buffer.extend_from_slice(&read_buffer[..count]);
+        if let Some(registration) = &self.registration {
+            registration.set_input(self.buffer.len());
+            registration.wait_for_room().await;
+        }
         self.read_buffer = read_buffer;
         self.read_buffer.resize(READ_SIZE, 0);
         self.turn.record_read(count == READ_SIZE).await;
         Ok(())
     }
+
+    /// Records that a frame is complete.
+    fn record_progress(&self) {
+        if let Some(registration) = &self.registration {
+            registration.record_progress();
+            registration.set_input(self.buffer.len());
+        }
+    }
 }
 
 /// Returns the messages of two channels; those of `bulk` come only when there are no others.
