Mesh: requests that were turned away take no room from those that ran

What callers saw: nothing yet.

Cause: ages of removed records were dropped when there were twice as many as records, not when the room was used up.

Change: at the bound they are dropped as well, if they are a sixteenth of it.

Result: removed_leave_room (unit): before, refused at the 37,381st beside 50,000 that ran; now green, and the ten others of records.

--- a/crates/mesh/src/gate/records.rs
+++ b/crates/mesh/src/gate/records.rs
@@ -40,8 +40,10 @@
 const RESPONSE_MEMORY_DIVISOR: usize = 32;
 const MIN_RESPONSE_MEMORY: usize = 2 * 1024 * 1024;
 
-/// So many ids whose records were removed wait for their time before they are looked for.
+/// So many ids whose records were removed wait for their time before they are looked for; where the
+/// room is used up, the number of records divided by this.
 const MIN_FORGOTTEN: usize = 256;
+const REMOVED_DIVISOR: usize = 16;
 
 /// The execution state of a request.
 enum Record {
@@ -167,19 +169,30 @@
     /// time: without it, a request that ran would be taken for one that never did.
     pub(crate) fn has_room_for(&self, attempt: &AttemptKey, now: Instant) -> bool {
         self.evict_expired(now);
-        let has_room = self.by_age.borrow().len() < self.max_len.get();
+        if self.is_full() {
+            self.forget_removed(self.max_len.get() / REMOVED_DIVISOR);
+        }
         let attempt = Digest::from(attempt);
-        has_room || self.by_attempt.borrow().contains_key(&attempt)
+        !self.is_full() || self.by_attempt.borrow().contains_key(&attempt)
     }
 
-    /// Removes the record of a request that has not run.
-    fn remove(&self, attempt: Digest) -> Option<Record> {
-        let mut by_attempt = self.by_attempt.borrow_mut();
-        let removed = by_attempt.remove(&attempt);
+    fn is_full(&self) -> bool {
+        self.by_age.borrow().len() >= self.max_len.get()
+    }
+
+    /// Drops the ages of records that were removed, if there are more of them than this.
+    fn forget_removed(&self, count: usize) {
+        let by_attempt = self.by_attempt.borrow();
         let mut by_age = self.by_age.borrow_mut();
-        if by_age.len() > MIN_FORGOTTEN + 2 * by_attempt.len() {
+        if by_age.len() > count + by_attempt.len() {
             by_age.retain(|(_, attempt)| by_attempt.contains_key(attempt));
         }
+    }
+
+    /// Removes the record of a request that has not run.
+    fn remove(&self, attempt: Digest) -> Option<Record> {
+        let removed = self.by_attempt.borrow_mut().remove(&attempt);
+        self.forget_removed(MIN_FORGOTTEN + self.len());
         removed
     }
 
--- a/crates/mesh/src/gate/records/tests.rs
+++ b/crates/mesh/src/gate/records/tests.rs
@@ -203,3 +203,20 @@
     }
     assert_eq!(records.len(), 0);
 }
+
+/// What never ran takes no room from what ran.
+#[test]
+fn removed_leave_room() {
+    let (records, now) = (Rc::new(Records::default()), Instant::now());
+    let key = |kind: &str, number: usize| AttemptKey::from(format!("{kind}{number}").as_str());
+    for number in 0..50_000 {
+        let entry = records.begin(&key("ran", number), now);
+        assert!(entry.expect("a new request").start());
+    }
+    for number in 0..200_000 {
+        let key = key("refused", number);
+        assert!(records.has_room_for(&key, now), "after {number}");
+        drop(records.begin(&key, now).expect("a new request"));
+    }
+    assert_eq!(records.len(), 50_000);
+}
